--- /dev/null
+++ b/packages/router/src/index.ts
@@ -0,0 +1,2 @@
+/** Package in preparation. */
+export {};
