--- a/packages/decide/src/admission.ts
+++ b/packages/decide/src/admission.ts
@@ -20,3 +20,31 @@
   /** Whether an endpoint with `inFlight` requests may take one more. */
   admits(inFlight: number, pool: PoolLoad): boolean;
 }
+
+/** Keeps a product that should be whole from being rounded up by its error. */
+const ROUNDING = 1e-9;
+
+/** Holds every endpoint to a multiple of the pool's mean load. */
+export class BoundedAdmission implements Admission {
+  bound(pool: PoolLoad): number {
+    const live = Math.max(1, pool.liveEndpoints);
+    const mean = (pool.inFlight + 1) / live;
+    const share = Math.ceil(pool.loadMultiple * mean - ROUNDING);
+    return Math.min(pool.maxInFlight, Math.max(1, share));
+  }
+
+  admits(inFlight: number, pool: PoolLoad): boolean {
+    return inFlight + 1 <= this.bound(pool);
+  }
+}
+
+/** Holds every endpoint to its own limit only. */
+export class NaiveAdmission implements Admission {
+  bound(pool: PoolLoad): number {
+    return pool.maxInFlight;
+  }
+
+  admits(inFlight: number, pool: PoolLoad): boolean {
+    return inFlight + 1 <= this.bound(pool);
+  }
+}
--- a/packages/decide/src/memory.ts
+++ b/packages/decide/src/memory.ts
@@ -2,6 +2,7 @@
  * Memory of where chats were last served, bounded, at the owner of the
  * endpoint that served them.
  */
+import * as lruCache from 'lru-cache';
 
 /** Where one chat was last served. */
 export interface ChatEntry {
@@ -27,3 +28,51 @@
   /** How many chats are remembered. */
   readonly size: number;
 }
+
+/** How much a memory of chats keeps. */
+export interface LruChatMemoryOptions {
+  /** Chats kept; beyond them the one not used for longest is dropped. */
+  readonly maxChats: number;
+}
+
+/**
+ * Keeps the chats used last. An endpoint's chats are found by a scan: that is
+ * rare, and an index by endpoint would double the memory for each chat.
+ */
+export class LruChatMemory implements ChatMemory {
+  private readonly endpoints: lruCache.LRUCache<string, string>;
+
+  constructor(options: LruChatMemoryOptions) {
+    this.endpoints = new lruCache.LRUCache({max: options.maxChats});
+  }
+
+  recall(chat: string): string | undefined {
+    return this.endpoints.get(chat);
+  }
+
+  remember(entry: ChatEntry): void {
+    this.endpoints.set(entry.chat, entry.endpoint);
+  }
+
+  forget(endpoint: string): void {
+    this.select(entry => entry.endpoint === endpoint, this.size);
+  }
+
+  select(
+    isWanted: (entry: ChatEntry) => boolean,
+    limit: number,
+  ): readonly ChatEntry[] {
+    const taken: ChatEntry[] = [];
+    for (const [chat, endpoint] of this.endpoints.entries()) {
+      if (taken.length >= limit) break;
+      const entry = {chat, endpoint};
+      if (isWanted(entry)) taken.push(entry);
+    }
+    for (const entry of taken) this.endpoints.delete(entry.chat);
+    return taken;
+  }
+
+  get size(): number {
+    return this.endpoints.size;
+  }
+}
