Score owners' tiers only when they are reached

Cause: assign took a median of 126 ms at 600 endpoints and 410 routers. Change: routers are grouped by nearness; a tier is scored and sorted, as one array of numbers, when an endpoint first comes to it.

--- a/packages/decide/src/ownership.ts
+++ b/packages/decide/src/ownership.ts
@@ -25,9 +25,11 @@
 /** Routers named for each endpoint: its owner and those who would follow. */
 const MAX_ORDER = 4;
 
-const SAME_REGION = 2;
-const SAME_FAILURE_DOMAIN = 1;
+/** Nearness of a router that shares region and failure domain, and less. */
+const NEARNESS = {both: 3, region: 2, failureDomain: 1, neither: 0} as const;
+
 const SCORE_RANGE = 2 ** 32;
+const MAX_ROUTERS = 2 ** 20;
 
 /**
  * Owners by rendezvous score, the near ones first, evened out: no router owns
@@ -38,13 +40,17 @@
 export class RendezvousOwnership implements Ownership {
   assign(endpoints: readonly Site[], routers: readonly Site[]): OwnerTable {
     const ordered = byName(endpoints);
-    const affinities = new Affinities(ordered, byName(routers));
-    const owners = match(affinities);
-    const table = new Map<string, readonly string[]>();
-    ordered.forEach((endpoint, index) => {
-      table.set(endpoint.name, affinities.following(index, owners[index]));
-    });
-    return table;
+    const groups = new RouterGroups(byName(routers));
+    const preferences = ordered.map(
+      (site, index) => new Preference(index, site.name, groups.tiers(site)),
+    );
+    const owners = match(preferences, routers.length);
+    return new Map(
+      ordered.map(({name}, index) => [
+        name,
+        groups.names(preferences[index]!.following(owners[index])),
+      ]),
+    );
   }
 
   leader(task: string, routers: readonly Site[]): readonly string[] {
@@ -79,101 +85,166 @@
   return [...sites].sort((a, b) => (a.name < b.name ? -1 : 1));
 }
 
-/**
- * Affinity of every endpoint to every router, by their indexes in name order:
- * nearness first, then rendezvous score; of equals the lower index goes first.
- */
-class Affinities {
-  /** Affinities of one endpoint after the other. */
-  private readonly values: Float64Array;
-  private readonly preferences: Array<Uint32Array | undefined>;
+/** A router by its index in name order, with the hash that seeds its scores. */
+interface Seeded {
+  readonly index: number;
+  readonly seed: number;
+}
 
-  constructor(
-    readonly endpoints: readonly Site[],
-    readonly routers: readonly Site[],
-  ) {
-    this.values = new Float64Array(endpoints.length * routers.length);
-    this.preferences = new Array<undefined>(endpoints.length);
-    // The same value as core.score, with the router hashed once only.
-    const seeds = routers.map(router => core.hash32(router.name));
-    let at = 0;
-    for (const endpoint of endpoints) {
-      for (const [index, router] of routers.entries()) {
-        const score = core.hash32(endpoint.name, seeds[index]);
-        this.values[at++] = nearness(endpoint, router) * SCORE_RANGE + score;
-      }
-    }
+/** Routers that are equally near to an endpoint. */
+interface Tier {
+  readonly nearness: number;
+  readonly routers: readonly Seeded[];
+}
+
+/** The routers by their nearness to a place; most endpoints share a place. */
+class RouterGroups {
+  private readonly seeded: readonly Seeded[];
+  private readonly known = new Map<string, readonly Tier[]>();
+
+  constructor(private readonly routers: readonly Site[]) {
+    this.seeded = routers.map((router, index) => ({
+      index,
+      seed: core.hash32(router.name),
+    }));
   }
 
-  of(endpoint: number, router: number): number {
-    return this.values[endpoint * this.routers.length + router]!;
+  /** The routers around a site, the nearest tier first. */
+  tiers(site: Site): readonly Tier[] {
+    const place = JSON.stringify([site.region, site.failureDomain]);
+    const known = this.known.get(place);
+    if (known) return known;
+    const near = this.routers.map(router => nearness(site, router));
+    const tiers = Object.values(NEARNESS).map(value => ({
+      nearness: value,
+      routers: this.seeded.filter(({index}) => near[index] === value),
+    }));
+    this.known.set(place, tiers);
+    return tiers;
+  }
+
+  names(indexes: readonly number[]): string[] {
+    return indexes.map(index => this.routers[index]!.name);
+  }
+}
+
+function nearness(endpoint: Site, router: Site): number {
+  const isDomain = endpoint.failureDomain === router.failureDomain;
+  if (endpoint.region === router.region) {
+    return isDomain ? NEARNESS.both : NEARNESS.region;
   }
+  return isDomain ? NEARNESS.failureDomain : NEARNESS.neither;
+}
+
+/** One endpoint that asks one router, both by their indexes in name order. */
+interface Offer {
+  readonly endpoint: number;
+  readonly router: number;
+  /** Nearness, then rendezvous score; the same for either side. */
+  readonly affinity: number;
+}
 
-  /** The routers in the order in which the endpoint would have them. */
-  preference(endpoint: number): Uint32Array {
-    return (this.preferences[endpoint] ??= this.sorted(endpoint));
+/**
+ * The routers in the order in which one endpoint would have them. Tiers are
+ * scored when they are first reached, as most endpoints stay in the nearest.
+ */
+class Preference {
+  /** Router keys of the reached tiers, each tier's best first. */
+  private readonly keys: Float64Array[] = [];
+
+  constructor(
+    private readonly endpoint: number,
+    private readonly name: string,
+    private readonly tiers: readonly Tier[],
+  ) {}
+
+  /** The offer at a place of the order; undefined past the last router. */
+  at(place: number): Offer | undefined {
+    let before = 0;
+    for (const [at, tier] of this.tiers.entries()) {
+      const next = before + tier.routers.length;
+      if (place < next) return this.offer(at, place - before);
+      before = next;
+    }
+    return undefined;
   }
 
-  /** The owner's name, then the names of the best others. */
-  following(endpoint: number, owner: number | undefined): string[] {
+  /** The owner, then the best others. */
+  following(owner: number | undefined): number[] {
     if (owner === undefined) return [];
-    const best = this.preference(endpoint).slice(0, MAX_ORDER);
-    const others = [...best].filter(router => router !== owner);
-    const order = [owner, ...others].slice(0, MAX_ORDER);
-    return order.map(router => this.routers[router]!.name);
+    const order = [owner];
+    for (let place = 0; order.length < MAX_ORDER; place++) {
+      const offer = this.at(place);
+      if (!offer) break;
+      if (offer.router !== owner) order.push(offer.router);
+    }
+    return order;
   }
 
-  private sorted(endpoint: number): Uint32Array {
-    const order = Uint32Array.from(this.routers.keys());
-    return order.sort(
-      (a, b) => this.of(endpoint, b) - this.of(endpoint, a) || a - b,
-    );
+  private offer(tier: number, place: number): Offer {
+    const {nearness, routers} = this.tiers[tier]!;
+    const keys = (this.keys[tier] ??= sortedKeys(this.name, routers));
+    const key = keys[place]!;
+    const score = Math.floor(key / MAX_ROUTERS);
+    return {
+      endpoint: this.endpoint,
+      router: MAX_ROUTERS - 1 - (key % MAX_ROUTERS),
+      affinity: nearness * SCORE_RANGE + score,
+    };
   }
 }
 
-function nearness(endpoint: Site, router: Site): number {
-  const isRegion = endpoint.region === router.region;
-  const isDomain = endpoint.failureDomain === router.failureDomain;
-  return (isRegion ? SAME_REGION : 0) + (isDomain ? SAME_FAILURE_DOMAIN : 0);
+/**
+ * Score and index of each router in one number, the best first; of equal
+ * scores the lower index. An array of numbers sorts far faster than objects.
+ */
+function sortedKeys(name: string, routers: readonly Seeded[]): Float64Array {
+  const keys = new Float64Array(routers.length);
+  for (let at = 0; at < keys.length; at++) {
+    const {index, seed} = routers[at]!;
+    const score = core.hash32(name, seed);
+    keys[at] = score * MAX_ROUTERS + (MAX_ROUTERS - 1 - index);
+  }
+  return keys.sort().reverse();
 }
 
 /**
  * Deferred acceptance: each endpoint asks routers in its order of preference;
  * a router that is full keeps the endpoints with the highest affinity.
  */
-function match(affinities: Affinities): ReadonlyArray<number | undefined> {
-  const {endpoints, routers} = affinities;
-  const owners = new Array<number | undefined>(endpoints.length);
-  if (routers.length === 0) return owners;
-  const most = Math.ceil(endpoints.length / routers.length);
-  const asked = new Uint32Array(endpoints.length);
-  const owned = routers.map((): number[] => []);
-  const homeless = [...endpoints.keys()];
-  for (let one = homeless.pop(); one !== undefined; one = homeless.pop()) {
-    const router = affinities.preference(one)[asked[one]!]!;
-    asked[one]! += 1;
-    owners[one] = router;
-    owned[router]!.push(one);
-    if (owned[router]!.length <= most) continue;
-    const loser = dropLast(owned[router]!, router, affinities);
+function match(
+  preferences: readonly Preference[],
+  routers: number,
+): ReadonlyArray<number | undefined> {
+  const owners = new Array<number | undefined>(preferences.length);
+  if (routers === 0) return owners;
+  const most = Math.ceil(preferences.length / routers);
+  const owned = Array.from({length: routers}, (): Offer[] => []);
+  const asked = preferences.map(() => 0);
+  const waiting = [...preferences.keys()];
+  for (let one = waiting.pop(); one !== undefined; one = waiting.pop()) {
+    const offer = preferences[one]!.at(asked[one]!++)!;
+    owners[one] = offer.router;
+    const held = owned[offer.router]!;
+    held.push(offer);
+    if (held.length <= most) continue;
+    const loser = dropLast(held);
     owners[loser] = undefined;
-    homeless.push(loser);
+    waiting.push(loser);
   }
   return owners;
 }
 
-/** Takes out the endpoint with the lowest affinity to the router. */
-function dropLast(
-  owned: number[],
-  router: number,
-  affinities: Affinities,
-): number {
+/** Takes out the offer that the router likes least; returns its endpoint. */
+function dropLast(held: Offer[]): number {
   let last = 0;
-  for (let at = 1; at < owned.length; at++) {
-    const here = affinities.of(owned[at]!, router);
-    const least = affinities.of(owned[last]!, router);
-    const isTie = here === least && owned[at]! > owned[last]!;
-    if (here < least || isTie) last = at;
+  for (const [at, offer] of held.entries()) {
+    if (isBefore(held[last]!, offer)) last = at;
   }
-  return owned.splice(last, 1)[0]!;
+  return held.splice(last, 1)[0]!.endpoint;
+}
+
+function isBefore(left: Offer, right: Offer): boolean {
+  if (left.affinity !== right.affinity) return left.affinity > right.affinity;
+  return left.endpoint < right.endpoint;
 }
