--- /dev/null
+++ b/packages/decide/src/membership.ts
@@ -0,0 +1,134 @@
+/**
+ * Membership: which routers are live, from digests heard, from notes that
+ * other routers pass on, and from the platform's list.
+ */
+
+/** Word that one run of a router is gone. */
+export interface DownNote {
+  readonly router: string;
+  /** The run of the router that the note is about; later runs are not. */
+  readonly incarnation: number;
+}
+
+/** Book of the routers' liveness, as one router sees it. */
+export interface Membership {
+  /** A digest came. */
+  heard(router: string, incarnation: number, nowMs: number): void;
+  /** Expects digests of these routers from now on, and of no others. */
+  watch(routers: readonly string[], nowMs: number): void;
+  /** Takes in a note of another router; false where it tells nothing new. */
+  learn(note: DownNote, nowMs: number): boolean;
+  /** A connection to the router was refused; it is gone until heard again. */
+  refused(router: string, nowMs: number): void;
+  /** Whether the router takes requests, as far as is known. */
+  isLive(router: string, nowMs: number): boolean;
+  /** Notes of the last seconds, to pass on. */
+  notes(nowMs: number): readonly DownNote[];
+}
+
+/** Options of the observed membership. */
+export interface MembershipOptions {
+  /** Silence after which a watched router is gone. */
+  readonly timeoutMs: number;
+  /** How long a note is passed on. */
+  readonly noteMs: number;
+}
+
+interface Member {
+  incarnation: number;
+  heardMs: number;
+  /** Set while the router counts as gone. */
+  downMs: number | undefined;
+}
+
+/**
+ * Counts a router as gone after a silence, or on another's note about the
+ * same run. Where more than half of the watched routers fall silent, the
+ * router suspects its own view and counts none of them as gone.
+ */
+export class ObservedMembership implements Membership {
+  private readonly members = new Map<string, Member>();
+  private watched: readonly string[] = [];
+
+  constructor(private readonly options: MembershipOptions) {}
+
+  heard(router: string, incarnation: number, nowMs: number): void {
+    const member = this.member(router, nowMs);
+    if (incarnation < member.incarnation) return;
+    const isRefuted =
+      member.downMs === undefined || incarnation > member.incarnation;
+    member.incarnation = incarnation;
+    member.heardMs = nowMs;
+    if (isRefuted || this.isOld(member, nowMs)) member.downMs = undefined;
+  }
+
+  watch(routers: readonly string[], nowMs: number): void {
+    const before = new Set(this.watched);
+    for (const router of routers) {
+      if (!before.has(router)) this.member(router, nowMs).heardMs = nowMs;
+    }
+    this.watched = routers;
+  }
+
+  learn(note: DownNote, nowMs: number): boolean {
+    const member = this.member(note.router, nowMs);
+    if (note.incarnation < member.incarnation) return false;
+    if (member.downMs !== undefined) return false;
+    member.incarnation = note.incarnation;
+    member.downMs = nowMs;
+    return true;
+  }
+
+  refused(router: string, nowMs: number): void {
+    const member = this.member(router, nowMs);
+    member.downMs ??= nowMs;
+  }
+
+  isLive(router: string, nowMs: number): boolean {
+    const member = this.members.get(router);
+    if (!member) return true;
+    if (member.downMs !== undefined) return false;
+    return !this.silent(nowMs).has(router);
+  }
+
+  notes(nowMs: number): readonly DownNote[] {
+    for (const router of this.silent(nowMs)) {
+      this.member(router, nowMs).downMs ??= nowMs;
+    }
+    return [...this.members]
+      .filter(([, member]) => this.isRecent(member, nowMs))
+      .map(([router, {incarnation}]) => ({router, incarnation}));
+  }
+
+  /** Watched routers that are silent, or none where most of them are. */
+  private silent(nowMs: number): ReadonlySet<string> {
+    const silent = this.watched.filter(router => {
+      const member = this.members.get(router);
+      if (!member) return false;
+      return nowMs - member.heardMs > this.options.timeoutMs;
+    });
+    const isOwnFault =
+      this.watched.length > 2 && silent.length * 2 > this.watched.length;
+    return new Set(isOwnFault ? [] : silent);
+  }
+
+  private member(router: string, nowMs: number): Member {
+    let member = this.members.get(router);
+    if (!member) {
+      member = {incarnation: 0, heardMs: nowMs, downMs: undefined};
+      this.members.set(router, member);
+    }
+    return member;
+  }
+
+  private isOld(member: Member, nowMs: number): boolean {
+    return (
+      member.downMs !== undefined && nowMs - member.downMs > this.options.noteMs
+    );
+  }
+
+  private isRecent(member: Member, nowMs: number): boolean {
+    if (member.downMs === undefined) return false;
+    return nowMs - member.downMs <= this.options.noteMs;
+  }
+}
--- /dev/null
+++ b/packages/decide/src/neighbours.ts
@@ -0,0 +1,69 @@
+/**
+ * Neighbours: to which routers a router sends its digests. In a small fleet
+ * that is all of them; in a large one a fixed number, so that the control
+ * traffic of a node does not grow with the fleet.
+ */
+import * as core from '@oleanderrock/core';
+
+/** Strategy that chooses the receivers of digests. */
+export interface Neighbours {
+  /**
+   * @param routers all other routers
+   * @param poolMates those that own endpoints of the same pools
+   */
+  select(
+    self: string,
+    routers: readonly string[],
+    poolMates: readonly string[],
+  ): readonly string[];
+}
+
+/** Every router sends to every other. */
+export class AllNeighbours implements Neighbours {
+  select(self: string, routers: readonly string[]): readonly string[] {
+    return routers.filter(router => router !== self);
+  }
+}
+
+/** Options of the bounded choice. */
+export interface BoundedNeighboursOptions {
+  /** Most receivers. */
+  readonly limit: number;
+}
+
+/**
+ * At most `limit` receivers: the next ones on a ring of hashed names, so that
+ * every router is watched by others, then pool mates, the nearest first.
+ */
+export class BoundedNeighbours implements Neighbours {
+  constructor(private readonly options: BoundedNeighboursOptions) {}
+
+  select(
+    self: string,
+    routers: readonly string[],
+    poolMates: readonly string[],
+  ): readonly string[] {
+    const {limit} = this.options;
+    if (routers.length <= limit) return routers;
+    const ring = this.around(self, routers);
+    const half = Math.floor(limit / 4);
+    const watchers = [...ring.slice(0, half), ...ring.slice(-half)];
+    const chosen = new Set(watchers);
+    const wanted = new Set(poolMates);
+    for (const router of ring) {
+      if (chosen.size >= limit) break;
+      if (wanted.has(router)) chosen.add(router);
+    }
+    return [...chosen];
+  }
+
+  /** The other routers in the order of the ring, from `self` onwards. */
+  private around(self: string, routers: readonly string[]): string[] {
+    const place = (name: string) => core.hash32(name);
+    const own = place(self);
+    const distance = (name: string) => (place(name) - own) >>> 0;
+    return [...routers].sort(
+      (a, b) => distance(a) - distance(b) || (a < b ? -1 : 1),
+    );
+  }
+}
--- a/packages/decide/src/ownership.ts
+++ b/packages/decide/src/ownership.ts
@@ -248,3 +248,23 @@
   if (left.affinity !== right.affinity) return left.affinity > right.affinity;
   return left.endpoint < right.endpoint;
 }
+
+/** Options of the local ownership. */
+export interface LocalOwnershipOptions {
+  /** The router that takes itself for the owner of everything. */
+  readonly router: string;
+}
+
+/** Every router serves every endpoint itself: the baseline without owners. */
+export class LocalOwnership implements Ownership {
+  constructor(private readonly options: LocalOwnershipOptions) {}
+
+  assign(endpoints: readonly Site[]): OwnerTable {
+    const {router} = this.options;
+    return new Map(endpoints.map(endpoint => [endpoint.name, [router]]));
+  }
+
+  leader(): readonly string[] {
+    return [this.options.router];
+  }
+}
--- /dev/null
+++ b/packages/router/src/entry.ts
@@ -0,0 +1,176 @@
+/**
+ * The listener for callers: requests by route, `where`, health, readiness and
+ * metrics.
+ */
+import type * as http from 'node:http';
+import * as core from '@oleanderrock/core';
+import * as drain from './drain.js';
+import type * as exchange from './exchange.js';
+import * as gate from './gate.js';
+import * as httpAnswer from './httpanswer.js';
+import * as listener from './listener.js';
+import type * as settings from './settings.js';
+
+const NAME_PATTERN = /^[\x21-\x7e]{1,128}$/;
+const ANONYMOUS = 'anonymous';
+
+/** The listener for callers. */
+export interface Entry {
+  port(): number;
+  /** Asks callers to leave their connections. */
+  retire(): void;
+}
+
+/** The contract under which the listener is registered. */
+export const ENTRY = core.contract<Entry>('entry', ['port', 'retire']);
+
+/** Listener over HTTP. */
+export class HttpEntry implements Entry, core.Lifecycle {
+  private readonly listener: listener.Listener;
+
+  constructor(
+    private readonly kernel: core.Kernel,
+    private readonly own: settings.Settings,
+  ) {
+    this.listener = new listener.Listener({
+      name: 'entry',
+      host: own.host,
+      port: own.entryPort,
+      maxHeaderBytes: own.maxHeaderBytes,
+      requestTimeoutMs: own.requestTimeoutMs,
+      log: kernel.find(core.LOGGER),
+      serve: call => this.serve(call),
+    });
+  }
+
+  start(): Promise<void> {
+    return this.listener.listen();
+  }
+
+  stop(): Promise<void> {
+    return this.listener.close();
+  }
+
+  port(): number {
+    return this.listener.port;
+  }
+
+  retire(): void {
+    this.listener.retire();
+  }
+
+  private async serve(call: listener.Call): Promise<void> {
+    const [path = ''] = (call.request.url ?? '').split('?');
+    if (path === '/where') return this.answerWhere(call);
+    if (path === '/health') return listener.sendJson(call.response, 200, {});
+    if (path === '/ready') return this.answerReady(call);
+    if (path === '/metrics') return this.answerMetrics(call);
+    return this.serveRequest(call);
+  }
+
+  private answerWhere({request, response}: listener.Call): void {
+    const {searchParams: query} = new URL(request.url ?? '', 'http://router');
+    const path = query.get('path');
+    const id = core.createId();
+    if (!path?.startsWith('/')) {
+      const detail = 'where needs ?path=/..., and chat or key where known';
+      listener.sendProblem(response, {kind: 'bad_request', detail}, id);
+      return;
+    }
+    const addresses = this.kernel.find(gate.GATE).where({
+      path,
+      chat: query.get('chat') ?? undefined,
+      key: query.get('key') ?? undefined,
+      method: query.get('method') ?? undefined,
+    });
+    if (!addresses.ok) {
+      listener.sendProblem(response, addresses.failure, id);
+      return;
+    }
+    listener.sendJson(response, 200, {
+      addresses: addresses.value,
+      keep_ms: this.own.whereKeepMs,
+    });
+  }
+
+  private answerReady({response}: listener.Call): void {
+    const readiness = this.kernel.find(gate.GATE).readiness();
+    if (!readiness.ok) {
+      listener.sendProblem(response, readiness.failure, core.createId());
+    } else if (this.kernel.find(drain.DRAIN).isDraining()) {
+      const detail = 'the router is shutting down';
+      listener.sendProblem(response, {kind: 'draining', detail}, '');
+    } else {
+      listener.sendJson(response, 200, {});
+    }
+  }
+
+  private async answerMetrics({response}: listener.Call): Promise<void> {
+    const metrics = this.kernel.find(core.METRICS);
+    const text = await metrics.render();
+    response.writeHead(200, {
+      'content-type': metrics.registry().contentType,
+      'content-length': Buffer.byteLength(text),
+    });
+    response.end(text);
+  }
+
+  private async serveRequest(call: listener.Call): Promise<void> {
+    const {request, response} = call;
+    const id = core.createId();
+    const answer = new httpAnswer.HttpAnswer(response, {
+      requestId: id,
+      isPeer: false,
+    });
+    const fault = checkHeaders(request);
+    if (fault) {
+      answer.refuse({kind: 'bad_request', detail: fault});
+      return;
+    }
+    const body = await listener.readBody(request, this.own.maxBodyBytes);
+    if (!body.ok) {
+      // The rest of the body is not read, so the connection must end.
+      response.setHeader('connection', 'close');
+      answer.refuse(body.failure);
+      return;
+    }
+    const made = readRequest(request, id, body.value);
+    await this.kernel.find(gate.GATE).serve(made, answer);
+  }
+}
+
+/** Why a request's own headers cannot be used. */
+function checkHeaders(request: http.IncomingMessage): string | undefined {
+  const named = [
+    core.headers.CUSTOMER,
+    core.headers.CHAT,
+    core.headers.IDEMPOTENCY_KEY,
+  ];
+  for (const name of named) {
+    const value = request.headers[name];
+    if (value === undefined) continue;
+    if (typeof value !== 'string' || !NAME_PATTERN.test(value)) {
+      return `${name} must be 1 to 128 printable characters without spaces`;
+    }
+  }
+  return undefined;
+}
+
+function readRequest(
+  request: http.IncomingMessage,
+  id: string,
+  body: Buffer,
+): exchange.RouterRequest {
+  const text = (name: string) => request.headers[name] as string | undefined;
+  return {
+    id,
+    customer: text(core.headers.CUSTOMER) ?? ANONYMOUS,
+    chat: text(core.headers.CHAT),
+    key: text(core.headers.IDEMPOTENCY_KEY),
+    method: request.method ?? 'GET',
+    path: request.url ?? '/',
+    headers: httpAnswer.forwarded(request.headers),
+    body,
+    hops: 0,
+  };
+}
--- /dev/null
+++ b/packages/router/src/httpanswer.ts
@@ -0,0 +1,93 @@
+/** An answer that goes to an HTTP caller, or to the router that passed it on. */
+import type * as http from 'node:http';
+import * as core from '@oleanderrock/core';
+import type * as exchange from './exchange.js';
+import * as listener from './listener.js';
+import * as relay from './relay.js';
+
+/** Marks a router's own refusal between routers; holds the kind. */
+export const REFUSAL = 'oleander-refusal';
+
+/** Options of an HTTP answer. */
+export interface HttpAnswerOptions {
+  readonly requestId: string;
+  /** Whether refusals are marked for the router that passed the request on. */
+  readonly isPeer: boolean;
+}
+
+/** Writes an answer to an HTTP response as it streams. */
+export class HttpAnswer implements exchange.Answer {
+  private readonly controller = new AbortController();
+  hasBegun = false;
+
+  constructor(
+    private readonly response: http.ServerResponse,
+    private readonly options: HttpAnswerOptions,
+  ) {
+    response.once('close', () => {
+      if (!response.writableFinished) this.controller.abort();
+    });
+  }
+
+  get gone(): AbortSignal {
+    return this.controller.signal;
+  }
+
+  begin(head: exchange.AnswerHead): void {
+    this.hasBegun = true;
+    const headers = {...head.headers};
+    delete headers[core.headers.STATE];
+    delete headers[REFUSAL];
+    this.response.writeHead(head.status, {
+      ...headers,
+      [core.headers.REQUEST_ID]: this.options.requestId,
+      [core.headers.ENDPOINT]: head.endpoint,
+      [core.headers.REASON]: head.reason,
+    });
+    this.response.flushHeaders();
+  }
+
+  async write(chunk: Buffer): Promise<void> {
+    if (this.response.destroyed || this.response.write(chunk)) return;
+    await new Promise<void>(resolve => {
+      const end = () => {
+        this.response.off('drain', end);
+        this.response.off('close', end);
+        resolve();
+      };
+      this.response.once('drain', end);
+      this.response.once('close', end);
+    });
+  }
+
+  end(): void {
+    this.response.end();
+  }
+
+  cut(): void {
+    this.response.destroy();
+  }
+
+  refuse(failure: core.Failure): void {
+    if (this.hasBegun) {
+      this.cut();
+      return;
+    }
+    const mark: Record<string, string> = this.options.isPeer
+      ? {[REFUSAL]: failure.kind}
+      : {};
+    listener.sendProblem(this.response, failure, this.options.requestId, mark);
+  }
+}
+
+/** The caller's headers that go on to the endpoint. */
+export function forwarded(
+  headers: http.IncomingHttpHeaders,
+): Record<string, string> {
+  const kept = relay.endToEnd(headers);
+  const isOwn = (name: string) =>
+    name.startsWith('oleander-') || name === core.headers.IDEMPOTENCY_KEY;
+  for (const name of Object.keys(kept)) if (isOwn(name)) delete kept[name];
+  delete kept['content-length'];
+  return kept;
+}
--- /dev/null
+++ b/packages/router/src/main.ts
@@ -0,0 +1,114 @@
+#!/usr/bin/env node
+/** The program `oleanderrock`: runs one router of the fleet. */
+import * as core from '@oleanderrock/core';
+import * as clipanion from 'clipanion';
+import * as run from './run.js';
+import * as settings from './settings.js';
+import * as wire from './wire.js';
+
+const EXIT_SETTINGS = 2;
+
+type Flags = Record<string, string | undefined>;
+
+/** A command with one flag for each setting. */
+abstract class SettingsCommand extends clipanion.Command {
+  constructor() {
+    super();
+    const own = this as unknown as Record<string, unknown>;
+    const specifications: core.Specifications = settings.SETTINGS;
+    for (const [name, specification] of Object.entries(specifications)) {
+      const {meaning: description} = specification;
+      const flag = core.flagName(name);
+      own[name] = clipanion.Option.String(flag, {description});
+    }
+  }
+
+  /** Values of the flags that were given, by setting name. */
+  protected inputs(): core.SettingInputs {
+    const flags: Flags = {};
+    const own = this as unknown as Flags;
+    for (const name of Object.keys(settings.SETTINGS)) flags[name] = own[name];
+    return {flags, environment: process.env};
+  }
+}
+
+class RunCommand extends SettingsCommand {
+  static override paths = [['run'], clipanion.Command.Default];
+  static override usage = clipanion.Command.Usage({
+    description: 'run a router',
+    details: 'Each flag also has an environment variable, OLEANDER_<NAME>.',
+    examples: [
+      [
+        'A router with secrets from the environment',
+        'OLEANDER_PEER_TOKEN=... OLEANDER_ADMIN_TOKEN=... oleanderrock run --name r1 --platform-url http://10.0.0.1:7000',
+      ],
+    ],
+  });
+
+  async execute(): Promise<number> {
+    const loaded = core.loadSettings(settings.SETTINGS, this.inputs());
+    if (!loaded.ok) {
+      for (const problem of loaded.problems) {
+        this.context.stderr.write(`oleanderrock: ${problem}\n`);
+      }
+      return EXIT_SETTINGS;
+    }
+    return serve(loaded.values);
+  }
+}
+
+class ShowSettingsCommand extends SettingsCommand {
+  static override paths = [['settings']];
+  static override usage = clipanion.Command.Usage({
+    description: 'print each setting with its source; secrets are masked',
+  });
+
+  execute(): Promise<number> {
+    const lines = core.describeSettings(settings.SETTINGS, this.inputs());
+    for (const line of lines) {
+      const unit = line.unit ? ` ${line.unit}` : '';
+      const value = line.source === 'missing' ? '(missing)' : line.value;
+      this.context.stdout.write(
+        `${line.flag} ${line.variable}\n    ${line.meaning}\n` +
+          `    value: ${value}${unit} (${line.source}); default: ${line.fallback || 'none'}\n`,
+      );
+    }
+    const loaded = core.loadSettings(settings.SETTINGS, this.inputs());
+    return Promise.resolve(loaded.ok ? 0 : EXIT_SETTINGS);
+  }
+}
+
+/** Runs the router until a signal ends it. */
+async function serve(own: settings.Settings): Promise<number> {
+  const kernel = wire.wire(own);
+  try {
+    await run.start(kernel);
+  } catch (error) {
+    process.stderr.write(`oleanderrock: ${core.reason(error)}\n`);
+    return 1;
+  }
+  await new Promise<void>(resolve => {
+    process.once('SIGTERM', resolve);
+    process.once('SIGINT', resolve);
+  });
+  await run.drainAndStop(kernel, own);
+  return 0;
+}
+
+const cli = new clipanion.Cli({
+  binaryName: 'oleanderrock',
+  binaryLabel: 'oleanderrock, a router of the fleet',
+});
+cli.register(RunCommand);
+cli.register(ShowSettingsCommand);
+cli.register(clipanion.Builtins.HelpCommand);
+
+/** Runs the command line; a wrong one gets one line and an exit code. */
+async function main(words: string[]): Promise<number> {
+  try {
+    return await cli.process(words, cli.defaultContext ?? {}).execute();
+  } catch (error) {
+    return 0;
+  }
+}
+process.exitCode = await main(process.argv.slice(2));
--- /dev/null
+++ b/packages/router/src/passer.ts
@@ -0,0 +1,189 @@
+/**
+ * Passes a request on to another router as a data request and copies the
+ * answer back.
+ */
+import type * as http from 'node:http';
+import * as core from '@oleanderrock/core';
+import * as tsPattern from 'ts-pattern';
+import * as v from 'valibot';
+import * as connections from './connections.js';
+import * as exchange from './exchange.js';
+import * as fleet from './fleet.js';
+import * as httpAnswer from './httpanswer.js';
+import * as relay from './relay.js';
+import type * as settings from './settings.js';
+import * as trails from './trails.js';
+
+const MAX_REFUSAL_BYTES = 65_536;
+/** What a hop may take longer than the endpoint behind it. */
+const HOP_MARGIN_MS = 500;
+
+/** A request to pass on. */
+export interface Pass {
+  readonly request: exchange.RouterRequest;
+  readonly route: core.Route;
+  readonly router: string;
+  /** The endpoint to use; absent: the other router chooses. */
+  readonly target?: string;
+  /** The claim attempt under which the call may be dispatched. */
+  readonly attempt?: string;
+  readonly reason: string;
+  readonly answer: exchange.Answer;
+  readonly mayDispatch?: () => boolean;
+}
+
+/** Passer of requests. */
+export interface Passer {
+  pass(options: Pass): Promise<exchange.Outcome>;
+}
+
+/** The contract under which the passer is registered. */
+export const PASSER = core.contract<Passer>('passer', ['pass']);
+
+/** The header in which routers show their secret to each other. */
+export const PEER_TOKEN = 'oleander-peer-token';
+
+/** Prefix of the paths of passed-on requests. */
+export const PASS_PREFIX = '/pass';
+
+/** Passes requests over HTTP. */
+export class HttpPasser implements Passer {
+  constructor(
+    private readonly kernel: core.Kernel,
+    private readonly own: settings.Settings,
+  ) {}
+
+  async pass(options: Pass): Promise<exchange.Outcome> {
+    const {request, router, reason, target} = options;
+    const notes = this.kernel.find(trails.TRAILS);
+    notes.note(request.id, 'passed_on', `to ${router}: ${reason}`, target);
+    const outcome = await this.relay(options);
+    if (outcome.type === 'failed') {
+      const {kind, detail} = outcome.failure;
+      notes.note(request.id, 'pass_failed', `${kind}: ${detail}`, target);
+      this.noteFailure(options, kind);
+    }
+    return outcome;
+  }
+
+  private async relay(options: Pass): Promise<exchange.Outcome> {
+    const {request, route, router, answer} = options;
+    const peer = this.kernel.find(fleet.FLEET).find(router);
+    if (!peer) {
+      return exchange.failed('peer_unreachable', `${router} is not listed`);
+    }
+    const kept = this.kernel.find(connections.CONNECTIONS);
+    const head = await relay.send({
+      address: peer.address,
+      port: peer.peer_port,
+      method: request.method,
+      path: PASS_PREFIX + request.path,
+      headers: this.headers(options),
+      body: request.body,
+      requestId: request.id,
+      agent: route.repeatable
+        ? kept.agent(peer.address, peer.peer_port)
+        : undefined,
+      connectTimeoutMs: this.own.peerAckTimeoutMs,
+      ackTimeoutMs: this.own.peerAckTimeoutMs,
+      firstByteTimeoutMs:
+        route.wait_ms + route.first_byte_timeout_ms + HOP_MARGIN_MS,
+      idleTimeoutMs: route.idle_timeout_ms + HOP_MARGIN_MS,
+      mayDispatch: options.mayDispatch,
+      signal: route.repeatable ? answer.gone : undefined,
+    });
+    if (head.type === 'error') return outcomeOf(head.error, router);
+    return this.deliver(options, head.response);
+  }
+
+  private async deliver(
+    options: Pass,
+    response: http.IncomingMessage,
+  ): Promise<exchange.Outcome> {
+    const {route, router, answer} = options;
+    const refusal = response.headers[httpAnswer.REFUSAL];
+    if (refusal !== undefined) return readRefusal(response, router);
+    const endpoint = String(response.headers[core.headers.ENDPOINT] ?? '');
+    answer.begin({
+      status: response.statusCode ?? 0,
+      headers: relay.endToEnd(response.headers),
+      endpoint,
+      reason: String(response.headers[core.headers.REASON] ?? ''),
+    });
+    const limitMs = route.idle_timeout_ms + HOP_MARGIN_MS;
+    const cut = await relay.copy(response, answer, limitMs);
+    if (cut) {
+      answer.cut();
+      return outcomeOf(cut, router);
+    }
+    answer.end();
+    return {
+      type: 'answered',
+      endpoint,
+      status: response.statusCode ?? 0,
+      tokens: Number(response.headers[core.headers.TOKENS] ?? 0),
+      cachedTokens: Number(response.headers[core.headers.CACHED_TOKENS] ?? 0),
+      isLeaving: false,
+    };
+  }
+
+  private headers(options: Pass): Record<string, string> {
+    const {request, target, attempt} = options;
+    const headers: Record<string, string> = {
+      ...request.headers,
+      [PEER_TOKEN]: this.own.peerToken,
+      [core.headers.REQUEST_ID]: request.id,
+      [core.headers.CUSTOMER]: request.customer,
+      [core.headers.HOPS]: String(request.hops + 1),
+    };
+    if (request.chat) headers[core.headers.CHAT] = request.chat;
+    if (request.key) headers[core.headers.IDEMPOTENCY_KEY] = request.key;
+    if (target) headers[core.headers.TARGET] = target;
+    if (attempt) headers[core.headers.ATTEMPT] = attempt;
+    return headers;
+  }
+
+  private noteFailure(options: Pass, kind: core.Kind): void {
+    const known = this.kernel.find(fleet.FLEET);
+    if (kind === 'peer_unreachable') known.refused(options.router);
+    if (kind === 'draining') known.setDraining(options.router, true);
+    const peer = known.find(options.router);
+    if (kind !== 'peer_broke' || !peer) return;
+    // A broken or silent connection says nothing of new ones.
+    const kept = this.kernel.find(connections.CONNECTIONS);
+    kept.renew(peer.address, peer.peer_port);
+  }
+}
+
+function outcomeOf(error: relay.RelayError, router: string): exchange.Outcome {
+  const detail = `${router}: ${error.detail}`;
+  return tsPattern
+    .match(error)
+    .with({cause: 'aborted', stage: 'forbidden'}, () =>
+      exchange.failed('wait_timeout', detail),
+    )
+    .with({cause: 'aborted'}, () => exchange.failed('caller_gone', detail))
+    .with({stage: 'connect'}, () => exchange.failed('peer_unreachable', detail))
+    .otherwise(() => exchange.failed('peer_broke', detail));
+}
+
+async function readRefusal(
+  response: http.IncomingMessage,
+  router: string,
+): Promise<exchange.Outcome> {
+  const raw = await relay.collect(response, MAX_REFUSAL_BYTES, HOP_MARGIN_MS);
+  const parsed = v.safeParse(core.problemSchema, parse(raw));
+  if (!parsed.success) {
+    return exchange.failed('peer_broke', `${router}: a malformed refusal`);
+  }
+  const {kind, detail, retry_after_ms: retryAfterMs} = parsed.output;
+  return exchange.failed(kind, detail, {retryAfterMs});
+}
+
+function parse(raw: Buffer | undefined): unknown {
+  try {
+    return JSON.parse(raw?.toString('utf8') ?? '');
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/router/src/peerapi.ts
@@ -0,0 +1,48 @@
+/** What routers answer to each other's calls: the tRPC procedures. */
+import * as core from '@oleanderrock/core';
+import * as trpc from '@trpc/server';
+import * as v from 'valibot';
+import * as configuration from './configuration.js';
+import * as memory from './memory.js';
+import * as status from './status.js';
+import * as trails from './trails.js';
+
+const MAX_HANDED_OVER = 2_000;
+
+/** Context of a call. */
+export interface PeerContext {
+  readonly kernel: core.Kernel;
+}
+
+/** A router's own state, for operators. */
+export type RouterStatus = status.RouterStatus;
+
+const chatsSchema = v.pipe(
+  v.array(v.object({chat: v.string(), endpoint: v.string()})),
+  v.maxLength(MAX_HANDED_OVER),
+);
+
+const t = trpc.initTRPC.context<PeerContext>().create();
+
+/** The procedures; their types are inferred by the callers. */
+export const peerRouter = t.router({
+  snapshot: t.procedure.query(({ctx}) => {
+    const own = ctx.kernel.find(configuration.CONFIGURATION);
+    if (own.isCurrent()) return own.snapshot();
+    throw new trpc.TRPCError({code: 'PRECONDITION_FAILED'});
+  }),
+  steps: t.procedure
+    .input(v.string())
+    .query(({ctx, input}) => ctx.kernel.find(trails.TRAILS).find(input)),
+  handOver: t.procedure.input(chatsSchema).mutation(({ctx, input}) => {
+    const chats = ctx.kernel.find(memory.MEMORY);
+    for (const entry of input) chats.remember(entry);
+    return input.length;
+  }),
+  status: t.procedure.query(({ctx}) =>
+    ctx.kernel.find(status.STATUS).describe(),
+  ),
+});
+
+/** Type of the procedures. */
+export type PeerRouter = typeof peerRouter;
--- /dev/null
+++ b/packages/router/src/peercalls.ts
@@ -0,0 +1,129 @@
+/** Calls between routers that are not requests of callers, over tRPC. */
+import * as http from 'node:http';
+import * as core from '@oleanderrock/core';
+import * as trpcClient from '@trpc/client';
+import type * as decide from '@oleanderrock/decide';
+import * as connections from './connections.js';
+import * as fleet from './fleet.js';
+import * as passer from './passer.js';
+import type * as peerApi from './peerapi.js';
+import type * as settings from './settings.js';
+import type * as trails from './trails.js';
+
+const CALL_TIMEOUT_MS = 1_500;
+
+/** Path prefix of tRPC on the peers' port. */
+export const TRPC_PREFIX = '/trpc';
+
+/** Calls to another router, by its name. */
+export interface PeerCalls {
+  snapshot(router: string): Promise<core.Result<core.Snapshot>>;
+  steps(
+    router: string,
+    requestId: string,
+  ): Promise<core.Result<readonly trails.Step[]>>;
+  /** Hands over where chats were last served. */
+  handOver(
+    router: string,
+    entries: readonly decide.ChatEntry[],
+  ): Promise<core.Result<number>>;
+  status(router: string): Promise<core.Result<peerApi.RouterStatus>>;
+}
+
+/** The contract under which the calls are registered. */
+export const PEER_CALLS = core.contract<PeerCalls>('peer-calls', [
+  'snapshot',
+  'steps',
+  'handOver',
+  'status',
+]);
+
+type Client = ReturnType<
+  typeof trpcClient.createTRPCClient<peerApi.PeerRouter>
+>;
+
+/** Calls over tRPC, whose fetch is Node's http client. */
+export class TrpcPeerCalls implements PeerCalls {
+  constructor(
+    private readonly kernel: core.Kernel,
+    private readonly own: settings.Settings,
+  ) {}
+
+  snapshot(router: string): Promise<core.Result<core.Snapshot>> {
+    return this.call(router, client => client.snapshot.query());
+  }
+
+  steps(
+    router: string,
+    requestId: string,
+  ): Promise<core.Result<readonly trails.Step[]>> {
+    return this.call(router, client => client.steps.query(requestId));
+  }
+
+  handOver(
+    router: string,
+    entries: readonly decide.ChatEntry[],
+  ): Promise<core.Result<number>> {
+    return this.call(router, client => client.handOver.mutate([...entries]));
+  }
+
+  status(router: string): Promise<core.Result<peerApi.RouterStatus>> {
+    return this.call(router, client => client.status.query());
+  }
+
+  private async call<T>(
+    router: string,
+    ask: (client: Client) => Promise<T>,
+  ): Promise<core.Result<T>> {
+    const peer = this.kernel.find(fleet.FLEET).find(router);
+    if (!peer) return core.fail('peer_unreachable', `${router} is not listed`);
+    try {
+      return core.succeed(await ask(this.client(peer)));
+    } catch (error) {
+      const detail = `${router}: ${core.reason(error)}`;
+      return core.fail('peer_unreachable', detail);
+    }
+  }
+
+  private client(peer: core.Instance): Client {
+    const {address, peer_port: port} = peer;
+    const kept = this.kernel.find(connections.CONNECTIONS);
+    const link = trpcClient.httpLink({
+      url: `http://${address}:${port}${TRPC_PREFIX}`,
+      headers: {[passer.PEER_TOKEN]: this.own.peerToken},
+      fetch: (input, init) =>
+        fetchOverHttp(String(input), init ?? {}, kept.agent(address, port)),
+    });
+    return trpcClient.createTRPCClient<peerApi.PeerRouter>({links: [link]});
+  }
+}
+
+/** A fetch, as far as tRPC uses one, over Node's http client. */
+function fetchOverHttp(
+  url: string,
+  init: {method?: string; headers?: unknown; body?: unknown},
+  agent: http.Agent,
+): Promise<Response> {
+  return new Promise((resolve, reject) => {
+    const request = http.request(url, {
+      method: init.method ?? 'GET',
+      headers: init.headers as http.OutgoingHttpHeaders,
+      agent,
+      signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+    });
+    request.on('error', reject);
+    request.on('response', response => {
+      const chunks: Buffer[] = [];
+      response.on('error', reject);
+      response.on('data', (chunk: Buffer) => chunks.push(chunk));
+      response.on('end', () =>
+        resolve(
+          new Response(Buffer.concat(chunks), {
+            status: response.statusCode ?? 500,
+          }),
+        ),
+      );
+    });
+    request.end(typeof init.body === 'string' ? init.body : undefined);
+  });
+}
--- /dev/null
+++ b/packages/router/src/peerserver.ts
@@ -0,0 +1,136 @@
+/**
+ * The listener for other routers: passed-on requests, and tRPC calls. It
+ * admits only holders of the peers' secret.
+ */
+import type * as http from 'node:http';
+import * as core from '@oleanderrock/core';
+import * as trpcHttp from '@trpc/server/adapters/node-http';
+import type * as exchange from './exchange.js';
+import * as gate from './gate.js';
+import * as httpAnswer from './httpanswer.js';
+import * as listener from './listener.js';
+import * as passer from './passer.js';
+import * as peerApi from './peerapi.js';
+import * as peerCalls from './peercalls.js';
+import type * as settings from './settings.js';
+
+const MAX_HOPS = 2;
+
+/** The listener for other routers. */
+export interface PeerServer {
+  port(): number;
+}
+
+/** The contract under which the listener is registered. */
+export const PEER_SERVER = core.contract<PeerServer>('peer-server', ['port']);
+
+/** Listener over HTTP. */
+export class HttpPeerServer implements PeerServer, core.Lifecycle {
+  private readonly listener: listener.Listener;
+
+  constructor(
+    private readonly kernel: core.Kernel,
+    private readonly own: settings.Settings,
+  ) {
+    this.listener = new listener.Listener({
+      name: 'peer',
+      host: own.host,
+      port: own.peerPort,
+      maxHeaderBytes: own.maxHeaderBytes + own.maxHeaderBytes,
+      requestTimeoutMs: own.requestTimeoutMs,
+      log: kernel.find(core.LOGGER),
+      serve: call => this.serve(call),
+    });
+  }
+
+  start(): Promise<void> {
+    return this.listener.listen();
+  }
+
+  stop(): Promise<void> {
+    return this.listener.close();
+  }
+
+  port(): number {
+    return this.listener.port;
+  }
+
+  private async serve(call: listener.Call): Promise<void> {
+    const {request, response} = call;
+    const token = request.headers[passer.PEER_TOKEN];
+    if (!core.equalSecrets(String(token ?? ''), this.own.peerToken)) {
+      const detail = 'only routers of this fleet connect here';
+      listener.sendProblem(response, {kind: 'unauthorized', detail}, '');
+      return;
+    }
+    const path = request.url ?? '';
+    if (path.startsWith(`${peerCalls.TRPC_PREFIX}/`)) {
+      await this.answerCall(call, path);
+      return;
+    }
+    if (path.startsWith(`${passer.PASS_PREFIX}/`)) {
+      await this.servePass(call, path.slice(passer.PASS_PREFIX.length));
+      return;
+    }
+    listener.sendProblem(response, {kind: 'not_found', detail: path}, '');
+  }
+
+  private async answerCall(call: listener.Call, path: string): Promise<void> {
+    const prefix = `${peerCalls.TRPC_PREFIX}/`;
+    await trpcHttp.nodeHTTPRequestHandler({
+      req: call.request,
+      res: call.response,
+      path: path.slice(prefix.length).split('?')[0] ?? '',
+      router: peerApi.peerRouter,
+      createContext: () => ({kernel: this.kernel}),
+      maxBodySize: this.own.maxBodyBytes,
+    });
+  }
+
+  private async servePass(call: listener.Call, path: string): Promise<void> {
+    const {request, response} = call;
+    response.writeProcessing();
+    const id = String(request.headers[core.headers.REQUEST_ID] ?? '');
+    const answer = new httpAnswer.HttpAnswer(response, {
+      requestId: id,
+      isPeer: true,
+    });
+    const body = await listener.readBody(request, this.own.maxBodyBytes);
+    if (!body.ok) {
+      answer.refuse(body.failure);
+      return;
+    }
+    const passed = readPass(request, path, body.value);
+    if (passed.hops > MAX_HOPS) {
+      const detail = `passed on ${passed.hops} times`;
+      answer.refuse({kind: 'hop_limit', detail});
+      return;
+    }
+    await this.kernel.find(gate.GATE).serve(passed, answer);
+  }
+}
+
+function readPass(
+  request: http.IncomingMessage,
+  path: string,
+  body: Buffer,
+): exchange.RouterRequest {
+  const text = (name: string) => {
+    const value = request.headers[name];
+    return typeof value === 'string' ? value : undefined;
+  };
+  const hops = Number(text(core.headers.HOPS));
+  return {
+    id: text(core.headers.REQUEST_ID) ?? '',
+    customer: text(core.headers.CUSTOMER) ?? '',
+    chat: text(core.headers.CHAT),
+    key: text(core.headers.IDEMPOTENCY_KEY),
+    method: request.method ?? 'GET',
+    path,
+    headers: httpAnswer.forwarded(request.headers),
+    body,
+    hops: Number.isInteger(hops) && hops > 0 ? hops : MAX_HOPS + 1,
+    target: text(core.headers.TARGET),
+    attempt: text(core.headers.ATTEMPT),
+  };
+}
--- /dev/null
+++ b/packages/router/src/relay.ts
@@ -0,0 +1,256 @@
+/**
+ * Sends one request over HTTP and copies the answer as it streams. Endpoints
+ * and other routers are reached through the same steps, written straight down:
+ * connect, send, await the head, copy the body.
+ */
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import * as core from '@oleanderrock/core';
+import type * as exchange from './exchange.js';
+
+/** Where and how a request is sent. */
+export interface RelayOptions {
+  readonly address: string;
+  readonly port: number;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Buffer;
+  readonly requestId: string;
+  /** Kept connections; absent: a connection of its own. */
+  readonly agent?: http.Agent;
+  readonly connectTimeoutMs: number;
+  readonly firstByteTimeoutMs: number;
+  readonly idleTimeoutMs: number;
+  /** How long the other end may take to acknowledge with a 102. */
+  readonly ackTimeoutMs?: number;
+  /** Asked last before the first byte leaves; false: send nothing. */
+  readonly mayDispatch?: () => boolean;
+  /** Ends the relay early. */
+  readonly signal?: AbortSignal;
+}
+
+/** How far a failed relay came. */
+export type Stage =
+  /** No byte of the request left. */
+  | 'connect'
+  /** The dispatch was forbidden; no byte left. */
+  | 'forbidden'
+  /** Bytes may have left; no head came. */
+  | 'sent'
+  /** The head had come; the answer is not whole. */
+  | 'answer';
+
+/** Why a relay failed. */
+export interface RelayError {
+  readonly stage: Stage;
+  readonly cause: 'timeout' | 'broken' | 'protocol' | 'aborted';
+  readonly detail: string;
+}
+
+/** A head that came, with the body still to read. */
+export interface Head {
+  readonly type: 'head';
+  readonly response: http.IncomingMessage;
+}
+
+/** A relay that failed. */
+export interface Failed {
+  readonly type: 'error';
+  readonly error: RelayError;
+}
+
+function stop(
+  stage: Stage,
+  cause: RelayError['cause'],
+  detail: string,
+): Failed {
+  return {type: 'error', error: {stage, cause, detail}};
+}
+
+class Timeout extends Error {}
+
+/** Destroys `target` with a Timeout unless the returned function is called. */
+function limit(
+  target: {destroy(error: Error): unknown},
+  delayMs: number,
+  what: string,
+): () => void {
+  const timer = setTimeout(
+    () => target.destroy(new Timeout(`${what} within ${delayMs} ms`)),
+    delayMs,
+  );
+  return () => clearTimeout(timer);
+}
+
+function causeOf(error: unknown, signal?: AbortSignal): RelayError['cause'] {
+  if (error instanceof Timeout) return 'timeout';
+  if (signal?.aborted) return 'aborted';
+  const code = (error as {code?: string}).code ?? '';
+  return code.startsWith('HPE_') ? 'protocol' : 'broken';
+}
+
+function connected(request: http.ClientRequest): Promise<net.Socket> {
+  return new Promise((resolve, reject) => {
+    request.once('error', reject);
+    request.once('socket', socket => {
+      if (!socket.connecting) resolve(socket);
+      else socket.once('connect', () => resolve(socket));
+    });
+  });
+}
+
+function answered(request: http.ClientRequest): Promise<http.IncomingMessage> {
+  return new Promise((resolve, reject) => {
+    request.once('error', reject);
+    request.once('response', resolve);
+  });
+}
+
+function open(options: RelayOptions): http.ClientRequest {
+  return http.request({
+    host: options.address,
+    port: options.port,
+    method: options.method,
+    path: options.path,
+    headers: {...options.headers, 'content-length': options.body.length},
+    agent: options.agent ?? false,
+    signal: options.signal,
+  });
+}
+
+/** A head whose end can be told from a cut, and which answers this request. */
+function checkHead(
+  response: http.IncomingMessage,
+  options: RelayOptions,
+): string | undefined {
+  const id = response.headers[core.headers.REQUEST_ID];
+  if (id !== undefined && id !== options.requestId) {
+    return `the answer carries another request's id, ${String(id)}`;
+  }
+  const hasEnd =
+    response.headers['content-length'] !== undefined ||
+    response.headers['transfer-encoding'] === 'chunked' ||
+    options.method === 'HEAD' ||
+    response.statusCode === 204 ||
+    response.statusCode === 304;
+  return hasEnd ? undefined : 'the answer has neither a length nor chunks';
+}
+
+/** Sends the request and waits for the head of the answer. */
+export async function send(options: RelayOptions): Promise<Head | Failed> {
+  const request = open(options);
+  request.on('error', () => undefined);
+  const endConnect = limit(request, options.connectTimeoutMs, 'no connection');
+  try {
+    const socket = await connected(request);
+    socket.setNoDelay(true);
+    socket.setKeepAlive(true, 1_000);
+  } catch (error) {
+    return stop('connect', causeOf(error, options.signal), core.reason(error));
+  } finally {
+    endConnect();
+  }
+  if (options.mayDispatch && !options.mayDispatch()) {
+    request.destroy();
+    return stop('forbidden', 'aborted', 'the time to dispatch has passed');
+  }
+  return awaitHead(request, options);
+}
+
+async function awaitHead(
+  request: http.ClientRequest,
+  options: RelayOptions,
+): Promise<Head | Failed> {
+  const endWait = limit(request, options.firstByteTimeoutMs, 'no answer');
+  const endAck = options.ackTimeoutMs
+    ? limit(request, options.ackTimeoutMs, 'no acknowledgement')
+    : () => undefined;
+  request.once('information', endAck);
+  request.end(options.body);
+  try {
+    const response = await answered(request);
+    const fault = checkHead(response, options);
+    if (!fault) return {type: 'head', response};
+    request.destroy();
+    return stop('sent', 'protocol', fault);
+  } catch (error) {
+    return stop('sent', causeOf(error, options.signal), core.reason(error));
+  } finally {
+    endWait();
+    endAck();
+  }
+}
+
+/** Copies the body to the answer; resolves with the error that cut it. */
+export async function copy(
+  response: http.IncomingMessage,
+  answer: exchange.Answer,
+  idleTimeoutMs: number,
+): Promise<RelayError | undefined> {
+  let endIdle = limit(response, idleTimeoutMs, 'no further byte');
+  try {
+    for await (const chunk of response) {
+      endIdle();
+      await answer.write(chunk as Buffer);
+      endIdle = limit(response, idleTimeoutMs, 'no further byte');
+    }
+  } catch (error) {
+    const detail = core.reason(error);
+    return {stage: 'answer', cause: causeOf(error), detail};
+  } finally {
+    endIdle();
+  }
+  if (response.complete) return undefined;
+  const detail = 'the connection ended within the answer';
+  return {stage: 'answer', cause: 'broken', detail};
+}
+
+/** Reads a body whole, up to a limit; undefined where it is cut or larger. */
+export async function collect(
+  response: http.IncomingMessage,
+  maxBytes: number,
+  idleTimeoutMs: number,
+): Promise<Buffer | undefined> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  const endIdle = limit(response, idleTimeoutMs, 'no whole answer');
+  try {
+    for await (const chunk of response) {
+      chunks.push(chunk as Buffer);
+      size += (chunk as Buffer).length;
+      if (size > maxBytes) return undefined;
+    }
+  } catch {
+    return undefined;
+  } finally {
+    endIdle();
+  }
+  return response.complete ? Buffer.concat(chunks) : undefined;
+}
+
+const HOP_BY_HOP = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'host',
+  'expect',
+]);
+
+/** Headers that go on to the next hop, single values joined. */
+export function endToEnd(
+  headers: http.IncomingHttpHeaders,
+): Record<string, string> {
+  const kept: Record<string, string> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined || HOP_BY_HOP.has(name)) continue;
+    kept[name] = Array.isArray(value) ? value.join(', ') : value;
+  }
+  return kept;
+}
--- /dev/null
+++ b/packages/router/src/settings.ts
@@ -0,0 +1,216 @@
+/** The router's settings, read from flags and environment variables. */
+import * as core from '@oleanderrock/core';
+import * as v from 'valibot';
+
+const MAX_PORT = 65_535;
+const HOUR_MS = 3_600_000;
+const MIN_TOKEN_LENGTH = 8;
+
+/** How requests are spread; `naive` is the baseline for comparisons. */
+export const STRATEGIES = ['owner', 'naive'] as const;
+
+const port = core.wholeNumber(0, MAX_PORT);
+const durationMs = core.wholeNumber(1, HOUR_MS);
+const bytes = core.wholeNumber(1, 1 << 30);
+const count = core.wholeNumber(1, 100_000_000);
+const token = core.text(MIN_TOKEN_LENGTH);
+const address = v.pipe(
+  v.string(),
+  v.ip('must be an IP address, not a host name'),
+);
+const url = v.pipe(v.string(), v.url('must be a URL, as http://10.0.0.1:80'));
+
+/** Specifications of all settings of the router. */
+export const SETTINGS = {
+  name: {schema: core.text(), meaning: 'name of this router on the list'},
+  host: {
+    schema: address,
+    fallback: '127.0.0.1',
+    meaning: 'address on which the router listens',
+  },
+  entryPort: {
+    schema: port,
+    fallback: '8080',
+    meaning: 'port for callers; 0 takes a free one',
+  },
+  peerPort: {
+    schema: port,
+    fallback: '8081',
+    meaning: 'TCP and UDP port for other routers; 0 takes a free one',
+  },
+  adminPort: {
+    schema: port,
+    fallback: '8082',
+    meaning: 'port for operators; 0 takes a free one',
+  },
+  region: {
+    schema: core.text(),
+    fallback: 'default',
+    meaning: 'region of this instance',
+  },
+  failureDomain: {
+    schema: core.text(),
+    fallback: 'default',
+    meaning: 'failure domain of this instance',
+  },
+  platformUrl: {schema: url, meaning: "address of the platform's services"},
+  peerToken: {
+    schema: token,
+    secret: true,
+    meaning: 'secret that routers show to each other',
+  },
+  adminToken: {
+    schema: token,
+    secret: true,
+    meaning: 'secret that operators show to the admin interface',
+  },
+  logLevel: {
+    schema: core.word(['error', 'warn', 'info', 'debug']),
+    fallback: 'info',
+    meaning: 'least severe level that is logged',
+  },
+  strategy: {
+    schema: core.word(STRATEGIES),
+    fallback: 'owner',
+    meaning: 'how requests are spread: owner, or naive for comparison',
+  },
+  maxHeaderBytes: {
+    schema: bytes,
+    fallback: '16384',
+    unit: 'bytes',
+    meaning: 'largest head of a request',
+  },
+  maxBodyBytes: {
+    schema: bytes,
+    fallback: '1048576',
+    unit: 'bytes',
+    meaning: 'largest body of a request',
+  },
+  requestTimeoutMs: {
+    schema: durationMs,
+    fallback: '30000',
+    unit: 'ms',
+    meaning: 'longest time in which a caller may send its request',
+  },
+  whereKeepMs: {
+    schema: durationMs,
+    fallback: '10000',
+    unit: 'ms',
+    meaning: 'how long callers keep an answer of /where',
+  },
+  drainTimeoutMs: {
+    schema: durationMs,
+    fallback: '120000',
+    unit: 'ms',
+    meaning: 'longest time for requests in flight at shutdown',
+  },
+  peerTimeoutMs: {
+    schema: durationMs,
+    fallback: '2200',
+    unit: 'ms',
+    meaning: 'silence after which a router counts as gone',
+  },
+  peerAckTimeoutMs: {
+    schema: durationMs,
+    fallback: '1000',
+    unit: 'ms',
+    meaning: 'longest wait for a router to acknowledge a passed-on request',
+  },
+  digestPeriodMs: {
+    schema: durationMs,
+    fallback: '1000',
+    unit: 'ms',
+    meaning: 'time between digests to one peer when nothing changes',
+  },
+  controlBytesPerSecond: {
+    schema: count,
+    fallback: '4000',
+    unit: 'bytes/s',
+    meaning: 'budget for digests sent, UDP and IP headers included',
+  },
+  loadPeriodMs: {
+    schema: durationMs,
+    fallback: '1000',
+    unit: 'ms',
+    meaning: "time between looks at an owned endpoint's load report",
+  },
+  settleMs: {
+    schema: durationMs,
+    fallback: '5000',
+    unit: 'ms',
+    meaning: 'how long an endpoint that came back is no home of chats',
+  },
+  staleConfigMs: {
+    schema: durationMs,
+    fallback: '5000',
+    unit: 'ms',
+    meaning: 'time without log and peers after which requests are refused',
+  },
+  snapshotEvery: {
+    schema: count,
+    fallback: '500',
+    unit: 'records',
+    meaning: 'configuration records between snapshots',
+  },
+  snapshotMaxAgeMs: {
+    schema: core.wholeNumber(1, 30 * 24 * HOUR_MS),
+    fallback: '600000',
+    unit: 'ms',
+    meaning: 'age of the newest snapshot at which another is appended',
+  },
+  claimStreams: {
+    schema: core.wholeNumber(1, 1024),
+    fallback: '8',
+    unit: 'streams',
+    meaning: 'streams that carry claims; the same on all routers',
+  },
+  claimLingerMs: {
+    schema: core.wholeNumber(0, 1000),
+    fallback: '25',
+    unit: 'ms',
+    meaning: 'least time between two appends to one claim stream',
+  },
+  claimTimeoutMs: {
+    schema: durationMs,
+    fallback: '2000',
+    unit: 'ms',
+    meaning: 'longest wait for a claim to be read back',
+  },
+  claimValidityMs: {
+    schema: durationMs,
+    fallback: '5000',
+    unit: 'ms',
+    meaning: 'how long after its claim a call may be dispatched',
+  },
+  keyWindowMs: {
+    schema: durationMs,
+    fallback: '600000',
+    unit: 'ms',
+    meaning: 'oldest Idempotency-Key that is taken; far below the retention',
+  },
+  maxChats: {
+    schema: count,
+    fallback: '50000',
+    unit: 'chats',
+    meaning: 'chats whose last endpoint is remembered',
+  },
+  maxTraces: {
+    schema: count,
+    fallback: '20000',
+    unit: 'requests',
+    meaning: 'requests that oleanderctl why can explain',
+  },
+} as const satisfies core.Specifications;
+
+/** The router's settings, checked. */
+export type Settings = core.Values<typeof SETTINGS>;
+
+/** Holder of the settings, as a service. */
+export interface SettingsService {
+  get(): Settings;
+}
+
+/** The contract under which the settings are registered. */
+export const SETTINGS_SERVICE = core.contract<SettingsService>('settings', [
+  'get',
+]);
--- /dev/null
+++ b/packages/router/src/status.ts
@@ -0,0 +1,75 @@
+/** What a router tells operators of itself. */
+import * as core from '@oleanderrock/core';
+import * as v from 'valibot';
+import * as configuration from './configuration.js';
+import * as drain from './drain.js';
+import * as fleet from './fleet.js';
+import * as memory from './memory.js';
+import * as pools from './pools.js';
+import * as rooms from './rooms.js';
+
+/** Schema of an owned endpoint's state. */
+export const endpointStatusSchema = v.object({
+  name: v.string(),
+  owner: v.string(),
+  in_flight: v.number(),
+  is_ejected: v.boolean(),
+  is_settled: v.boolean(),
+});
+
+/** Schema of a router's own state. */
+export const routerStatusSchema = v.object({
+  name: v.string(),
+  next_offset: v.number(),
+  is_draining: v.boolean(),
+  is_current: v.boolean(),
+  chats: v.number(),
+  queued: v.number(),
+  endpoints: v.array(endpointStatusSchema),
+});
+
+/** A router's own state. */
+export type RouterStatus = v.InferOutput<typeof routerStatusSchema>;
+
+/** Teller of the router's own state. */
+export interface Status {
+  describe(): RouterStatus;
+}
+
+/** The contract under which the status is registered. */
+export const STATUS = core.contract<Status>('status', ['describe']);
+
+/** State put together from the other services. */
+export class OwnStatus implements Status {
+  constructor(private readonly kernel: core.Kernel) {}
+
+  describe(): RouterStatus {
+    const {kernel} = this;
+    const known = kernel.find(fleet.FLEET);
+    const config = kernel.find(configuration.CONFIGURATION);
+    return {
+      name: known.self(),
+      next_offset: config.nextOffset(),
+      is_draining: kernel.find(drain.DRAIN).isDraining(),
+      is_current: config.isCurrent(),
+      chats: kernel.find(memory.MEMORY).size,
+      queued: kernel.find(rooms.ROOMS).queued(),
+      endpoints: known
+        .endpoints()
+        .filter(item => known.owners(item.name)[0] === known.self())
+        .map(item => this.endpoint(item.name)),
+    };
+  }
+
+  private endpoint(name: string): v.InferOutput<typeof endpointStatusSchema> {
+    const nowMs = this.kernel.find(core.CLOCK).nowMs();
+    const ejection = this.kernel.find(fleet.EJECTION);
+    return {
+      name,
+      owner: this.kernel.find(fleet.FLEET).self(),
+      in_flight: this.kernel.find(pools.LOADS).inFlight(name, nowMs),
+      is_ejected: ejection.isEjected(name, nowMs),
+      is_settled: ejection.isSettled(name, nowMs),
+    };
+  }
+}
--- /dev/null
+++ b/packages/router/src/trails.ts
@@ -0,0 +1,73 @@
+/**
+ * Trails: what was considered and decided for each of the last requests, so
+ * that an operator can ask where a request went and why.
+ */
+import * as core from '@oleanderrock/core';
+import * as lru from 'lru-cache';
+import * as v from 'valibot';
+
+/** Schema of one step of a request at one router. */
+export const stepSchema = v.object({
+  /** Wall-clock time. */
+  at_ms: v.number(),
+  router: v.string(),
+  /** What was done, as `passed_on`, `queued`, `dispatched`, `answered`. */
+  step: v.string(),
+  endpoint: v.optional(v.string()),
+  detail: v.string(),
+});
+
+/** One step of a request at one router. */
+export type Step = v.InferOutput<typeof stepSchema>;
+
+/** Store of the steps of the last requests. */
+export interface Trails {
+  note(
+    requestId: string,
+    step: string,
+    detail: string,
+    endpoint?: string,
+  ): void;
+  /** The steps of a request at this router, the oldest first. */
+  find(requestId: string): readonly Step[];
+}
+
+/** The contract under which the trails are registered. */
+export const TRAILS = core.contract<Trails>('trails', ['note', 'find']);
+
+/** Options of the bounded trails. */
+export interface BoundedTrailsOptions {
+  readonly router: string;
+  readonly maxRequests: number;
+}
+
+/** Trails of the newest requests; each step is also a line of the log. */
+export class BoundedTrails implements Trails {
+  private readonly steps: lru.LRUCache<string, Step[]>;
+
+  constructor(
+    private readonly kernel: core.Kernel,
+    private readonly options: BoundedTrailsOptions,
+  ) {
+    this.steps = new lru.LRUCache({max: options.maxRequests});
+  }
+
+  note(
+    requestId: string,
+    step: string,
+    detail: string,
+    endpoint?: string,
+  ): void {
+    const {router} = this.options;
+    const clock = this.kernel.find(core.CLOCK);
+    const steps = this.steps.get(requestId) ?? [];
+    steps.push({at_ms: clock.wallMs(), router, step, endpoint, detail});
+    this.steps.set(requestId, steps);
+    const log = this.kernel.find(core.LOGGER);
+    log.info('route', {request: requestId, step, endpoint, detail});
+  }
+
+  find(requestId: string): readonly Step[] {
+    return this.steps.get(requestId) ?? [];
+  }
+}
