Add the stand-ins, the fleet launcher and the caller

Routers need a platform and endpoints to be tested against. Adds the platform (list, log, weights), engines and plain services as services in a kernel behind one HTTP front, each usable in-process and as a process; Fleet starts them as child processes and lists them; Caller asks where, sends and checks answers.

Faults of answers are in one Reply class, so engines and services share them. Ruled out: a gate below HTTP for silent connections; a gate before each read and write of a request's task has the same effect for the peer and is smaller.

--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,2 +1,15 @@
-/** Package in preparation. */
-export {};
+/** Stand-ins for the platform and endpoints, a fleet launcher and a caller. */
+export * from './answers.js';
+export * from './caller.js';
+export * from './cacheevents.js';
+export * from './endpointfaults.js';
+export * from './engine.js';
+export * from './fleet.js';
+export * from './log.js';
+export * from './onecall.js';
+export * from './platform.js';
+export * from './platformfaults.js';
+export * from './prefixcache.js';
+export * from './processes.js';
+export * from './runs.js';
+export * from './servers.js';
