--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 /** Words, schemas and services that every package shares. */
 export * from './clock.js';
+export * from './commandline.js';
 export * from './errors.js';
 export * from './hash.js';
 export * as headers from './headers.js';
--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -6,8 +6,6 @@
 import * as settings from './settings.js';
 import * as wire from './wire.js';
 
-const EXIT_SETTINGS = 2;
-
 type Flags = Record<string, string | undefined>;
 
 /** A command with one flag for each setting. */
@@ -51,7 +49,7 @@
       for (const problem of loaded.problems) {
         this.context.stderr.write(`oleanderrock: ${problem}\n`);
       }
-      return EXIT_SETTINGS;
+      return core.EXIT_USAGE;
     }
     return serve(loaded.values);
   }
@@ -74,7 +72,7 @@
       );
     }
     const loaded = core.loadSettings(settings.SETTINGS, this.inputs());
-    return Promise.resolve(loaded.ok ? 0 : EXIT_SETTINGS);
+    return Promise.resolve(loaded.ok ? 0 : core.EXIT_USAGE);
   }
 }
 
@@ -102,13 +100,8 @@
 cli.register(RunCommand);
 cli.register(ShowSettingsCommand);
 cli.register(clipanion.Builtins.HelpCommand);
-
-/** Runs the command line; a wrong one gets one line and an exit code. */
-async function main(words: string[]): Promise<number> {
-  try {
-    return await cli.process(words, cli.defaultContext ?? {}).execute();
-  } catch (error) {
-    return 0;
-  }
-}
-process.exitCode = await main(process.argv.slice(2));
+process.exitCode = await core.execute(
+  cli,
+  'oleanderrock',
+  process.argv.slice(2),
+);
