Meter control bytes, hand over within a budget, end connections gently

Cause: a read of the first services against the design: hand-over sent its entries without a bound, only digests were metered, a kept connection that the other end had closed counted as a broken endpoint, a slow load report counted as a crash, claims in flight were dropped at a stop, and the entry listener cut connections that were still in use when the drain ended. A router's own hearing goes before others' notes that a peer is gone.

--- a/packages/core/src/hash.ts
+++ b/packages/core/src/hash.ts
@@ -29,6 +29,24 @@
   return scored.map(entry => entry.node);
 }
 
+/** The node with the highest score for `key`; undefined where there is none. */
+export function best(
+  key: string,
+  nodes: readonly string[],
+): string | undefined {
+  let found: string | undefined;
+  let highest = -1;
+  for (const node of nodes) {
+    const value = score(key, node);
+    const isFirst = value === highest && found !== undefined && node < found;
+    if (value > highest || isFirst) {
+      found = node;
+      highest = value;
+    }
+  }
+  return found;
+}
+
 /** Whether two secrets are equal, in a time that does not tell where not. */
 export function equalSecrets(left: string, right: string): boolean {
   const digest = (text: string) =>
--- a/packages/decide/src/membership.ts
+++ b/packages/decide/src/membership.ts
@@ -37,6 +37,8 @@
 interface Member {
   incarnation: number;
   heardMs: number;
+  /** Whether a digest of the router ever came. */
+  wasHeard: boolean;
   /** Set while the router counts as gone. */
   downMs: number | undefined;
 }
@@ -55,11 +57,10 @@
   heard(router: string, incarnation: number, nowMs: number): void {
     const member = this.member(router, nowMs);
     if (incarnation < member.incarnation) return;
-    const isRefuted =
-      member.downMs === undefined || incarnation > member.incarnation;
     member.incarnation = incarnation;
     member.heardMs = nowMs;
-    if (isRefuted || this.isOld(member, nowMs)) member.downMs = undefined;
+    member.downMs = undefined;
+    member.wasHeard = true;
   }
 
   watch(routers: readonly string[], nowMs: number): void {
@@ -74,6 +75,9 @@
     const member = this.member(note.router, nowMs);
     if (note.incarnation < member.incarnation) return false;
     if (member.downMs !== undefined) return false;
+    // What this router hears itself goes before what others do not hear.
+    const isFresh = nowMs - member.heardMs <= this.options.timeoutMs;
+    if (member.wasHeard && isFresh) return false;
     member.incarnation = note.incarnation;
     member.downMs = nowMs;
     return true;
@@ -115,18 +119,17 @@
   private member(router: string, nowMs: number): Member {
     let member = this.members.get(router);
     if (!member) {
-      member = {incarnation: 0, heardMs: nowMs, downMs: undefined};
+      member = {
+        incarnation: 0,
+        heardMs: nowMs,
+        wasHeard: false,
+        downMs: undefined,
+      };
       this.members.set(router, member);
     }
     return member;
   }
 
-  private isOld(member: Member, nowMs: number): boolean {
-    return (
-      member.downMs !== undefined && nowMs - member.downMs > this.options.noteMs
-    );
-  }
-
   private isRecent(member: Member, nowMs: number): boolean {
     if (member.downMs === undefined) return false;
     return nowMs - member.downMs <= this.options.noteMs;
--- a/packages/router/src/claims.ts
+++ b/packages/router/src/claims.ts
@@ -11,6 +11,8 @@
 import type * as settings from './settings.js';
 
 const RETRY_MS = 50;
+/** How long entries that wait at a stop may take. */
+const FLUSH_MS = 2_000;
 /** Clock difference that a search by time allows for. */
 const SEEK_MARGIN_MS = 60_000;
 const FOREVER = Number.POSITIVE_INFINITY;
@@ -59,9 +61,15 @@
     this.tasks = new core.TaskGroup(kernel.find(core.LOGGER));
   }
 
-  stop(): Promise<void> {
+  /** Lets what waits go out, for a while, then ends the tasks. */
+  async stop(): Promise<void> {
+    const clock = this.kernel.find(core.CLOCK);
+    const deadlineMs = clock.nowMs() + FLUSH_MS;
     for (const stream of this.streams.values()) stream.close();
-    return this.tasks.stop();
+    while (this.tasks.size > 0 && clock.nowMs() < deadlineMs) {
+      await clock.sleep(RETRY_MS);
+    }
+    await this.tasks.stop();
   }
 
   check(key: string): core.Result<void> {
--- a/packages/router/src/control.ts
+++ b/packages/router/src/control.ts
@@ -32,3 +32,11 @@
     this.bytes.inc({channel, direction}, bytes);
   }
 }
+
+/** A call's meter for one channel. */
+export function metering(meter: ControlMeter, channel: Channel) {
+  return (sentBytes: number, receivedBytes: number): void => {
+    meter.add(channel, 'sent', sentBytes);
+    meter.add(channel, 'received', receivedBytes);
+  };
+}
--- a/packages/router/src/entry.ts
+++ b/packages/router/src/entry.ts
@@ -19,6 +19,8 @@
   port(): number;
   /** Asks callers to leave their connections. */
   retire(): void;
+  /** Takes no more connections and waits for the open ones to end. */
+  drain(timeoutMs: number): Promise<void>;
 }
 
 /** The contract under which the listener is registered. */
@@ -59,6 +61,10 @@
     this.listener.retire();
   }
 
+  drain(timeoutMs: number): Promise<void> {
+    return this.listener.drain(timeoutMs);
+  }
+
   private async serve(call: listener.Call): Promise<void> {
     const [path = ''] = (call.request.url ?? '').split('?');
     if (path === '/where') return this.answerWhere(call);
--- a/packages/router/src/handover.ts
+++ b/packages/router/src/handover.ts
@@ -12,9 +12,13 @@
 import * as pools from './pools.js';
 
 const TICK_MS = 500;
-/** Entries that are looked for in one step, so that no step takes long. */
-const STEP_ENTRIES = 200;
-const STEP_PAUSE_MS = 50;
+/** Entries that are looked for in one pass over the memory. */
+const PASS_ENTRIES = 5_000;
+/** Entries of one call, and the pause that keeps to the control budget. */
+const CALL_ENTRIES = 50;
+const CALL_PAUSE_MS = 1_000;
+/** Longest time that a leaving router takes to hand over. */
+const FAREWELL_MS = 10_000;
 
 /** Hand-over of the memory. */
 export interface HandOver {
@@ -46,7 +50,7 @@
 
   async handAllOver(): Promise<void> {
     this.homes = this.readHomes();
-    await this.handOver();
+    await this.handOver(AbortSignal.timeout(FAREWELL_MS));
   }
 
   /** Looks for entries to hand over each time the homes have changed. */
@@ -64,37 +68,52 @@
     }
   }
 
-  private async handOver(signal?: AbortSignal): Promise<void> {
+  private async handOver(signal: AbortSignal): Promise<void> {
     const clock = this.kernel.find(core.CLOCK);
     const chats = this.kernel.find(memory.MEMORY);
     let moved = 0;
-    while (!signal?.aborted) {
+    while (!signal.aborted) {
       const entries = chats.select(
         entry => this.receiver(entry) !== undefined,
-        STEP_ENTRIES,
+        PASS_ENTRIES,
       );
-      if (entries.length === 0) break;
-      moved += await this.send(entries);
-      await clock.sleep(STEP_PAUSE_MS, signal);
+      for (const [router, part] of this.calls(entries)) {
+        if (signal.aborted) break;
+        if (moved > 0) await clock.sleep(CALL_PAUSE_MS, signal);
+        moved += await this.send(router, part);
+      }
+      if (entries.length < PASS_ENTRIES) break;
     }
     if (moved === 0) return;
     this.kernel.find(core.LOGGER).info('handed_over', {chats: moved});
   }
 
-  private async send(entries: readonly decide.ChatEntry[]): Promise<number> {
+  /** The calls to make: a router with a few entries each. */
+  private *calls(
+    entries: readonly decide.ChatEntry[],
+  ): Generator<[string, readonly decide.ChatEntry[]]> {
     const byRouter = new Map<string, decide.ChatEntry[]>();
     for (const entry of entries) {
       const router = this.receiver(entry);
       if (router === undefined) continue;
-      byRouter.set(router, [...(byRouter.get(router) ?? []), entry]);
+      const part = byRouter.get(router) ?? [];
+      byRouter.set(router, part);
+      part.push(entry);
     }
-    const calls = this.kernel.find(peerCalls.PEER_CALLS);
-    let moved = 0;
-    for (const [router, own] of byRouter) {
-      const result = await calls.handOver(router, own);
-      if (result.ok) moved += result.value;
+    for (const [router, all] of byRouter) {
+      for (let at = 0; at < all.length; at += CALL_ENTRIES) {
+        yield [router, all.slice(at, at + CALL_ENTRIES)];
+      }
     }
-    return moved;
+  }
+
+  private async send(
+    router: string,
+    entries: readonly decide.ChatEntry[],
+  ): Promise<number> {
+    const calls = this.kernel.find(peerCalls.PEER_CALLS);
+    const result = await calls.handOver(router, entries);
+    return result.ok ? result.value : 0;
   }
 
   /** The router that will place the chat, where it is not this one. */
@@ -102,22 +121,13 @@
     const homes = this.homes.get(entry.endpoint);
     const known = this.kernel.find(fleet.FLEET);
     if (!homes) return undefined;
-    const [home] = core.rank(entry.chat, homes);
-    if (home === undefined || home === entry.endpoint) {
-      return this.inheritor(entry);
-    }
+    const home = core.best(entry.chat, homes);
+    // Any router finds a chat that is at its home without being told.
+    if (home === undefined || home === entry.endpoint) return undefined;
     const [owner] = known.owners(home);
     return owner === known.self() ? undefined : owner;
   }
 
-  /** A leaving router's entries go to the endpoint's next owner. */
-  private inheritor(entry: decide.ChatEntry): string | undefined {
-    const known = this.kernel.find(fleet.FLEET);
-    if (known.isLive(known.self())) return undefined;
-    const [owner] = known.owners(entry.endpoint);
-    return owner === known.self() ? undefined : owner;
-  }
-
   /** For each endpoint, the settled endpoints of its pool. */
   private readHomes(): Map<string, readonly string[]> {
     const {pools: rows} = this.kernel
--- a/packages/router/src/jsonhttp.ts
+++ b/packages/router/src/jsonhttp.ts
@@ -1,5 +1,6 @@
 /** Small JSON calls over HTTP: the platform, load reports, health probes. */
-import * as http from 'node:http';
+import type * as http from 'node:http';
+import type * as net from 'node:net';
 import * as core from '@oleanderrock/core';
 import * as relay from './relay.js';
 
@@ -16,6 +17,8 @@
   /** Time for the whole call. */
   readonly timeoutMs: number;
   readonly signal?: AbortSignal;
+  /** Told how many bytes the call took on its connection. */
+  readonly meter?: (sentBytes: number, receivedBytes: number) => void;
 }
 
 /** What came of a call. */
@@ -23,6 +26,27 @@
   | {readonly type: 'reply'; readonly status: number; readonly body: unknown}
   | {readonly type: 'error'; readonly error: relay.RelayError};
 
+interface Metered {
+  sentBytes: number;
+  receivedBytes: number;
+}
+
+/** What was told of each connection so far. */
+const metered = new WeakMap<net.Socket, Metered>();
+
+function meterSocket(socket: net.Socket, options: JsonCall): void {
+  const before = metered.get(socket) ?? {sentBytes: 0, receivedBytes: 0};
+  const now = {
+    sentBytes: socket.bytesWritten,
+    receivedBytes: socket.bytesRead,
+  };
+  metered.set(socket, now);
+  options.meter?.(
+    now.sentBytes - before.sentBytes,
+    now.receivedBytes - before.receivedBytes,
+  );
+}
+
 function parse(raw: Buffer): unknown {
   try {
     return JSON.parse(raw.toString('utf8'));
@@ -37,7 +61,8 @@
     options.body === undefined
       ? Buffer.alloc(0)
       : Buffer.from(JSON.stringify(options.body));
-  const head = await relay.send({
+  const send = options.agent ? relay.sendRepeatable : relay.send;
+  const head = await send({
     address: options.address,
     port: options.port,
     method: options.method ?? 'GET',
@@ -52,11 +77,13 @@
     signal: options.signal,
   });
   if (head.type === 'error') return head;
+  const {socket} = head.response;
   const raw = await relay.collect(
     head.response,
     MAX_ANSWER_BYTES,
     options.timeoutMs,
   );
+  meterSocket(socket, options);
   if (!raw) {
     const detail = 'the answer is cut or too large';
     return {type: 'error', error: {stage: 'answer', cause: 'broken', detail}};
--- a/packages/router/src/listener.ts
+++ b/packages/router/src/listener.ts
@@ -8,6 +8,7 @@
 
 const KEEP_ALIVE_MS = 30_000;
 const MAX_PIPELINED = 16;
+const DRAIN_TICK_MS = 50;
 
 /** One request with the response to write. */
 export interface Call {
@@ -84,6 +85,25 @@
     this.server.closeIdleConnections();
   }
 
+  /** Takes no more connections; resolves when the open ones have ended. */
+  async drain(timeoutMs: number): Promise<void> {
+    this.retire();
+    const closed = new Promise<void>(resolve =>
+      this.server.close(() => resolve()),
+    );
+    const timer = setInterval(
+      () => this.server.closeIdleConnections(),
+      DRAIN_TICK_MS,
+    );
+    const limit = setTimeout(
+      () => this.server.closeAllConnections(),
+      timeoutMs,
+    );
+    await closed;
+    clearInterval(timer);
+    clearTimeout(limit);
+  }
+
   /** Takes no more connections and closes all that are open. */
   async close(): Promise<void> {
     this.retire();
--- a/packages/router/src/passer.ts
+++ b/packages/router/src/passer.ts
@@ -73,7 +73,8 @@
       return exchange.failed('peer_unreachable', `${router} is not listed`);
     }
     const kept = this.kernel.find(connections.CONNECTIONS);
-    const head = await relay.send({
+    const send = route.repeatable ? relay.sendRepeatable : relay.send;
+    const head = await send({
       address: peer.address,
       port: peer.peer_port,
       method: request.method,
--- a/packages/router/src/peercalls.ts
+++ b/packages/router/src/peercalls.ts
@@ -4,6 +4,7 @@
 import * as trpcClient from '@trpc/client';
 import type * as decide from '@oleanderrock/decide';
 import * as connections from './connections.js';
+import * as control from './control.js';
 import * as fleet from './fleet.js';
 import * as passer from './passer.js';
 import type * as peerApi from './peerapi.js';
@@ -11,6 +12,8 @@
 import type * as trails from './trails.js';
 
 const CALL_TIMEOUT_MS = 1_500;
+/** Size of a head that the meter assumes. */
+const HEAD_BYTES = 250;
 
 /** Path prefix of tRPC on the peers' port. */
 export const TRPC_PREFIX = '/trpc';
@@ -85,6 +88,21 @@
     }
   }
 
+  /** Counts the bodies; heads are a few hundred bytes a call. */
+  private async fetch(
+    url: string,
+    init: FetchInit,
+    agent: http.Agent,
+  ): Promise<Response> {
+    const meter = this.kernel.find(control.CONTROL_METER);
+    const body = typeof init.body === 'string' ? init.body : '';
+    meter.add('call', 'sent', HEAD_BYTES + Buffer.byteLength(body));
+    const response = await fetchOverHttp(url, init, agent);
+    const copy = await response.clone().arrayBuffer();
+    meter.add('call', 'received', HEAD_BYTES + copy.byteLength);
+    return response;
+  }
+
   private client(peer: core.Instance): Client {
     const {address, peer_port: port} = peer;
     const kept = this.kernel.find(connections.CONNECTIONS);
@@ -92,16 +110,23 @@
       url: `http://${address}:${port}${TRPC_PREFIX}`,
       headers: {[passer.PEER_TOKEN]: this.own.peerToken},
       fetch: (input, init) =>
-        fetchOverHttp(String(input), init ?? {}, kept.agent(address, port)),
+        this.fetch(String(input), init ?? {}, kept.agent(address, port)),
     });
     return trpcClient.createTRPCClient<peerApi.PeerRouter>({links: [link]});
   }
 }
 
-/** A fetch, as far as tRPC uses one, over Node's http client. */
+/** What a fetch, as far as tRPC uses one, is told of a call. */
+interface FetchInit {
+  readonly method?: string;
+  readonly headers?: unknown;
+  readonly body?: unknown;
+}
+
+/** A fetch over Node's http client. */
 function fetchOverHttp(
   url: string,
-  init: {method?: string; headers?: unknown; body?: unknown},
+  init: FetchInit,
   agent: http.Agent,
 ): Promise<Response> {
   return new Promise((resolve, reject) => {
@@ -116,13 +141,10 @@
       const chunks: Buffer[] = [];
       response.on('error', reject);
       response.on('data', (chunk: Buffer) => chunks.push(chunk));
-      response.on('end', () =>
-        resolve(
-          new Response(Buffer.concat(chunks), {
-            status: response.statusCode ?? 500,
-          }),
-        ),
-      );
+      response.on('end', () => {
+        const status = response.statusCode ?? 500;
+        resolve(new Response(Buffer.concat(chunks), {status}));
+      });
     });
     request.end(typeof init.body === 'string' ? init.body : undefined);
   });
--- a/packages/router/src/platform.ts
+++ b/packages/router/src/platform.ts
@@ -6,6 +6,7 @@
 import * as http from 'node:http';
 import * as core from '@oleanderrock/core';
 import * as v from 'valibot';
+import * as control from './control.js';
 import * as jsonhttp from './jsonhttp.js';
 
 /** Source of the list of instances. */
@@ -73,6 +74,7 @@
 /** Options of the HTTP platform. */
 export interface HttpPlatformOptions {
   readonly url: string;
+  readonly meter: control.ControlMeter;
 }
 
 /** The platform's services over HTTP, as docs/PLATFORM.md describes them. */
@@ -81,7 +83,7 @@
   private readonly address: string;
   private readonly port: number;
 
-  constructor(options: HttpPlatformOptions) {
+  constructor(private readonly options: HttpPlatformOptions) {
     const url = new URL(options.url);
     this.address = url.hostname;
     this.port = Number(url.port || '80');
@@ -93,7 +95,7 @@
     signal: AbortSignal,
   ): Promise<core.Result<core.InstanceList | undefined>> {
     const path = `/instances?known=${known}&wait_ms=${waitMs}`;
-    const reply = await this.get(path, waitMs, signal);
+    const reply = await this.get('list', path, waitMs, signal);
     if (reply.type === 'error') return this.unreachable(reply);
     if (reply.status === 304) return core.succeed(undefined);
     const parsed = v.safeParse(core.instanceListSchema, reply.body);
@@ -110,6 +112,7 @@
       body: {record},
       agent: this.agent,
       timeoutMs: CALL_TIMEOUT_MS,
+      meter: control.metering(this.options.meter, 'log'),
     });
     if (reply.type === 'error') return jsonhttp.unavailable(reply);
     const parsed = v.safeParse(appendedSchema, reply.body);
@@ -122,7 +125,7 @@
   async read(options: LogRead): Promise<core.Result<LogPage>> {
     const {stream, from, waitMs, limit = PAGE_RECORDS, signal} = options;
     const path = `/log/${stream}?from=${from}&limit=${limit}&wait_ms=${waitMs}`;
-    const reply = await this.get(path, waitMs, signal);
+    const reply = await this.get('log', path, waitMs, signal);
     if (reply.type === 'error') return jsonhttp.unavailable(reply);
     const parsed = v.safeParse(logPageSchema, reply.body);
     if (reply.status !== 200 || !parsed.success) {
@@ -136,7 +139,12 @@
     return Promise.resolve();
   }
 
-  private get(path: string, waitMs: number, signal?: AbortSignal) {
+  private get(
+    channel: control.Channel,
+    path: string,
+    waitMs: number,
+    signal?: AbortSignal,
+  ) {
     return jsonhttp.call({
       address: this.address,
       port: this.port,
@@ -144,6 +152,7 @@
       agent: this.agent,
       timeoutMs: CALL_TIMEOUT_MS + waitMs,
       signal,
+      meter: control.metering(this.options.meter, channel),
     });
   }
 
--- a/packages/router/src/probes.ts
+++ b/packages/router/src/probes.ts
@@ -6,6 +6,7 @@
 import * as core from '@oleanderrock/core';
 import * as v from 'valibot';
 import * as connections from './connections.js';
+import * as control from './control.js';
 import * as fleet from './fleet.js';
 import * as jsonhttp from './jsonhttp.js';
 import * as memory from './memory.js';
@@ -18,8 +19,8 @@
 export interface Probes {
   /** Whether the endpoint refuses connections or has been started anew. */
   hasCrashed(endpoint: string, timeoutMs: number): Promise<boolean>;
-  /** Renews the kept connections where a new connection works. */
-  renewIfSilent(endpoint: string): Promise<void>;
+  /** Renews the kept connections where a new one works; tells if it did. */
+  renewIfSilent(endpoint: string): Promise<boolean>;
 }
 
 /** The contract under which the probes are registered. */
@@ -53,18 +54,20 @@
   async hasCrashed(endpoint: string, timeoutMs: number): Promise<boolean> {
     const before = this.startIds.get(endpoint);
     const report = await this.read(endpoint, timeoutMs, false);
-    if (!report) return true;
+    if (report === 'refused') return true;
+    if (!report) return false;
     return before !== undefined && report.start_id !== before;
   }
 
-  async renewIfSilent(endpoint: string): Promise<void> {
+  async renewIfSilent(endpoint: string): Promise<boolean> {
     const target = this.kernel.find(fleet.FLEET).find(endpoint);
-    if (!target) return;
+    if (!target) return false;
     const report = await this.read(endpoint, this.own.loadPeriodMs, false);
-    if (!report) return;
+    if (!report || report === 'refused') return false;
     const kept = this.kernel.find(connections.CONNECTIONS);
     kept.renew(target.address, target.port);
     this.kernel.find(core.LOGGER).warn('connections_renewed', {endpoint});
+    return true;
   }
 
   /** Starts a task for each endpoint that has come into ownership. */
@@ -90,8 +93,8 @@
     while (!signal.aborted && this.isOwned(endpoint)) {
       const report = await this.read(endpoint, this.own.loadPeriodMs, true);
       if (signal.aborted) break;
-      if (report) this.adopt(endpoint, report);
-      else await this.missed(endpoint);
+      if (report && report !== 'refused') this.adopt(endpoint, report);
+      else await this.missed(endpoint, report === 'refused');
       await clock.sleep(this.own.loadPeriodMs, signal);
     }
     this.probing.delete(endpoint);
@@ -112,17 +115,21 @@
     this.kernel.find(memory.MEMORY).forget(endpoint);
   }
 
-  private async missed(endpoint: string): Promise<void> {
-    const nowMs = this.kernel.find(core.CLOCK).nowMs();
-    this.kernel.find(fleet.EJECTION).failed(endpoint, nowMs);
-    await this.renewIfSilent(endpoint);
+  private async missed(endpoint: string, isRefused: boolean): Promise<void> {
+    const clock = this.kernel.find(core.CLOCK);
+    const ejection = this.kernel.find(fleet.EJECTION);
+    ejection.failed(endpoint, clock.nowMs());
+    if (isRefused) return;
+    const isSilent = await this.renewIfSilent(endpoint);
+    // No answer over a new connection either counts as a second failure.
+    if (!isSilent) ejection.failed(endpoint, clock.nowMs());
   }
 
   private async read(
     endpoint: string,
     timeoutMs: number,
     isKept: boolean,
-  ): Promise<core.LoadReport | undefined> {
+  ): Promise<core.LoadReport | 'refused' | undefined> {
     const target = this.kernel.find(fleet.FLEET).find(endpoint);
     if (!target) return undefined;
     const {address, port} = target;
@@ -133,8 +140,13 @@
       path: '/load',
       agent: isKept ? kept.agent(address, port) : undefined,
       timeoutMs,
+      meter: control.metering(this.kernel.find(control.CONTROL_METER), 'load'),
     });
-    if (reply.type === 'error' || reply.status !== 200) return undefined;
+    if (reply.type === 'error') {
+      const {stage, cause} = reply.error;
+      return stage === 'connect' && cause === 'broken' ? 'refused' : undefined;
+    }
+    if (reply.status !== 200) return undefined;
     const parsed = v.safeParse(core.loadReportSchema, reply.body);
     return parsed.success ? parsed.output : undefined;
   }
--- a/packages/router/src/relay.ts
+++ b/packages/router/src/relay.ts
@@ -46,6 +46,8 @@
   readonly stage: Stage;
   readonly cause: 'timeout' | 'broken' | 'protocol' | 'aborted';
   readonly detail: string;
+  /** A kept connection was closed by the other end before it answered. */
+  readonly isStale?: boolean;
 }
 
 /** A head that came, with the body still to read. */
@@ -175,13 +177,28 @@
     request.destroy();
     return stop('sent', 'protocol', fault);
   } catch (error) {
-    return stop('sent', causeOf(error, options.signal), core.reason(error));
+    const cause = causeOf(error, options.signal);
+    const isStale = cause === 'broken' && request.reusedSocket;
+    const detail = core.reason(error);
+    return {type: 'error', error: {stage: 'sent', cause, detail, isStale}};
   } finally {
     endWait();
     endAck();
   }
 }
 
+/**
+ * Sends a request that may be repeated: once more over a connection of its
+ * own where a kept one turns out to be closed.
+ */
+export async function sendRepeatable(
+  options: RelayOptions,
+): Promise<Head | Failed> {
+  const first = await send(options);
+  if (first.type === 'head' || !first.error.isStale) return first;
+  return send({...options, agent: undefined});
+}
+
 /** Copies the body to the answer; resolves with the error that cut it. */
 export async function copy(
   response: http.IncomingMessage,
--- a/packages/router/src/rooms.ts
+++ b/packages/router/src/rooms.ts
@@ -8,6 +8,7 @@
 import * as decide from '@oleanderrock/decide';
 import type * as exchange from './exchange.js';
 import * as fleet from './fleet.js';
+import * as peers from './peers.js';
 import * as pools from './pools.js';
 import * as suspects from './suspects.js';
 
@@ -117,6 +118,7 @@
 
   release(endpoint: string): void {
     this.kernel.find(pools.LOADS).ended(endpoint);
+    this.kernel.find(peers.PEERS).announce('load');
     this.wake();
   }
 
@@ -221,6 +223,7 @@
     const admission = this.kernel.find(ADMISSION);
     if (!admission.admits(inFlight, view.load)) return undefined;
     loads.began(endpoint);
+    this.kernel.find(peers.PEERS).announce('load');
     return {type: 'local', choice};
   }
 
--- a/packages/router/src/run.ts
+++ b/packages/router/src/run.ts
@@ -37,6 +37,7 @@
   await kernel.find(core.CLOCK).sleep(FAREWELL_MS);
   kernel.find(entry.ENTRY).retire();
   await kernel.find(handover.HAND_OVER).handAllOver();
+  await kernel.find(entry.ENTRY).drain(own.drainTimeoutMs);
   const isIdle = await state.idle(own.drainTimeoutMs);
   log.info('stopping', {in_flight: isIdle ? 0 : state.inFlight()});
   await kernel.stop();
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -80,6 +80,8 @@
     const notes = this.kernel.find(trails.TRAILS);
     notes.note(request.id, 'dispatched', run.reason, endpoint);
     book.began(signature, endpoint);
+    const nowMs = this.kernel.find(core.CLOCK).nowMs();
+    this.kernel.find(fleet.EJECTION).began(endpoint, nowMs);
     const outcome = await this.dispatch(run);
     await this.judge(signature, endpoint, outcome);
     this.kernel.find(rooms.ROOMS).release(endpoint);
@@ -98,7 +100,8 @@
       return exchange.failed('endpoint_unreachable', `${endpoint} is gone`);
     }
     const kept = this.kernel.find(connections.CONNECTIONS);
-    const head = await relay.send({
+    const send = route.repeatable ? relay.sendRepeatable : relay.send;
+    const head = await send({
       address: target.address,
       port: target.port,
       method: request.method,
--- a/packages/router/src/wire.ts
+++ b/packages/router/src/wire.ts
@@ -52,16 +52,17 @@
 
 function wireBasics(kernel: core.Kernel, own: settings.Settings): void {
   const log = new core.ConsolaLogger(own.logLevel, {router: own.name});
-  const outside = new platform.HttpPlatform({url: own.platformUrl});
   kernel.register(core.CLOCK, new core.SystemClock());
   kernel.register(core.RANDOM, new core.SeededRandom(core.hash32(own.name)));
   kernel.register(core.LOGGER, log);
   kernel.register(core.METRICS, new core.ProcessMetrics());
   kernel.register(settings.SETTINGS_SERVICE, {get: () => own});
+  const meter = new control.PromControlMeter(kernel);
+  kernel.register(control.CONTROL_METER, meter);
+  const outside = new platform.HttpPlatform({url: own.platformUrl, meter});
   kernel.register(platform.INSTANCE_SOURCE, outside);
   kernel.register(platform.LOG_CLIENT, outside);
   kernel.register(connections.CONNECTIONS, new connections.KeptConnections());
-  kernel.register(control.CONTROL_METER, new control.PromControlMeter(kernel));
 }
 
 /** The chosen decisions. */
