--- a/packages/standins/src/connections.ts
+++ b/packages/standins/src/connections.ts
@@ -14,6 +14,7 @@
   private readonly silent = new WeakSet<net.Socket>();
   private readonly changed: notice.Notice;
   private isFrozen = false;
+  private waiting = 0;
 
   constructor(clock: core.Clock) {
     this.changed = new notice.Notice(clock);
@@ -31,6 +32,11 @@
     return this.open.size;
   }
 
+  /** How many tasks wait to read or write. */
+  get held(): number {
+    return this.waiting;
+  }
+
   /** Silences all connections that are open now, for good. */
   silence(): void {
     for (const socket of this.open) this.silent.add(socket);
@@ -44,9 +50,11 @@
 
   /** Resolves when the connection may carry bytes, or `signal` aborts. */
   async pass(socket: net.Socket, signal: AbortSignal): Promise<void> {
-    while (!signal.aborted && (this.isFrozen || this.silent.has(socket))) {
+    this.waiting += 1;
+    while (!signal.aborted && this.isClosedTo(socket)) {
       await this.changed.wait(RECHECK_MS, signal);
     }
+    this.waiting -= 1;
   }
 
   /** Closes all connections; with `reset`, by a TCP reset. */
@@ -56,4 +64,8 @@
       else socket.destroy();
     }
   }
+
+  private isClosedTo(socket: net.Socket): boolean {
+    return this.isFrozen || this.silent.has(socket);
+  }
 }
--- a/packages/standins/src/engine.ts
+++ b/packages/standins/src/engine.ts
@@ -28,6 +28,8 @@
 /** A request to an engine. */
 export type Prompt = v.InferOutput<typeof promptSchema>;
 
+const bodySchema = v.pipe(v.string(), v.parseJson(), promptSchema);
+
 /** An engine's size and speed. */
 export interface EngineSpeed {
   /** Bound of the prefix cache. */
@@ -82,7 +84,7 @@
   }
 
   async run(call: endpoint.Call): Promise<void> {
-    const prompt = v.safeParse(promptSchema, JSON.parse(call.body || '{}'));
+    const prompt = v.safeParse(bodySchema, call.body);
     if (!prompt.success) {
       await call.reply.json(400, {detail: v.summarize(prompt.issues)});
       return;
--- a/packages/standins/src/exchange.ts
+++ b/packages/standins/src/exchange.ts
@@ -90,6 +90,11 @@
     this.request.socket.destroy();
   }
 
+  /** Closes the connection once what was written is sent. */
+  cutAfterSent(): void {
+    this.request.socket.destroySoon();
+  }
+
   /** Resolves when the connection has closed. */
   async untilGone(): Promise<void> {
     if (!this.gone.aborted) await events.EventEmitter.once(this.gone, 'abort');
--- a/packages/standins/src/front.ts
+++ b/packages/standins/src/front.ts
@@ -1,6 +1,6 @@
 /**
- * The HTTP server of a stand-in: one task for each request, `/control` and
- * `/stats` answered here and all else by the stand-in's site. Faults do not
+ * The HTTP server of a stand-in: one task for each connection, which answers
+ * `/control` and `/stats` itself and leaves all else to the site. Faults do not
  * touch `/control` and `/stats`.
  */
 import * as core from '@oleanderrock/core';
@@ -65,6 +65,10 @@
   private readonly control: control.Control;
   private readonly connections: connections.Connections;
   private readonly log: core.Logger;
+  private readonly inboxes = new WeakMap<
+    net.Socket,
+    core.Mailbox<exchanges.Exchange>
+  >();
   private tasks: core.TaskGroup;
   private server: http.Server | undefined;
 
@@ -87,11 +91,12 @@
       keepAliveTimeout: 0,
     });
     this.tasks = new core.TaskGroup(this.log);
-    server.on('connection', socket => this.connections.add(socket));
+    events.EventEmitter.setMaxListeners(0, this.tasks.signal);
+    server.on('connection', socket => this.accept(socket));
     server.on('request', (request, response) => {
-      this.tasks.spawn('request', stopped =>
-        this.serve(new exchanges.Exchange(request, response, stopped)),
-      );
+      const {signal} = this.tasks;
+      const exchange = new exchanges.Exchange(request, response, signal);
+      this.inboxes.get(request.socket)?.put(exchange);
     });
     server.listen(this.port, this.options.host ?? '127.0.0.1');
     await events.EventEmitter.once(server, 'listening');
@@ -118,6 +123,12 @@
     this.connections.silence();
   }
 
+  /** The site's counts and those of the connections. */
+  stats(isBrief: boolean): object {
+    const {size: connections, held} = this.connections;
+    return {...this.kernel.find(SITE).stats(isBrief), connections, held};
+  }
+
   freeze(isFrozen: boolean): void {
     this.connections.freeze(isFrozen);
   }
@@ -128,6 +139,24 @@
     this.connections.destroy(reset);
   }
 
+  private accept(socket: net.Socket): void {
+    const inbox = new core.Mailbox<exchanges.Exchange>();
+    this.inboxes.set(socket, inbox);
+    this.connections.add(socket);
+    socket.once('close', () => inbox.close());
+    this.tasks.spawn('connection', () => this.serveAll(inbox));
+  }
+
+  private async serveAll(
+    inbox: core.Mailbox<exchanges.Exchange>,
+  ): Promise<void> {
+    for (;;) {
+      const exchange = await inbox.take();
+      if (!exchange) return;
+      await this.serve(exchange);
+    }
+  }
+
   private async serve(exchange: exchanges.Exchange): Promise<void> {
     try {
       await this.dispatch(exchange);
@@ -162,8 +191,7 @@
 
   private serveStats(exchange: exchanges.Exchange): Promise<void> {
     const isBrief = exchange.url.searchParams.has('brief');
-    const stats = this.kernel.find(SITE).stats(isBrief);
-    return exchange.send(200, {...stats, connections: this.connections.size});
+    return exchange.send(200, this.stats(isBrief));
   }
 
   private async fail(
--- a/packages/standins/src/platform.ts
+++ b/packages/standins/src/platform.ts
@@ -25,6 +25,8 @@
   appends: number;
   rejected_appends: number;
   reads: number;
+  /** Requests that a silent log left without an answer. */
+  unanswered: number;
   bytes_in: number;
   bytes_out: number;
 }
@@ -34,6 +36,7 @@
     appends: 0,
     rejected_appends: 0,
     reads: 0,
+    unanswered: 0,
     bytes_in: 0,
     bytes_out: 0,
   };
@@ -45,6 +48,7 @@
     total.appends += part.appends;
     total.rejected_appends += part.rejected_appends;
     total.reads += part.reads;
+    total.unanswered += part.unanswered;
     total.bytes_in += part.bytes_in;
     total.bytes_out += part.bytes_out;
   }
@@ -136,7 +140,7 @@
     exchange: exchanges.Exchange,
     name: string,
   ): Promise<void> {
-    if (this.faults.now.log_silent) return exchange.untilGone();
+    if (this.faults.now.log_silent) return this.ignore(exchange, name);
     if (this.faults.now.log_down) return exchange.send(503, {});
     if (exchange.method === 'GET') return this.read(exchange, name);
     return this.append(exchange, name);
@@ -176,11 +180,16 @@
       waitMs: Math.min(exchange.number('wait_ms', 0), MAX_WAIT_MS),
       signal: exchange.gone,
     });
-    if (this.faults.now.log_silent) return exchange.untilGone();
+    if (this.faults.now.log_silent) return this.ignore(exchange, name);
     if (this.faults.now.log_down) return exchange.send(503, {});
     await this.answer(exchange, traffic, page);
   }
 
+  private ignore(exchange: exchanges.Exchange, name: string): Promise<void> {
+    this.traffic(name).unanswered += 1;
+    return exchange.untilGone();
+  }
+
   private async readWeight(
     exchange: exchanges.Exchange,
     key: string,
--- a/packages/standins/src/reply.ts
+++ b/packages/standins/src/reply.ts
@@ -137,7 +137,7 @@
   }
 
   private cut(): Delivery {
-    this.exchange.cut();
+    this.exchange.cutAfterSent();
     return 'cut';
   }
 }
--- a/packages/standins/src/servers.ts
+++ b/packages/standins/src/servers.ts
@@ -83,7 +83,7 @@
 
   /** The counts of `GET /stats`. */
   stats(): object {
-    return this.kernel.find(front.SITE).stats(false);
+    return this.front.stats(false);
   }
 }
 
--- a/packages/standins/src/service.ts
+++ b/packages/standins/src/service.ts
@@ -11,10 +11,12 @@
 import type * as replies from './reply.js';
 
 const orderSchema = v.object({nonce: v.optional(v.string(), '')});
+const bodySchema = v.pipe(v.string(), v.parseJson(), orderSchema);
 
 function readNonce(call: endpoint.Call): string {
   if (call.method === 'GET') return call.url.searchParams.get('nonce') ?? '';
-  return v.parse(orderSchema, JSON.parse(call.body || '{}')).nonce;
+  const order = v.safeParse(bodySchema, call.body);
+  return order.success ? order.output.nonce : '';
 }
 
 /** Runs orders and answers lookups. */
