Let any number of tasks wait on one group's signal

Cause: more than ten sleeping tasks on one AbortSignal print MaxListenersExceededWarning, seen by the stand-ins' front. Change: the group lifts the limit for its own signal. Conclusion: kept; the count of tasks is bounded by peers and connections.

--- a/packages/core/src/tasks.ts
+++ b/packages/core/src/tasks.ts
@@ -3,6 +3,7 @@
  * function written straight down; a group starts them, reports those that fail
  * and ends them together.
  */
+import * as events from 'node:events';
 import type * as logger from './logger.js';
 
 /** A task's body. It returns soon after `signal` aborts. */
@@ -13,7 +14,10 @@
   private readonly running = new Set<Promise<void>>();
   private readonly controller = new AbortController();
 
-  constructor(private readonly log: logger.Logger) {}
+  constructor(private readonly log: logger.Logger) {
+    // Each sleeping task listens to the signal, so their number has no limit.
+    events.EventEmitter.setMaxListeners(0, this.controller.signal);
+  }
 
   /** Aborts when the group stops. */
   get signal(): AbortSignal {
--- a/packages/standins/src/front.ts
+++ b/packages/standins/src/front.ts
@@ -91,7 +91,6 @@
       keepAliveTimeout: 0,
     });
     this.tasks = new core.TaskGroup(this.log);
-    events.EventEmitter.setMaxListeners(0, this.tasks.signal);
     server.on('connection', socket => this.accept(socket));
     server.on('request', (request, response) => {
       const {signal} = this.tasks;
