--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,2 +1,9 @@
-/** Package in preparation. */
-export {};
+/** The demo's and the bench's parts. */
+export * as counters from './counters.js';
+export * as deployment from './deployment.js';
+export * as launch from './launch.js';
+export * as oracle from './oracle.js';
+export * as outcomes from './outcomes.js';
+export * as player from './player.js';
+export * as skew from './skew.js';
+export * as trace from './trace.js';
