Let a returning chat wait briefly for the engine with its context

At a mean of two requests over eight engines the bound is one request, so any chat whose engine was busy spilled at once and paid for its context again. A wait that ended could also leak a place, since the queue entry outlived the decision. Ruled out: lost memory (reason 'memory' on each return in the log). Change: the lines of waiting requests are a class of their own; a remembered chat first waits up to contextWaitMs (200 ms) for its endpoint, then for any.

--- a/packages/router/src/once.ts
+++ b/packages/router/src/once.ts
@@ -9,6 +9,7 @@
 import * as exchange from './exchange.js';
 import * as fleet from './fleet.js';
 import * as passer from './passer.js';
+import type * as places from './places.js';
 import * as rooms from './rooms.js';
 import * as runner from './runner.js';
 import type * as spread from './spread.js';
@@ -118,7 +119,7 @@
 
   private use(
     task: spread.Task,
-    grant: rooms.Grant,
+    grant: places.Grant,
     claim: claims.Claim,
   ): Promise<exchange.Outcome> {
     const {endpoint, reason} = grant.choice;
--- a/packages/router/src/peers.ts
+++ b/packages/router/src/peers.ts
@@ -12,6 +12,7 @@
 import * as drain from './drain.js';
 import * as fleet from './fleet.js';
 import * as peerServer from './peerserver.js';
+import * as places from './places.js';
 import * as pools from './pools.js';
 import * as rooms from './rooms.js';
 import type * as settings from './settings.js';
@@ -217,7 +218,7 @@
   ): void {
     const known = this.kernel.find(fleet.FLEET);
     const source = this.kernel.find(pools.POOLS);
-    const waiting = this.kernel.find(rooms.ROOMS);
+    const room = this.kernel.find(places.PLACES);
     const counts: decide.RemoteCount[] = [];
     for (const item of message.counts) {
       const endpoint = this.endpoints.find(item.endpointHash);
@@ -225,7 +226,7 @@
       counts.push({endpoint, router, inFlight: item.inFlight});
       if (known.owners(endpoint)[0] !== router) continue;
       source.setRemoteUsable(endpoint, item.isUsable);
-      waiting.noteCounts(endpoint);
+      room.noteCounts(endpoint);
     }
     this.kernel.find(pools.LOADS).learn(router, counts, nowMs);
   }
--- a/packages/router/src/probes.ts
+++ b/packages/router/src/probes.ts
@@ -3,6 +3,7 @@
  * endpoint's load report. Other services ask here whether an endpoint has
  * crashed or whether only its kept connections have gone silent.
  */
+import * as http from 'node:http';
 import * as core from '@oleanderrock/core';
 import * as v from 'valibot';
 import * as connections from './connections.js';
@@ -33,6 +34,8 @@
 export class LoadProbes implements Probes, core.Lifecycle {
   private readonly tasks: core.TaskGroup;
   private readonly probing = new Set<string>();
+  /** Apart from the requests' connections, so that its bytes are metered. */
+  private readonly agent = new http.Agent({keepAlive: true});
   private readonly startIds = new Map<string, string>();
 
   constructor(
@@ -47,8 +50,9 @@
     return Promise.resolve();
   }
 
-  stop(): Promise<void> {
-    return this.tasks.stop();
+  async stop(): Promise<void> {
+    await this.tasks.stop();
+    this.agent.destroy();
   }
 
   async hasCrashed(endpoint: string, timeoutMs: number): Promise<boolean> {
@@ -133,12 +137,11 @@
     const target = this.kernel.find(fleet.FLEET).find(endpoint);
     if (!target) return undefined;
     const {address, port} = target;
-    const kept = this.kernel.find(connections.CONNECTIONS);
     const reply = await jsonhttp.call({
       address,
       port,
       path: '/load',
-      agent: isKept ? kept.agent(address, port) : undefined,
+      agent: isKept ? this.agent : undefined,
       timeoutMs,
       meter: control.metering(this.kernel.find(control.CONTROL_METER), 'load'),
     });
--- a/packages/router/src/rooms.ts
+++ b/packages/router/src/rooms.ts
@@ -1,55 +1,30 @@
 /**
- * Rooms: room at the endpoints of a pool. A request reserves a place at an
- * endpoint, or waits in the pool's fair queue until one is free or its time is
- * up. Only the owner of an endpoint reserves a place there; for the endpoints
- * of others it makes an estimate, and their owner decides.
+ * Rooms: where requests wait for a place. A chat that is remembered first
+ * waits a little for the endpoint that holds its context; then it waits, as
+ * all others do, in the pool's fair line for any endpoint until its time is
+ * up.
  */
 import * as core from '@oleanderrock/core';
-import * as decide from '@oleanderrock/decide';
-import type * as exchange from './exchange.js';
-import * as fleet from './fleet.js';
-import * as peers from './peers.js';
-import * as pools from './pools.js';
-import * as suspects from './suspects.js';
+import type * as decide from '@oleanderrock/decide';
+import * as line from './line.js';
+import * as places from './places.js';
+import type * as settings from './settings.js';
 
-/** How long an endpoint that refused for want of room is passed by. */
-const FULL_MS = 100;
 const MIN_RETRY_AFTER_MS = 50;
 
-/** A place at an endpoint, or the router to ask for one. */
-export type Grant =
-  | {readonly type: 'local'; readonly choice: decide.Choice}
-  | {
-      readonly type: 'remote';
-      readonly choice: decide.Choice;
-      readonly owner: string;
-    };
-
-/** A wish for a place. */
-export interface Wish {
-  readonly request: exchange.RouterRequest;
-  readonly route: core.Route;
-  readonly pool: core.Pool;
-  readonly excluded: ReadonlySet<string>;
-  /** Monotonic time until which the request may wait. */
-  readonly deadlineMs: number;
-  readonly gone: AbortSignal;
-}
-
-/** Places at endpoints. */
+/** Rooms of all pools. */
 export interface Rooms {
   /** Waits for a place; fails as not run. Give local places back. */
-  reserve(wish: Wish): Promise<core.Result<Grant>>;
+  reserve(wish: places.Wish): Promise<core.Result<places.Grant>>;
   /** Reserves a place at one owned endpoint at once, or fails. */
-  reserveAt(wish: Wish, endpoint: string): core.Result<Grant>;
+  reserveAt(wish: places.Wish, endpoint: string): core.Result<places.Grant>;
   /** Gives a local place back. */
   release(endpoint: string): void;
   /** Notes that another router's endpoint had no room. */
   noteFull(endpoint: string): void;
-  /** Notes fresh counts of another router's endpoint. */
-  noteCounts(endpoint: string): void;
-  /** Looks again at all queues. */
+  /** Looks again at all lines. */
   wake(): void;
+  /** Requests that wait at this router. */
   queued(): number;
 }
 
@@ -61,221 +36,173 @@
   'wake',
 ]);
 
-/** The contract under which the admission is registered. */
-export const ADMISSION = core.contract<decide.Admission>('admission', [
-  'bound',
-  'admits',
-]);
-
-interface Waiter {
-  readonly wish: Wish;
-  resolve(result: core.Result<Grant>): void;
+/** Makes the queue of one line. */
+export type QueueFactory = (
+  pool: core.Pool,
+) => decide.RequestQueue<line.LineEntry<places.Grant>>;
+
+/** The lines of one pool. */
+interface Room {
+  /** For any endpoint. */
+  readonly any: line.Line<places.Grant>;
+  /** For one endpoint, by its name. */
+  readonly own: Map<string, line.Line<places.Grant>>;
 }
 
-/** Makes the queue of one pool. */
-export type QueueFactory = (pool: core.Pool) => decide.RequestQueue<Waiter>;
-
-interface Hall {
-  pool: core.Pool;
-  readonly queue: decide.RequestQueue<Waiter>;
-}
-
-/** Rooms with one queue for each pool. */
+/** Rooms with one line for each pool and one for each endpoint of it. */
 export class QueuedRooms implements Rooms {
-  private readonly halls = new Map<string, Hall>();
-  private readonly fullUntilMs = new Map<string, number>();
-  private readonly sent = new Map<string, number>();
+  private readonly rooms = new Map<string, Room>();
 
   constructor(
     private readonly kernel: core.Kernel,
+    private readonly own: settings.Settings,
     private readonly createQueue: QueueFactory,
   ) {}
 
-  async reserve(wish: Wish): Promise<core.Result<Grant>> {
-    const hall = this.hall(wish.pool);
-    const priority = priorityOf(wish.route);
-    const head = hall.queue.peek(this.nowMs());
-    if (!head || head.priority > priority) {
-      const grant = this.choose(wish);
-      if (grant) return core.succeed(grant);
-    }
-    if (this.isEmpty(wish)) {
+  async reserve(wish: places.Wish): Promise<core.Result<places.Grant>> {
+    const {choices} = this.places.order(wish);
+    const [first] = choices;
+    if (!first) {
       return core.fail('pool_empty', `pool ${wish.pool.name} has no endpoint`);
     }
+    const room = this.room(wish.pool);
+    const kept = await this.awaitContext(wish, room, first);
+    if (kept) return kept;
+    if (!room.any.isAhead(priorityOf(wish.route))) {
+      const grant = this.places.choose(wish);
+      if (grant) return core.succeed(grant);
+    }
     if (wish.deadlineMs <= this.nowMs()) return this.noRoom(wish);
-    return this.wait(hall, wish, priority);
+    const result = await room.any.wait(
+      this.toWait(wish, wish.deadlineMs, () => this.places.choose(wish)),
+    );
+    return this.toResult(wish, result);
   }
 
-  reserveAt(wish: Wish, endpoint: string): core.Result<Grant> {
-    const view = this.kernel.find(pools.POOLS).view(wish.pool);
-    const choice = {endpoint, reason: 'next'} as const;
-    if (!view.candidates.some(item => item.name === endpoint)) {
-      return core.fail('saturated', `${endpoint} takes no work`);
-    }
-    const grant = this.tryLocal(wish, choice, view);
+  reserveAt(wish: places.Wish, endpoint: string): core.Result<places.Grant> {
+    const grant = this.places.chooseAt(wish, endpoint);
     return grant ? core.succeed(grant) : this.noRoom(wish);
   }
 
   release(endpoint: string): void {
-    this.kernel.find(pools.LOADS).ended(endpoint);
-    this.kernel.find(peers.PEERS).announce('load');
+    this.places.release(endpoint);
     this.wake();
   }
 
   noteFull(endpoint: string): void {
-    this.fullUntilMs.set(endpoint, this.nowMs() + FULL_MS);
-  }
-
-  noteCounts(endpoint: string): void {
-    this.sent.delete(endpoint);
-    this.fullUntilMs.delete(endpoint);
+    this.places.noteFull(endpoint);
+    setTimeout(() => this.wake(), places.FULL_MS).unref();
   }
 
   wake(): void {
-    for (const hall of this.halls.values()) this.pump(hall);
+    for (const {any, own} of this.rooms.values()) {
+      for (const one of own.values()) one.pump();
+      any.pump();
+    }
   }
 
   queued(): number {
     let sum = 0;
-    for (const hall of this.halls.values()) sum += hall.queue.size;
+    for (const {any, own} of this.rooms.values()) {
+      sum += any.size;
+      for (const one of own.values()) sum += one.size;
+    }
     return sum;
   }
 
-  private async wait(
-    hall: Hall,
-    wish: Wish,
-    priority: number,
-  ): Promise<core.Result<Grant>> {
-    let settle: (result: core.Result<Grant>) => void = () => undefined;
-    const granted = new Promise<core.Result<Grant>>(done => (settle = done));
-    const item: decide.Waiting<Waiter> = {
-      customer: wish.request.customer,
-      priority,
-      deadlineMs: wish.deadlineMs,
-      value: {wish, resolve: result => settle(result)},
-    };
-    const offer = hall.queue.offer(item);
-    if (offer.type === 'refused') return this.queueFull(wish);
-    if (offer.type === 'displaced') {
-      const {value} = offer.loser;
-      value.resolve(this.queueFull(value.wish));
+  /** Waits for the endpoint with the chat's context; undefined: it is full. */
+  private async awaitContext(
+    wish: places.Wish,
+    room: Room,
+    first: decide.Choice,
+  ): Promise<core.Result<places.Grant> | undefined> {
+    if (first.reason !== 'memory') return undefined;
+    const {endpoint} = first;
+    const choose = () => this.places.chooseAt(wish, endpoint);
+    const own = this.line(room, wish.pool, endpoint);
+    if (!own.isAhead(priorityOf(wish.route))) {
+      const grant = choose();
+      if (grant) return core.succeed(grant);
     }
-    const timer = setTimeout(
-      () => settle(this.timedOut(wish)),
-      wish.deadlineMs - this.nowMs(),
-    );
-    const leave = () => settle(core.fail('caller_gone', 'the caller left'));
-    wish.gone.addEventListener('abort', leave, {once: true});
-    const result = await granted;
-    clearTimeout(timer);
-    wish.gone.removeEventListener('abort', leave);
-    hall.queue.remove(item);
-    return result;
+    const patienceMs = this.nowMs() + this.own.contextWaitMs;
+    const untilMs = Math.min(wish.deadlineMs, patienceMs);
+    if (untilMs <= this.nowMs()) return undefined;
+    const result = await own.wait(this.toWait(wish, untilMs, choose));
+    if (result.type === 'expired' || result.type === 'refused') {
+      return undefined;
+    }
+    return this.toResult(wish, result);
   }
 
-  private pump(hall: Hall): void {
-    for (;;) {
-      const head = hall.queue.peek(this.nowMs());
-      if (!head) return;
-      const grant = this.choose(head.value.wish);
-      if (!grant) return;
-      hall.queue.remove(head);
-      head.value.resolve(core.succeed(grant));
-    }
+  private toWait(
+    wish: places.Wish,
+    untilMs: number,
+    choose: () => places.Grant | undefined,
+  ): line.LineWait<places.Grant> {
+    return {
+      customer: wish.request.customer,
+      priority: priorityOf(wish.route),
+      untilMs,
+      gone: wish.gone,
+      choose,
+    };
   }
 
-  /** The first endpoint in the request's order that has room. */
-  private choose(wish: Wish): Grant | undefined {
-    const source = this.kernel.find(pools.POOLS);
-    const view = source.view(wish.pool);
-    for (const choice of source.order(wish.request, view, wish.excluded)) {
-      const grant = this.tryChoice(wish, choice, view);
-      if (grant) return grant;
+  private toResult(
+    wish: places.Wish,
+    result: line.LineResult<places.Grant>,
+  ): core.Result<places.Grant> {
+    const {pool, route} = wish;
+    switch (result.type) {
+      case 'granted':
+        return core.succeed(result.grant);
+      case 'gone':
+        return core.fail('caller_gone', 'the caller left');
+      case 'refused':
+        return this.refuse(wish, 'queue_full', `the line of ${pool.name}`);
+      case 'expired':
+        return this.refuse(wish, 'wait_timeout', `waited ${route.wait_ms} ms`);
     }
-    return undefined;
   }
 
-  private tryChoice(
-    wish: Wish,
-    choice: decide.Choice,
-    view: pools.PoolView,
-  ): Grant | undefined {
-    const known = this.kernel.find(fleet.FLEET);
-    const [owner] = known.owners(choice.endpoint);
-    if (owner === undefined) return undefined;
-    if (owner === known.self()) return this.tryLocal(wish, choice, view);
-    if (wish.request.hops >= 2) return undefined;
-    return this.tryRemote(choice, owner, view);
+  private noRoom(wish: places.Wish) {
+    return this.refuse(wish, 'saturated', 'no endpoint has room');
   }
 
-  private tryLocal(
-    wish: Wish,
-    choice: decide.Choice,
-    view: pools.PoolView,
-  ): Grant | undefined {
-    const {endpoint} = choice;
-    const book = this.kernel.find(suspects.SUSPECTS);
-    const signature = suspects.sign(wish.request, wish.route);
-    const verdict = book.check(signature, endpoint, this.nowMs());
-    if (verdict !== 'free') return undefined;
-    const loads = this.kernel.find(pools.LOADS);
-    const inFlight = loads.inFlight(endpoint, this.nowMs());
-    const admission = this.kernel.find(ADMISSION);
-    if (!admission.admits(inFlight, view.load)) return undefined;
-    loads.began(endpoint);
-    this.kernel.find(peers.PEERS).announce('load');
-    return {type: 'local', choice};
+  private refuse(wish: places.Wish, kind: core.Kind, detail: string) {
+    const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, wish.route.wait_ms);
+    return core.fail(kind, `pool ${wish.pool.name}: ${detail}`, retryAfterMs);
   }
 
-  private tryRemote(
-    choice: decide.Choice,
-    owner: string,
-    view: pools.PoolView,
-  ): Grant | undefined {
-    const {endpoint} = choice;
-    if ((this.fullUntilMs.get(endpoint) ?? 0) > this.nowMs()) return undefined;
-    const known = view.candidates.find(item => item.name === endpoint);
-    const sent = this.sent.get(endpoint) ?? 0;
-    const estimate = (known?.inFlight ?? 0) + sent;
-    if (!this.kernel.find(ADMISSION).admits(estimate, view.load)) {
-      return undefined;
+  private room(pool: core.Pool): Room {
+    let room = this.rooms.get(pool.name);
+    if (!room) {
+      room = {any: this.createLine(pool), own: new Map()};
+      this.rooms.set(pool.name, room);
     }
-    this.sent.set(endpoint, sent + 1);
-    return {type: 'remote', choice, owner};
-  }
-
-  private hall(pool: core.Pool): Hall {
-    let hall = this.halls.get(pool.name);
-    if (!hall) {
-      hall = {pool, queue: this.createQueue(pool)};
-      this.halls.set(pool.name, hall);
+    return room;
+  }
+
+  private line(
+    room: Room,
+    pool: core.Pool,
+    endpoint: string,
+  ): line.Line<places.Grant> {
+    let found = room.own.get(endpoint);
+    if (!found) {
+      found = this.createLine(pool);
+      room.own.set(endpoint, found);
     }
-    hall.pool = pool;
-    return hall;
-  }
-
-  private isEmpty(wish: Wish): boolean {
-    const view = this.kernel.find(pools.POOLS).view(wish.pool);
-    return view.candidates.length === 0;
-  }
-
-  private noRoom(wish: Wish) {
-    const detail = `no endpoint of pool ${wish.pool.name} has room`;
-    return core.fail('saturated', detail, this.retryAfterMs(wish));
-  }
-
-  private queueFull(wish: Wish) {
-    const detail = `the queue of pool ${wish.pool.name} is full`;
-    return core.fail('queue_full', detail, this.retryAfterMs(wish));
+    return found;
   }
 
-  private timedOut(wish: Wish) {
-    const detail = `waited ${wish.route.wait_ms} ms for pool ${wish.pool.name}`;
-    return core.fail('wait_timeout', detail, this.retryAfterMs(wish));
+  private createLine(pool: core.Pool): line.Line<places.Grant> {
+    const clock = this.kernel.find(core.CLOCK);
+    return new line.Line(this.createQueue(pool), clock);
   }
 
-  private retryAfterMs(wish: Wish): number {
-    return Math.max(MIN_RETRY_AFTER_MS, wish.route.wait_ms);
+  private get places(): places.Places {
+    return this.kernel.find(places.PLACES);
   }
 
   private nowMs(): number {
--- a/packages/router/src/settings.ts
+++ b/packages/router/src/settings.ts
@@ -134,6 +134,12 @@
     unit: 'ms',
     meaning: "time between looks at an owned endpoint's load report",
   },
+  contextWaitMs: {
+    schema: core.wholeNumber(0, HOUR_MS),
+    fallback: '200',
+    unit: 'ms',
+    meaning: 'how long a returning chat waits for the endpoint it was at',
+  },
   settleMs: {
     schema: durationMs,
     fallback: '5000',
--- a/packages/router/src/spread.ts
+++ b/packages/router/src/spread.ts
@@ -9,6 +9,7 @@
 import * as fleet from './fleet.js';
 import * as memory from './memory.js';
 import * as passer from './passer.js';
+import type * as places from './places.js';
 import * as pools from './pools.js';
 import * as rooms from './rooms.js';
 import * as runner from './runner.js';
@@ -143,7 +144,10 @@
     return this.use(task, grant.value);
   }
 
-  private async use(task: Task, grant: rooms.Grant): Promise<exchange.Outcome> {
+  private async use(
+    task: Task,
+    grant: places.Grant,
+  ): Promise<exchange.Outcome> {
     const {request, answer} = task;
     const {endpoint, reason} = grant.choice;
     const outcome =
@@ -163,7 +167,7 @@
 
   private learn(
     request: exchange.RouterRequest,
-    grant: rooms.Grant,
+    grant: places.Grant,
     outcome: exchange.Outcome,
   ): void {
     const {endpoint} = grant.choice;
--- a/packages/router/src/wire.ts
+++ b/packages/router/src/wire.ts
@@ -20,6 +20,7 @@
 import * as peerCalls from './peercalls.js';
 import * as peers from './peers.js';
 import * as peerServer from './peerserver.js';
+import * as places from './places.js';
 import * as platform from './platform.js';
 import * as pools from './pools.js';
 import * as probes from './probes.js';
@@ -74,7 +75,7 @@
     new decide.RendezvousPlacement({memory: chats}),
   );
   kernel.register(fleet.OWNERSHIP, new decide.RendezvousOwnership());
-  kernel.register(rooms.ADMISSION, new decide.BoundedAdmission());
+  kernel.register(places.ADMISSION, new decide.BoundedAdmission());
   kernel.register(
     pools.LOADS,
     new decide.CountedLoadBook({staleMs: COUNTS_STALE_MS}),
@@ -92,6 +93,7 @@
     rooms.ROOMS,
     new rooms.QueuedRooms(
       kernel,
+      own,
       pool => new decide.FairQueue({maxQueued: pool.max_queued}),
     ),
   );
@@ -106,7 +108,7 @@
     fleet.OWNERSHIP,
     new decide.LocalOwnership({router: own.name}),
   );
-  kernel.register(rooms.ADMISSION, new decide.NaiveAdmission());
+  kernel.register(places.ADMISSION, new decide.NaiveAdmission());
   kernel.register(pools.LOADS, new decide.NaiveLoadBook());
   kernel.register(fleet.EJECTION, new decide.NaiveEjection());
   kernel.register(spread.RETRY, new decide.NaiveRetry());
@@ -115,6 +117,7 @@
     rooms.ROOMS,
     new rooms.QueuedRooms(
       kernel,
+      own,
       pool => new decide.FifoQueue({maxQueued: pool.max_queued}),
     ),
   );
@@ -153,6 +156,7 @@
 function wireServices(kernel: core.Kernel, own: settings.Settings): void {
   kernel.register(drain.DRAIN, new drain.CountedDrain(kernel));
   kernel.register(fleet.FLEET, new fleet.ListedFleet(kernel, own));
+  kernel.register(places.PLACES, new places.OwnedPlaces(kernel));
   kernel.register(pools.POOLS, new pools.ListedPools(kernel));
   kernel.register(
     peerCalls.PEER_CALLS,
