Let leaving endpoints alone and stop routers without a reset

Cause: (1) an endpoint that said in its answers that it is leaving got new work again with each load report that was older than that word; (2) a router that stopped closed its idle connections while requests were on their way on them, and its listening socket while connections waited on it. Change: the probes hold an answer's word until a report taken after it says otherwise. A stopping router lets idle connections end by keep_alive_ms, which Node's clients heed, keeps listening for as long as callers keep an answer of where, and refuses passed-on requests as draining. The stand-in caller heeds Keep-Alive as Node's global agent does. Fleet.stop kills at once: tests would else wait for each router's drain. Ruled out: half-closing the idle connections; Node's client takes that for a reset too.

--- a/packages/router/src/entry.ts
+++ b/packages/router/src/entry.ts
@@ -40,6 +40,7 @@
       port: own.entryPort,
       maxHeaderBytes: own.maxHeaderBytes,
       requestTimeoutMs: own.requestTimeoutMs,
+      keepAliveMs: own.keepAliveMs,
       log: kernel.find(core.LOGGER),
       serve: call => this.serve(call),
     });
--- a/packages/router/src/listener.ts
+++ b/packages/router/src/listener.ts
@@ -3,12 +3,11 @@
  * connection's requests one after another and serves them straight down.
  */
 import * as http from 'node:http';
-import type * as net from 'node:net';
+import * as net from 'node:net';
 import * as core from '@oleanderrock/core';
 
-const KEEP_ALIVE_MS = 30_000;
+const DEFAULT_KEEP_ALIVE_MS = 30_000;
 const MAX_PIPELINED = 16;
-const DRAIN_TICK_MS = 50;
 
 /** One request with the response to write. */
 export interface Call {
@@ -25,6 +24,8 @@
   readonly maxHeaderBytes: number;
   /** Longest time in which a request may arrive whole. */
   readonly requestTimeoutMs: number;
+  /** How long idle connections are kept. */
+  readonly keepAliveMs?: number;
   readonly log: core.Logger;
   serve(call: Call): Promise<void>;
 }
@@ -46,7 +47,7 @@
       requestTimeout: options.requestTimeoutMs,
       headersTimeout: options.requestTimeoutMs,
       connectionsCheckingInterval: Math.min(1_000, options.requestTimeoutMs),
-      keepAliveTimeout: KEEP_ALIVE_MS,
+      keepAliveTimeout: options.keepAliveMs ?? DEFAULT_KEEP_ALIVE_MS,
       noDelay: true,
     });
     this.server.on('connection', socket => this.accept(socket));
@@ -82,25 +83,23 @@
   /** Asks callers to leave: answers from now on close their connection. */
   retire(): void {
     this.isClosing = true;
-    this.server.closeIdleConnections();
   }
 
-  /** Takes no more connections; resolves when the open ones have ended. */
+  /**
+   * Takes no more connections; resolves when the open ones have ended. An idle
+   * connection ends by its own limit: a request may be on its way on it.
+   */
   async drain(timeoutMs: number): Promise<void> {
     this.retire();
-    const closed = new Promise<void>(resolve =>
-      this.server.close(() => resolve()),
-    );
-    const timer = setInterval(
-      () => this.server.closeIdleConnections(),
-      DRAIN_TICK_MS,
-    );
+    const closed = new Promise<void>(resolve => {
+      // The close of an HTTP server would close the idle connections too.
+      net.Server.prototype.close.call(this.server, () => resolve());
+    });
     const limit = setTimeout(
       () => this.server.closeAllConnections(),
       timeoutMs,
     );
     await closed;
-    clearInterval(timer);
     clearTimeout(limit);
   }
 
@@ -132,7 +131,6 @@
       if (!call) return;
       if (this.isClosing) call.response.setHeader('connection', 'close');
       await this.serve(call);
-      if (this.isClosing) this.server.closeIdleConnections();
     }
   }
 
--- a/packages/router/src/peerserver.ts
+++ b/packages/router/src/peerserver.ts
@@ -5,6 +5,7 @@
 import type * as http from 'node:http';
 import * as core from '@oleanderrock/core';
 import * as trpcHttp from '@trpc/server/adapters/node-http';
+import * as drain from './drain.js';
 import type * as exchange from './exchange.js';
 import * as gate from './gate.js';
 import * as httpAnswer from './httpanswer.js';
@@ -95,6 +96,11 @@
       requestId: id,
       isPeer: true,
     });
+    if (this.kernel.find(drain.DRAIN).isDraining()) {
+      response.setHeader('connection', 'close');
+      answer.refuse({kind: 'draining', detail: 'the router is shutting down'});
+      return;
+    }
     const body = await listener.readBody(request, this.own.maxBodyBytes);
     if (!body.ok) {
       answer.refuse(body.failure);
--- a/packages/router/src/probes.ts
+++ b/packages/router/src/probes.ts
@@ -21,12 +21,15 @@
   hasCrashed(endpoint: string, timeoutMs: number): Promise<boolean>;
   /** Renews the kept connections where a new one works; tells if it did. */
   renewIfSilent(endpoint: string): Promise<boolean>;
+  /** Notes an endpoint's own word, in an answer, that it is leaving. */
+  saidLeaving(endpoint: string): void;
 }
 
 /** The contract under which the probes are registered. */
 export const PROBES = core.contract<Probes>('probes', [
   'hasCrashed',
   'renewIfSilent',
+  'saidLeaving',
 ]);
 
 /** Probes that read the load report over HTTP. */
@@ -34,6 +37,8 @@
   private readonly tasks: core.TaskGroup;
   private readonly probing = new Set<string>();
   private readonly startIds = new Map<string, string>();
+  /** When an answer last said that the endpoint is leaving. */
+  private readonly saidLeavingMs = new Map<string, number>();
 
   constructor(
     private readonly kernel: core.Kernel,
@@ -70,6 +75,12 @@
     return true;
   }
 
+  saidLeaving(endpoint: string): void {
+    const nowMs = this.kernel.find(core.CLOCK).nowMs();
+    this.saidLeavingMs.set(endpoint, nowMs);
+    this.kernel.find(fleet.FLEET).setLeaving(endpoint, true);
+  }
+
   /** Starts a task for each endpoint that has come into ownership. */
   private async superviseOwned(signal: AbortSignal): Promise<void> {
     const clock = this.kernel.find(core.CLOCK);
@@ -105,8 +116,7 @@
     const takenAtMs = nowMs - report.age_ms;
     const inFlight = report.in_flight + report.queued;
     this.kernel.find(pools.LOADS).report({endpoint, inFlight, takenAtMs});
-    const known = this.kernel.find(fleet.FLEET);
-    known.setLeaving(endpoint, report.state === 'leaving');
+    this.adoptState(endpoint, report.state, takenAtMs);
     this.kernel.find(fleet.EJECTION).succeeded(endpoint, nowMs);
     const before = this.startIds.get(endpoint);
     this.startIds.set(endpoint, report.start_id);
@@ -115,6 +125,19 @@
     this.kernel.find(memory.MEMORY).forget(endpoint);
   }
 
+  /** Takes in the report's state, unless an answer told a newer one. */
+  private adoptState(
+    endpoint: string,
+    state: core.LoadReport['state'],
+    takenAtMs: number,
+  ): void {
+    const isLeaving = state === 'leaving';
+    const saidMs = this.saidLeavingMs.get(endpoint) ?? -Infinity;
+    if (!isLeaving && takenAtMs <= saidMs) return;
+    this.saidLeavingMs.delete(endpoint);
+    this.kernel.find(fleet.FLEET).setLeaving(endpoint, isLeaving);
+  }
+
   private async missed(endpoint: string, isRefused: boolean): Promise<void> {
     const clock = this.kernel.find(core.CLOCK);
     const ejection = this.kernel.find(fleet.EJECTION);
--- a/packages/router/src/run.ts
+++ b/packages/router/src/run.ts
@@ -22,8 +22,9 @@
 }
 
 /**
- * Stops gracefully: no new work, the memory handed over, requests in flight
- * ended; then all services.
+ * Stops gracefully: the others take over, callers are asked to leave and have
+ * the time to do so, the memory is handed over, requests in flight end; then
+ * all services stop.
  */
 export async function drainAndStop(
   kernel: core.Kernel,
@@ -36,7 +37,10 @@
   kernel.find(peers.PEERS).announce('state');
   await kernel.find(core.CLOCK).sleep(FAREWELL_MS);
   kernel.find(entry.ENTRY).retire();
+  // Callers come for as long as they keep an answer of `where`.
+  const callersLeft = kernel.find(core.CLOCK).sleep(own.whereKeepMs);
   await kernel.find(handover.HAND_OVER).handAllOver();
+  await callersLeft;
   await kernel.find(entry.ENTRY).drain(own.drainTimeoutMs);
   const isIdle = await state.idle(own.drainTimeoutMs);
   log.info('stopping', {in_flight: isIdle ? 0 : state.inFlight()});
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -158,7 +158,7 @@
 
   private noteState(endpoint: string, response: http.IncomingMessage): boolean {
     const isLeaving = response.headers[core.headers.STATE] === 'leaving';
-    if (isLeaving) this.kernel.find(fleet.FLEET).setLeaving(endpoint, true);
+    if (isLeaving) this.kernel.find(probes.PROBES).saidLeaving(endpoint);
     return isLeaving;
   }
 
--- a/packages/router/src/settings.ts
+++ b/packages/router/src/settings.ts
@@ -98,6 +98,12 @@
     unit: 'ms',
     meaning: 'how long callers keep an answer of /where',
   },
+  keepAliveMs: {
+    schema: durationMs,
+    fallback: '10000',
+    unit: 'ms',
+    meaning: 'how long idle connections of callers are kept',
+  },
   drainTimeoutMs: {
     schema: durationMs,
     fallback: '120000',
--- /dev/null
+++ b/packages/router/src/tests/leaving.test.ts
@@ -0,0 +1,128 @@
+/** Leaving endpoints get no new work; graceful stops cut nothing off. */
+import * as chai from 'chai';
+import type * as standins from '@oleanderrock/standins';
+import * as support from './faultsupport.js';
+
+const {expect} = chai;
+
+const STOPS_WITHIN_MS = 3_000;
+const CALLERS = 30;
+const KEEP_MS = 3_000;
+
+/** Callers that ask again and again until they are told to stop. */
+class Traffic {
+  readonly results: standins.CallResult[] = [];
+  private readonly caller: standins.Caller;
+  private readonly tasks: Array<Promise<void>>;
+  private isOver = false;
+
+  constructor(
+    fleet: standins.Fleet,
+    callers: number,
+    private readonly body: object,
+  ) {
+    this.caller = support.caller(fleet);
+    this.tasks = [...Array(callers).keys()].map(index =>
+      this.ask(`chat-${index}`),
+    );
+  }
+
+  get resends(): number {
+    return this.caller.resends;
+  }
+
+  async end(): Promise<void> {
+    this.isOver = true;
+    await Promise.all(this.tasks);
+    this.caller.close();
+  }
+
+  /** Every result that is not an answer. */
+  failures(): standins.CallResult[] {
+    return this.results.filter(result => result.type !== 'answered');
+  }
+
+  private async ask(chat: string): Promise<void> {
+    const request = {method: 'POST', path: '/chat', customer: 'c', chat};
+    while (!this.isOver) {
+      this.results.push(await this.caller.send({...request, body: this.body}));
+    }
+  }
+}
+
+const STREAM = {prompt_tokens: 10, output_tokens: 60, stream: true};
+const SHORT = {prompt_tokens: 10, output_tokens: 2};
+
+describe('leaving and stopping', function () {
+  this.timeout(60_000);
+  let fleet: standins.Fleet;
+  const lasting = [
+    ['--keep-alive-ms', String(KEEP_MS)],
+    ['--where-keep-ms', String(KEEP_MS)],
+  ].flat();
+
+  before(async () => {
+    fleet = await support.startFleet({
+      routers: 4,
+      engines: 8,
+      routerFlags: lasting,
+      route: {wait_ms: 5_000},
+      pool: {load_multiple: 2},
+    });
+  });
+
+  after(() => fleet.stop());
+
+  const newest = async (name: string) => {
+    const {admissions} = await support.counts(fleet, name);
+    return admissions.at(-1)?.at_ms ?? 0;
+  };
+
+  /** Tells each engine by another way that it leaves; then none has work. */
+  it('gives leaving endpoints no new work, however they say so', async () => {
+    const traffic = new Traffic(fleet, CALLERS, SHORT);
+    const leaving = ['e1', 'e2', 'e3'];
+    await support.until(async () => {
+      const all = await Promise.all(leaving.map(newest));
+      return all.every(at => at > 0);
+    });
+    const fromMs = Date.now();
+    await fleet.list('e1', {state: 'leaving'});
+    // The word of an answer, against a report that lags behind for long.
+    await fleet.control('e2', {report_lag_ms: 60_000, leaving: true});
+    // The word of the report alone: the list does not tell and is down.
+    await fleet.controlPlatform({list_down: true});
+    await fleet.control('e3', {leaving: true});
+    await support.pause(STOPS_WITHIN_MS + 2_500);
+    await traffic.end();
+    await fleet.controlPlatform({list_down: false});
+    for (const name of leaving) {
+      const lastMs = (await newest(name)) - fromMs;
+      expect(lastMs, `${name}: newest start`).to.be.below(STOPS_WITHIN_MS);
+    }
+    expect(await newest('e4'), 'the others work on').to.be.above(
+      fromMs + STOPS_WITHIN_MS,
+    );
+    expect(traffic.failures()).to.deep.equal([]);
+  });
+
+  it('stops a router and an engine without cutting anything off', async () => {
+    const traffic = new Traffic(fleet, CALLERS, STREAM);
+    await support.until(() => traffic.results.length >= CALLERS);
+    await fleet.control('e8', {leaving: true});
+    const stopped = fleet.terminate('r1');
+    await support.pause(STOPS_WITHIN_MS);
+    await support.until(
+      async () => (await support.counts(fleet, 'e8')).in_flight === 0,
+    );
+    const {cut} = await support.counts(fleet, 'e8');
+    await fleet.terminate('e8');
+    expect(await stopped).to.deep.equal({status: 0, signal: null});
+    const later = traffic.results.length + CALLERS;
+    await support.until(() => traffic.results.length >= later);
+    await traffic.end();
+    expect(cut, 'cut at the engine').to.equal(0);
+    expect(traffic.failures()).to.deep.equal([]);
+    expect(traffic.resends, 'resent by callers').to.equal(0);
+  });
+});
--- a/packages/standins/src/caller.ts
+++ b/packages/standins/src/caller.ts
@@ -14,6 +14,8 @@
 const CONNECT_TIMEOUT_MS = 2_000;
 const MAX_KEPT = 10_000;
 const MAX_SOCKETS_PER_ROUTER = 1_024;
+/** With a limit of its own, Node's agent heeds a router's Keep-Alive too. */
+const IDLE_MS = 30_000;
 
 /** Schema of the answer to `GET /where`. */
 export const whereSchema = v.object({
@@ -41,6 +43,7 @@
 export class Caller {
   private readonly agent = new http.Agent({
     keepAlive: true,
+    timeout: IDLE_MS,
     maxSockets: MAX_SOCKETS_PER_ROUTER,
   });
   private readonly kept = new lruCache.LRUCache<string, Where>({max: MAX_KEPT});
--- a/packages/standins/src/fleet.ts
+++ b/packages/standins/src/fleet.ts
@@ -8,7 +8,6 @@
 import * as processes from './processes.js';
 
 const ADDRESS = '127.0.0.1';
-const STOP_TIMEOUT_MS = 5_000;
 const SIGNAL_STATUS = 130;
 const STAND_IN = url.fileURLToPath(new URL('./main.js', import.meta.url));
 
@@ -200,15 +199,12 @@
     return request('GET', `${this.platformUrl}/stats`);
   }
 
-  /** Ends everything that was started. */
+  /** Ends everything that was started, at once; routers do not drain. */
   async stop(): Promise<void> {
     process.off('SIGINT', this.endOnSignal);
     process.off('SIGTERM', this.endOnSignal);
-    this.signalAll('SIGCONT');
-    this.signalAll('SIGTERM');
-    const late = setTimeout(() => this.signalAll('SIGKILL'), STOP_TIMEOUT_MS);
+    this.signalAll('SIGKILL');
     await Promise.all([...this.children].map(child => child.exited));
-    clearTimeout(late);
     process.off('exit', this.endOnExit);
   }
 
