--- a/packages/router/src/probes.ts
+++ b/packages/router/src/probes.ts
@@ -22,12 +22,15 @@
   hasCrashed(endpoint: string, timeoutMs: number): Promise<boolean>;
   /** Renews the kept connections where a new one works; tells if it did. */
   renewIfSilent(endpoint: string): Promise<boolean>;
+  /** Notes an endpoint's own word, in an answer, that it is leaving. */
+  saidLeaving(endpoint: string): void;
 }
 
 /** The contract under which the probes are registered. */
 export const PROBES = core.contract<Probes>('probes', [
   'hasCrashed',
   'renewIfSilent',
+  'saidLeaving',
 ]);
 
 /** Probes that read the load report over HTTP. */
@@ -37,6 +40,8 @@
   /** Apart from the requests' connections, so that its bytes are metered. */
   private readonly agent = new http.Agent({keepAlive: true});
   private readonly startIds = new Map<string, string>();
+  /** When an answer last said that the endpoint is leaving. */
+  private readonly saidLeavingMs = new Map<string, number>();
 
   constructor(
     private readonly kernel: core.Kernel,
@@ -74,6 +79,12 @@
     return true;
   }
 
+  saidLeaving(endpoint: string): void {
+    const nowMs = this.kernel.find(core.CLOCK).nowMs();
+    this.saidLeavingMs.set(endpoint, nowMs);
+    this.kernel.find(fleet.FLEET).setLeaving(endpoint, true);
+  }
+
   /** Starts a task for each endpoint that has come into ownership. */
   private async superviseOwned(signal: AbortSignal): Promise<void> {
     const clock = this.kernel.find(core.CLOCK);
@@ -109,8 +120,7 @@
     const takenAtMs = nowMs - report.age_ms;
     const inFlight = report.in_flight + report.queued;
     this.kernel.find(pools.LOADS).report({endpoint, inFlight, takenAtMs});
-    const known = this.kernel.find(fleet.FLEET);
-    known.setLeaving(endpoint, report.state === 'leaving');
+    this.adoptState(endpoint, report.state, takenAtMs);
     this.kernel.find(fleet.EJECTION).succeeded(endpoint, nowMs);
     const before = this.startIds.get(endpoint);
     this.startIds.set(endpoint, report.start_id);
@@ -119,6 +129,19 @@
     this.kernel.find(memory.MEMORY).forget(endpoint);
   }
 
+  /** Takes in the report's state, unless an answer told a newer one. */
+  private adoptState(
+    endpoint: string,
+    state: core.LoadReport['state'],
+    takenAtMs: number,
+  ): void {
+    const isLeaving = state === 'leaving';
+    const saidMs = this.saidLeavingMs.get(endpoint) ?? -Infinity;
+    if (!isLeaving && takenAtMs <= saidMs) return;
+    this.saidLeavingMs.delete(endpoint);
+    this.kernel.find(fleet.FLEET).setLeaving(endpoint, isLeaving);
+  }
+
   private async missed(endpoint: string, isRefused: boolean): Promise<void> {
     const clock = this.kernel.find(core.CLOCK);
     const ejection = this.kernel.find(fleet.EJECTION);
