Release claims that were given up, refuse keys whose claims are lost

Cause: a claim that timed out was released only if its router read the stream again, so its key could stay held though the caller was told that the call did not run. A release that waited for the log held up the refusal of later claims. A router that met a stream whose records had been dropped granted keys that were claimed before. The stream of a key hung on its letter case, its book did not. A pause within the append did not count against the validity. A caller that left the queue kept its claim.

Change: each claim that was given up is followed by its release at once; what waits is pruned on every try; keys that may have been claimed in dropped records are refused as key_expired; leaders append a mark to quiet streams, so that records as old as the key window stay; validity counts from before the append; what was never dispatched is released.

Ruled out: a lease that lapses, since it would let a second run in.

--- a/packages/decide/src/claims.ts
+++ b/packages/decide/src/claims.ts
@@ -23,6 +23,11 @@
   apply(offset: number, batch: core.ClaimBatch, wallMs: number): void;
   /** What the entries up to the newest offset say of the key. */
   state(key: string): ClaimState;
+  /**
+   * Notes that records written up to a wall-clock time were dropped unread:
+   * keys that they may have claimed count as expired.
+   */
+  miss(writtenMs: number): void;
   /** Forgets keys that `check` would call expired. */
   expire(wallMs: number): void;
   /** Whether a key's time allows a claim. */
@@ -41,6 +46,9 @@
 /** How long a key is remembered after it has expired. */
 const EXPIRY_MARGIN_MS = 60_000;
 
+/** Difference between the clocks of routers and log that `miss` allows for. */
+const SKEW_MS = 5_000;
+
 /** Keys are forgotten together with those made in the same time span. */
 const SPAN_MS = 30_000;
 
@@ -126,6 +134,11 @@
     }
   }
 
+  miss(writtenMs: number): void {
+    const untilMs = writtenMs + this.futureMs + SKEW_MS;
+    this.forgottenMs = Math.max(this.forgottenMs, untilMs);
+  }
+
   check(key: string, wallMs: number): KeyVerdict {
     if (!core.isTimed(key)) return 'invalid';
     const createdMs = core.createdMs(key);
@@ -224,6 +237,8 @@
     return describe(this.claims.get(key));
   }
 
+  miss(): void {}
+
   expire(): void {}
 
   check(key: string): KeyVerdict {
--- a/packages/router/src/claims.ts
+++ b/packages/router/src/claims.ts
@@ -7,6 +7,7 @@
 import * as core from '@oleanderrock/core';
 import * as decide from '@oleanderrock/decide';
 import * as v from 'valibot';
+import * as fleet from './fleet.js';
 import * as platform from './platform.js';
 import type * as settings from './settings.js';
 
@@ -16,13 +17,18 @@
 /** Clock difference that a search by time allows for. */
 const SEEK_MARGIN_MS = 60_000;
 const FOREVER = Number.POSITIVE_INFINITY;
+/** Most entries of one record. */
+const MAX_BATCH = 500;
+const MARKS_PER_WINDOW = 2;
+const MARK_CHECK_MS = 1_000;
+const EMPTY: core.ClaimBatch = {type: 'claims', entries: []};
 
 /** A claim that was won. */
 export interface Claim {
   readonly key: string;
   readonly attempt: string;
-  /** Monotonic time at which the claim was appended or later read back. */
-  readonly grantedMs: number;
+  /** Monotonic time before the claim was appended. */
+  readonly beganMs: number;
 }
 
 /** Claims of keys. */
@@ -52,6 +58,7 @@
 /** Claims whose streams are followed while they are in use. */
 export class LogClaims implements Claims, core.Lifecycle {
   private readonly tasks: core.TaskGroup;
+  private readonly markers: core.TaskGroup;
   private readonly streams = new Map<string, Stream>();
 
   constructor(
@@ -59,10 +66,17 @@
     private readonly own: settings.Settings,
   ) {
     this.tasks = new core.TaskGroup(kernel.find(core.LOGGER));
+    this.markers = new core.TaskGroup(kernel.find(core.LOGGER));
+  }
+
+  start(): Promise<void> {
+    this.markers.spawn('claim marks', signal => this.keepMarked(signal));
+    return Promise.resolve();
   }
 
   /** Lets what waits go out, for a while, then ends the tasks. */
   async stop(): Promise<void> {
+    await this.markers.stop();
     const clock = this.kernel.find(core.CLOCK);
     const deadlineMs = clock.nowMs() + FLUSH_MS;
     for (const stream of this.streams.values()) stream.close();
@@ -95,16 +109,39 @@
   }
 
   isValid(claim: Claim): boolean {
-    const ageMs = this.kernel.find(core.CLOCK).nowMs() - claim.grantedMs;
+    const ageMs = this.kernel.find(core.CLOCK).nowMs() - claim.beganMs;
     return ageMs <= this.own.claimValidityMs;
   }
 
   stream(key: string): string {
-    return core.claimStream(core.hash32(key) % this.own.claimStreams);
+    // A UUID is the same key in either case, so both go to one stream.
+    const hash = core.hash32(key.toLowerCase());
+    return core.claimStream(hash % this.own.claimStreams);
+  }
+
+  /**
+   * Keeps the streams that this router leads from running empty, so that a
+   * router that boots finds a record older than the oldest live key.
+   */
+  private async keepMarked(signal: AbortSignal): Promise<void> {
+    const known = this.kernel.find(fleet.FLEET);
+    const clock = this.kernel.find(core.CLOCK);
+    const periodMs = this.own.keyWindowMs / MARKS_PER_WINDOW;
+    while (!signal.aborted) {
+      for (let index = 0; index < this.own.claimStreams; index++) {
+        const name = core.claimStream(index);
+        const [leader] = known.isKnown() ? known.leaders(name) : [];
+        if (leader === known.self()) this.open(name).mark(periodMs);
+      }
+      await clock.sleep(MARK_CHECK_MS, signal);
+    }
   }
 
   private of(key: string): Stream {
-    const name = this.stream(key);
+    return this.open(this.stream(key));
+  }
+
+  private open(name: string): Stream {
     let stream = this.streams.get(name);
     if (!stream) {
       const made = new Stream(this.kernel, this.own, name);
@@ -117,10 +154,13 @@
 }
 
 interface Pending {
-  readonly entry: core.ClaimEntry;
+  /** Absent: a mark that only keeps the stream from being empty. */
+  readonly entry?: core.ClaimEntry;
   /** Monotonic time after which the entry is not appended any more. */
   readonly deadlineMs: number;
-  resolve(result: core.Result<number>): void;
+  /** Whether the entry may stand on the log. */
+  isSent: boolean;
+  resolve(result: core.Result<void>): void;
 }
 
 /** One claim stream, with the task that appends to it. */
@@ -130,8 +170,8 @@
   private readonly clock: core.Clock;
   private readonly log: platform.LogClient;
   private isPositioned = false;
-  /** Attempts that were given up; a claim of theirs found later is released. */
-  private readonly abandoned = new Map<string, string>();
+  private appendedMs = Number.NEGATIVE_INFINITY;
+  private markedMs = Number.NEGATIVE_INFINITY;
 
   constructor(
     kernel: core.Kernel,
@@ -149,21 +189,17 @@
 
   async claim(key: string): Promise<core.Result<Claim>> {
     const attempt = core.createId();
-    const deadlineMs = this.clock.nowMs() + this.own.claimTimeoutMs;
-    const result = await this.put({type: 'claim', key, attempt}, deadlineMs);
-    if (!result.ok) {
-      this.abandoned.set(attempt, key);
-      return result;
-    }
+    const beganMs = this.clock.nowMs();
+    const deadlineMs = beganMs + this.own.claimTimeoutMs;
+    const put = await this.put({type: 'claim', key, attempt}, deadlineMs);
+    if (!put.ok) return put;
     const state = this.book.state(key);
-    const grantedMs = this.clock.nowMs();
     if (state.type === 'running' && state.attempt === attempt) {
-      return core.succeed({key, attempt, grantedMs});
+      return core.succeed({key, attempt, beganMs});
     }
-    return core.fail(
-      state.type === 'answered' ? 'duplicate_answered' : 'duplicate_running',
-      `another call with this key came first on ${this.name}`,
-    );
+    if (state.type !== 'unclaimed') return this.lost(state.type);
+    void this.record({type: 'release', key, attempt});
+    return core.fail('key_expired', `${this.name} has lost earlier claims`);
   }
 
   /** Appends an entry however long the log is away. */
@@ -171,73 +207,112 @@
     await this.put(entry, FOREVER);
   }
 
+  /** Appends a mark where nothing was appended for `periodMs`. */
+  mark(periodMs: number): void {
+    const nowMs = this.clock.nowMs();
+    if (nowMs - Math.max(this.appendedMs, this.markedMs) < periodMs) return;
+    this.markedMs = nowMs;
+    void this.put(undefined, nowMs + periodMs);
+  }
+
   /** The stream's task: takes what waits, appends it, takes it in. */
   async run(signal: AbortSignal): Promise<void> {
+    let waiting: Pending[] = [];
     while (!signal.aborted) {
-      const first = await this.pending.take();
-      if (!first) return;
-      const batch = [first, ...this.pending.drain()];
-      await this.carry(this.prune(batch), signal);
+      if (waiting.length === 0) {
+        const first = await this.pending.take();
+        if (!first) return;
+        waiting = [first];
+      }
+      const isReady = await this.position();
+      waiting = this.prune([...waiting, ...this.pending.drain()]);
+      if (waiting.length === 0) continue;
+      const batch = waiting.slice(0, MAX_BATCH);
+      const isDone = isReady && (await this.append(batch));
+      if (isDone) waiting = waiting.slice(batch.length);
       this.book.expire(this.clock.wallMs());
-      await this.clock.sleep(this.own.claimLingerMs, signal);
+      const pauseMs = isDone ? this.own.claimLingerMs : RETRY_MS;
+      await this.clock.sleep(pauseMs, signal);
     }
+    for (const item of waiting) {
+      item.resolve(core.fail('draining', `${this.name} is closing`));
+    }
+  }
+
+  private lost(type: 'running' | 'answered') {
+    return core.fail(
+      type === 'answered' ? 'duplicate_answered' : 'duplicate_running',
+      `another call with this key came first on ${this.name}`,
+    );
   }
 
-  private put(
-    entry: core.ClaimEntry,
+  private async put(
+    entry: core.ClaimEntry | undefined,
     deadlineMs: number,
-  ): Promise<core.Result<number>> {
-    return new Promise(resolve => {
-      const isTaken = this.pending.put({entry, deadlineMs, resolve});
-      if (!isTaken) resolve(core.fail('draining', `${this.name} is closed`));
-    });
+  ): Promise<core.Result<void>> {
+    let settle: (result: core.Result<void>) => void = () => undefined;
+    const settled = new Promise<core.Result<void>>(done => (settle = done));
+    const item = {entry, deadlineMs, isSent: false, resolve: settle};
+    if (!this.pending.put(item)) {
+      return core.fail('draining', `${this.name} is closed`);
+    }
+    const result = await settled;
+    // A claim that was given up may stand on the log, now or later; its
+    // release ends the attempt on either side of it.
+    if (!result.ok && item.isSent && entry?.type === 'claim') {
+      void this.record({...entry, type: 'release'});
+    }
+    return result;
   }
 
-  /** Fails the entries whose time is up and returns the others. */
+  /** Fails the entries that may not be appended and returns the others. */
   private prune(batch: readonly Pending[]): Pending[] {
     const nowMs = this.clock.nowMs();
     return batch.filter(item => {
-      if (item.deadlineMs > nowMs) return true;
-      item.resolve(core.fail('log_unavailable', `${this.name}: no answer`));
-      return false;
+      const failure = this.forbid(item, nowMs);
+      if (failure) item.resolve(failure);
+      return failure === undefined;
     });
   }
 
-  /** Appends a batch, and again until it stands on the log or times out. */
-  private async carry(batch: Pending[], signal: AbortSignal): Promise<void> {
-    let left = batch;
-    while (left.length > 0 && !signal.aborted) {
-      const offset = await this.appendOnce(left.map(item => item.entry));
-      if (offset !== undefined) {
-        for (const item of left) item.resolve(core.succeed(offset));
-        return;
-      }
-      await this.clock.sleep(RETRY_MS, signal);
-      left = this.prune(left);
-    }
-    for (const item of left) {
-      item.resolve(core.fail('draining', `${this.name} is closing`));
+  private forbid({entry, deadlineMs}: Pending, nowMs: number) {
+    if (deadlineMs <= nowMs) {
+      return core.fail('log_unavailable', `${this.name}: no answer`);
     }
+    if (entry?.type !== 'claim') return undefined;
+    const verdict = this.book.check(entry.key, this.clock.wallMs());
+    if (verdict === 'fresh') return undefined;
+    return core.fail(`key_${verdict}`, `${this.name} cannot tell of this key`);
+  }
+
+  /** Appends a batch and tells those who wait for it. */
+  private async append(batch: readonly Pending[]): Promise<boolean> {
+    const entries = batch.map(item => item.entry);
+    for (const item of batch) item.isSent = true;
+    const isRead = await this.appendOnce(
+      entries.filter(entry => entry !== undefined),
+    );
+    if (!isRead) return false;
+    this.appendedMs = this.clock.nowMs();
+    for (const item of batch) item.resolve(core.succeed(undefined));
+    return true;
   }
 
   /**
    * Appends and takes in all records up to the appended one. A second append
    * of the same entries after a lost reply is harmless: an attempt counts once.
    */
-  private async appendOnce(
-    entries: core.ClaimEntry[],
-  ): Promise<number | undefined> {
-    if (!(await this.position())) return undefined;
+  private async appendOnce(entries: core.ClaimEntry[]): Promise<boolean> {
     const record: core.ClaimBatch = {type: 'claims', entries};
     const appended = await this.log.append(this.name, record);
-    if (!appended.ok) return undefined;
+    if (!appended.ok) return false;
     const offset = appended.value;
     // Offsets have no holes: nothing stands between the book and this record.
     if (offset === this.book.nextOffset) this.take(offset, record);
     while (this.book.nextOffset <= offset) {
-      if (!(await this.readOnce())) return undefined;
+      if (!(await this.readOnce())) return false;
     }
-    return offset;
+    return true;
   }
 
   private async readOnce(): Promise<boolean> {
@@ -247,22 +322,22 @@
       waitMs: 0,
     });
     if (!page.ok) return false;
-    for (const {offset, record} of page.value.records) {
+    const {first, records} = page.value;
+    if (first > this.book.nextOffset) this.miss(records[0]);
+    for (const {offset, record} of records) {
       const parsed = v.safeParse(core.claimBatchSchema, record);
-      const empty: core.ClaimBatch = {type: 'claims', entries: []};
-      this.take(offset, parsed.success ? parsed.output : empty);
+      this.take(offset, parsed.success ? parsed.output : EMPTY);
     }
-    return page.value.records.length > 0;
+    return records.length > 0;
   }
 
   private take(offset: number, batch: core.ClaimBatch): void {
     this.book.apply(offset, batch, this.clock.wallMs());
-    for (const entry of batch.entries) {
-      if (entry.type !== 'claim') continue;
-      const {key, attempt} = entry;
-      if (!this.abandoned.delete(attempt)) continue;
-      void this.record({type: 'release', key, attempt});
-    }
+  }
+
+  /** Records before the oldest kept one were dropped unread. */
+  private miss(oldest: {at_ms: number} | undefined): void {
+    this.book.miss(oldest?.at_ms ?? this.clock.wallMs());
   }
 
   /** Before the first append: finds where the window of live keys begins. */
@@ -271,8 +346,7 @@
     const sinceMs = this.clock.wallMs() - this.own.keyWindowMs - SEEK_MARGIN_MS;
     const start = await this.seek(sinceMs);
     if (start === undefined) return false;
-    const empty: core.ClaimBatch = {type: 'claims', entries: []};
-    if (start > 0) this.book.apply(start - 1, empty, this.clock.wallMs());
+    if (start > 0) this.take(start - 1, EMPTY);
     this.isPositioned = true;
     return true;
   }
@@ -291,6 +365,7 @@
       if (atMs < sinceMs) low = middle + 1;
       else high = middle;
     }
+    if (low === bounds.first && low > 0) this.miss(bounds.records[0]);
     return low;
   }
 
--- a/packages/router/src/once.ts
+++ b/packages/router/src/once.ts
@@ -26,6 +26,12 @@
 /** The contract under which it is registered. */
 export const ONCE = core.contract<Once>('once', ['task', 'serve']);
 
+/** How a claimed call ended, and whether the call is sure not to have run. */
+interface Dispatch {
+  readonly outcome: exchange.Outcome;
+  readonly isUndone: boolean;
+}
+
 function hasNotRun(outcome: exchange.Outcome): boolean {
   if (outcome.type === 'answered') return false;
   return core.ANSWERS[outcome.failure.kind].ran === 'no';
@@ -82,17 +88,17 @@
     const book = this.kernel.find(claims.CLAIMS);
     const claim = await book.claim(key);
     if (!claim.ok) return exchange.refused(claim.failure);
-    const outcome = await this.dispatch(task, claim.value);
+    const {outcome, isUndone} = await this.dispatch(task, claim.value);
     if (outcome.type === 'answered') book.answered(claim.value);
     // The caller may come again with the same key, so the claim goes back.
-    if (hasNotRun(outcome)) await book.release(claim.value);
+    if (isUndone) await book.release(claim.value);
     return outcome;
   }
 
   private async dispatch(
     task: spread.Task,
     claim: claims.Claim,
-  ): Promise<exchange.Outcome> {
+  ): Promise<Dispatch> {
     const {request, route, pool, answer} = task;
     const clock = this.kernel.find(core.CLOCK);
     const deadlineMs = clock.nowMs() + route.wait_ms;
@@ -108,12 +114,16 @@
         gone: answer.gone,
       };
       const grant = await this.kernel.find(rooms.ROOMS).reserve(wish);
-      if (!grant.ok) return outcome ?? exchange.refused(grant.failure);
+      if (!grant.ok) {
+        const refusal = outcome ?? exchange.refused(grant.failure);
+        return {outcome: refusal, isUndone: true};
+      }
       outcome = await this.use(task, grant.value, claim);
-      if (!hasNotRun(outcome) || answer.hasBegun) return outcome;
+      if (!hasNotRun(outcome)) return {outcome, isUndone: false};
       excluded.add(grant.value.choice.endpoint);
     }
-    return outcome ?? exchange.failed('saturated', 'no endpoint took it');
+    outcome ??= exchange.failed('saturated', 'no endpoint took it');
+    return {outcome, isUndone: true};
   }
 
   private use(
