--- a/packages/decide/src/config.ts
+++ b/packages/decide/src/config.ts
@@ -154,7 +154,6 @@
     for (const entry of entries) {
       if (entry.offset >= from) this.take(entry);
     }
-    this.appliedOffset = Math.max(this.appliedOffset, this.readOffset);
   }
 
   private take(entry: ConfigEntry): void {
