--- a/packages/bench/src/launch.ts
+++ b/packages/bench/src/launch.ts
@@ -46,6 +46,14 @@
   return running;
 }
 
+/** Ends a fleet at once, without a drain. */
+export async function end({fleet}: Running): Promise<void> {
+  const kinds = ['router', 'endpoint'] as const;
+  const members = kinds.flatMap(kind => fleet.instances(kind));
+  await Promise.all(members.map(({name}) => fleet.kill(name)));
+  await fleet.stop();
+}
+
 async function startAll(running: Running): Promise<void> {
   const {deployment, fleet} = running;
   const engines = deployments.engineNames(deployment);
--- a/packages/bench/src/outcomes.ts
+++ b/packages/bench/src/outcomes.ts
@@ -34,6 +34,13 @@
   };
 }
 
+/** The share of calls that were answered; certificates' copies never all are. */
+export function answeredShare(played: readonly player.Played[]): number {
+  const others = played.filter(({call}) => call.type !== 'certificate');
+  const {answered, sent} = count(others);
+  return answered / Math.max(1, sent);
+}
+
 /** What returning chats found; a call without an answer found nothing. */
 export function reuse(played: readonly player.Played[]): oracle.Reuse {
   return oracle.sum(
--- a/packages/bench/src/trace.ts
+++ b/packages/bench/src/trace.ts
@@ -63,6 +63,8 @@
 /** Options of a trace. */
 export interface TraceOptions {
   readonly seed: number;
+  /** Begins the chats' names, so that two traces share no chat. */
+  readonly name?: string;
   readonly durationMs: number;
   readonly chats: number;
   readonly meanPauseMs: number;
@@ -102,7 +104,9 @@
 
   chats(): ChatCall[] {
     const indexes = Array.from({length: this.options.chats}).keys();
-    return [...indexes].flatMap(index => this.turns(`chat-${index}`));
+    return [...indexes].flatMap(index =>
+      this.turns(`${this.options.name ?? 'chat'}-${index}`),
+    );
   }
 
   drafts(): DraftCall[] {
