Split the administration interface into groups of resources

Cause: operators could list all tables and submit edits, but not edit one row under a precondition, see the whole fleet, the audit, or drain. Change: /admin/v1 has a resource class for each group behind one interface that is free of HTTP; a survey asks every router the same question; the operators' drain of an endpoint is a field of the pool's row, so that it is on the log and holds at every router. The answers' schemas are in core. Ruled out: a drain list beside the tables, since it would need a log record and a replay of its own.

--- a/packages/core/src/headers.ts
+++ b/packages/core/src/headers.ts
@@ -8,6 +8,8 @@
 export const IDEMPOTENCY_KEY = 'idempotency-key';
 /** Id of the request, on every hop and on the answer. */
 export const REQUEST_ID = 'oleander-request-id';
+/** Name of the operator who edits, for the audit. */
+export const OPERATOR = 'oleander-operator';
 /** The endpoint that answered. */
 export const ENDPOINT = 'oleander-endpoint';
 /** Why the request went there. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -12,6 +12,7 @@
 export * from './metrics.js';
 export * from './random.js';
 export * from './records.js';
+export * from './replies.js';
 export * from './settings.js';
 export * from './tables.js';
 export * from './tasks.js';
--- a/packages/core/src/tables.ts
+++ b/packages/core/src/tables.ts
@@ -63,6 +63,8 @@
   endpoints: v.optional(v.array(nameSchema), []),
   /** Endpoints by label, `key=value`, as the instance list gives them. */
   endpoint_label: v.optional(v.pipe(v.string(), v.regex(/^[^=]+=.+$/))),
+  /** Endpoints that operators have taken out of service. */
+  drained_endpoints: v.optional(v.array(nameSchema)),
   /** No endpoint carries more than this multiple of the pool's mean load. */
   load_multiple: v.optional(
     v.pipe(v.number(), v.minValue(1), v.maxValue(10)),
--- a/packages/decide/src/index.ts
+++ b/packages/decide/src/index.ts
@@ -3,6 +3,7 @@
 export * from './budget.js';
 export * from './claims.js';
 export * from './config.js';
+export * from './edits.js';
 export * from './ejection.js';
 export * from './load.js';
 export * from './memory.js';
--- a/packages/router/src/admin.ts
+++ b/packages/router/src/admin.ts
@@ -1,12 +1,27 @@
-/** The listener for operators: the administration interface, version 1. */
+/**
+ * The listener for operators: the administration interface, version 1. It
+ * checks the token, reads the body and gives the call to the group that the
+ * path names.
+ */
+import type * as http from 'node:http';
 import * as core from '@oleanderrock/core';
-import * as v from 'valibot';
-import * as configuration from './configuration.js';
+import * as adminAudit from './adminaudit.js';
+import * as adminDrain from './admindrain.js';
+import * as adminEdits from './adminedits.js';
+import * as adminSchema from './adminschema.js';
+import * as adminStatus from './adminstatus.js';
+import * as adminTables from './admintables.js';
+import * as adminUsage from './adminusage.js';
+import * as adminWhere from './adminwhere.js';
+import * as adminWhy from './adminwhy.js';
 import * as listener from './listener.js';
+import * as resource from './resource.js';
 import type * as settings from './settings.js';
-import * as status from './status.js';
 
-const PREFIX = '/admin/v1';
+/** Path prefix of the interface's version. */
+export const PREFIX = '/admin/v1';
+
+const WITH_BODY = ['POST', 'PUT'];
 
 /** The listener for operators. */
 export interface Admin {
@@ -16,19 +31,16 @@
 /** The contract under which the listener is registered. */
 export const ADMIN = core.contract<Admin>('admin', ['port']);
 
-const editBodySchema = v.object({
-  operator: core.nameSchema,
-  changes: v.pipe(v.array(core.changeSchema), v.minLength(1)),
-});
-
 /** Listener over HTTP. */
 export class HttpAdmin implements Admin, core.Lifecycle {
   private readonly listener: listener.Listener;
+  private readonly groups: ReadonlyMap<string, resource.Resource>;
 
   constructor(
-    private readonly kernel: core.Kernel,
+    kernel: core.Kernel,
     private readonly own: settings.Settings,
   ) {
+    this.groups = createGroups(kernel);
     this.listener = new listener.Listener({
       name: 'admin',
       host: own.host,
@@ -52,56 +64,93 @@
     return this.listener.port;
   }
 
-  private async serve(call: listener.Call): Promise<void> {
-    const {request, response} = call;
+  private async serve({request, response}: listener.Call): Promise<void> {
     const id = core.createId();
+    const result = await this.answer(request, id);
+    if (!result.ok) {
+      // What is left of a body that was not read must not be taken for a call.
+      if (!request.complete) response.setHeader('connection', 'close');
+      listener.sendProblem(response, result.failure, id);
+      return;
+    }
+    const {status, body, version} = result.value;
+    const headers: Record<string, string> =
+      version === undefined ? {} : {etag: adminTables.etag(version)};
+    listener.sendJson(response, status, body, headers);
+  }
+
+  private async answer(
+    request: http.IncomingMessage,
+    id: string,
+  ): Promise<core.Result<resource.Reply>> {
     const given = String(request.headers.authorization ?? '');
     if (!core.equalSecrets(given, `Bearer ${this.own.adminToken}`)) {
       const detail = 'send Authorization: Bearer with the admin token';
-      listener.sendProblem(response, {kind: 'unauthorized', detail}, id);
-      return;
-    }
-    const [path] = (request.url ?? '').split('?');
-    if (path === `${PREFIX}/edits` && request.method === 'POST') {
-      return this.submit(call, id);
-    }
-    if (path === `${PREFIX}/tables`) {
-      const config = this.kernel.find(configuration.CONFIGURATION);
-      return listener.sendJson(response, 200, config.tables());
+      return core.fail('unauthorized', detail);
     }
-    if (path === `${PREFIX}/status`) {
-      const own = this.kernel.find(status.STATUS).describe();
-      return listener.sendJson(response, 200, own);
+    const place = readPath(request.url ?? '');
+    const group = place && this.groups.get(place.group);
+    if (!place || !group) {
+      const detail = `${request.method} ${request.url}; the groups are ${PREFIX}/{${[...this.groups.keys()].join(',')}}`;
+      return core.fail('not_found', detail);
     }
-    const detail = `${request.method} ${path}`;
-    listener.sendProblem(response, {kind: 'not_found', detail}, id);
+    const body = await this.readJson(request);
+    if (!body.ok) return body;
+    return group.answer({
+      id,
+      method: request.method ?? 'GET',
+      path: place.path,
+      query: place.query,
+      header: name => text(request.headers[name]),
+      body: body.value,
+    });
   }
 
-  private async submit(call: listener.Call, id: string): Promise<void> {
-    const {request, response} = call;
-    const body = await listener.readBody(request, this.own.maxBodyBytes);
-    if (!body.ok) return listener.sendProblem(response, body.failure, id);
-    const parsed = v.safeParse(editBodySchema, parse(body.value));
-    if (!parsed.success) {
-      const detail = parsed.issues[0].message;
-      listener.sendProblem(response, {kind: 'bad_request', detail}, id);
-      return;
+  private async readJson(
+    request: http.IncomingMessage,
+  ): Promise<core.Result<unknown>> {
+    if (!WITH_BODY.includes(request.method ?? '')) {
+      return core.succeed(undefined);
+    }
+    const raw = await listener.readBody(request, this.own.maxBodyBytes);
+    if (!raw.ok) return raw;
+    if (raw.value.length === 0) return core.succeed(undefined);
+    try {
+      return core.succeed(JSON.parse(raw.value.toString('utf8')) as unknown);
+    } catch (error) {
+      const detail = `the body is not JSON: ${core.reason(error)}`;
+      return core.fail('bad_request', detail);
     }
-    const config = this.kernel.find(configuration.CONFIGURATION);
-    const verdict = await config.submit({
-      type: 'edit',
-      edit_id: id,
-      at_ms: this.kernel.find(core.CLOCK).wallMs(),
-      ...parsed.output,
-    });
-    if (verdict.ok) listener.sendJson(response, 200, verdict.value);
-    else listener.sendProblem(response, verdict.failure, id);
   }
 }
 
-function parse(raw: Buffer): unknown {
+function createGroups(
+  kernel: core.Kernel,
+): ReadonlyMap<string, resource.Resource> {
+  return new Map<string, resource.Resource>([
+    ['tables', new adminTables.TablesResource(kernel)],
+    ['edits', new adminEdits.EditsResource(kernel)],
+    ['status', new adminStatus.StatusResource(kernel)],
+    ['audit', new adminAudit.AuditResource(kernel)],
+    ['why', new adminWhy.WhyResource(kernel)],
+    ['drain', new adminDrain.DrainResource(kernel)],
+    ['usage', new adminUsage.UsageResource(kernel)],
+    ['where', new adminWhere.WhereResource(kernel)],
+    ['schema', new adminSchema.SchemaResource()],
+  ]);
+}
+
+function text(value: string | string[] | undefined): string | undefined {
+  return typeof value === 'string' ? value : undefined;
+}
+
+function readPath(url: string) {
+  const [plain = '', query = ''] = url.split('?');
+  if (!plain.startsWith(`${PREFIX}/`)) return undefined;
+  const parts = plain.slice(PREFIX.length + 1).split('/');
   try {
-    return JSON.parse(raw.toString('utf8'));
+    const [group = '', ...path] = parts.map(decodeURIComponent);
+    return {group, path, query: new URLSearchParams(query)};
   } catch {
     return undefined;
   }
--- a/packages/router/src/drain.ts
+++ b/packages/router/src/drain.ts
@@ -9,6 +9,10 @@
 export interface Drain {
   isDraining(): boolean;
   begin(): void;
+  /** Asks the program to drain and end; true where it was not asked yet. */
+  ask(): boolean;
+  /** Resolves when an operator has asked for the end. */
+  asked(): Promise<void>;
   /** Counts a request in flight; the returned function ends it. */
   enter(): () => void;
   /** Requests in flight at this router. */
@@ -21,6 +25,8 @@
 export const DRAIN = core.contract<Drain>('drain', [
   'isDraining',
   'begin',
+  'ask',
+  'asked',
   'enter',
   'idle',
 ]);
@@ -29,6 +35,9 @@
 export class CountedDrain implements Drain {
   private isLeaving = false;
   private count = 0;
+  private isAsked = false;
+  private settle: () => void = () => undefined;
+  private readonly wish = new Promise<void>(done => (this.settle = done));
   private wake: (() => void) | undefined;
 
   constructor(private readonly kernel: core.Kernel) {}
@@ -43,6 +52,17 @@
     known.setDraining(known.self(), true);
   }
 
+  ask(): boolean {
+    const isFirst = !this.isAsked;
+    this.isAsked = true;
+    this.settle();
+    return isFirst;
+  }
+
+  asked(): Promise<void> {
+    return this.wish;
+  }
+
   enter(): () => void {
     this.count++;
     return () => {
--- a/packages/router/src/fleet.ts
+++ b/packages/router/src/fleet.ts
@@ -25,8 +25,10 @@
   peers(): readonly core.Instance[];
   /** Routers that may own endpoints: live and not draining. */
   routers(): readonly core.Instance[];
-  /** Endpoints of a pool that are on the list and not leaving. */
+  /** Endpoints of a pool that are listed, not leaving and not drained. */
   members(pool: core.Pool): readonly core.Instance[];
+  /** Whether the pool names the endpoint, whatever its state. */
+  isMember(pool: core.Pool, endpoint: string): boolean;
   /** Every endpoint on the list, those that are leaving included. */
   endpoints(): readonly core.Instance[];
   /** The owner of an endpoint first, then those that would follow. */
@@ -87,6 +89,12 @@
   return instance.labels[key] === value;
 }
 
+function isNamed(pool: core.Pool, instance: core.Instance): boolean {
+  const {endpoints, endpoint_label: label} = pool;
+  if (endpoints.includes(instance.name)) return true;
+  return label !== undefined && hasLabel(instance, label);
+}
+
 /** The fleet by the platform's list. */
 export class ListedFleet implements Fleet, core.Lifecycle {
   private readonly tasks: core.TaskGroup;
@@ -145,15 +153,21 @@
   }
 
   members(pool: core.Pool): readonly core.Instance[] {
-    const {endpoint_label: label} = pool;
+    const drained = pool.drained_endpoints ?? [];
     return this.endpoints().filter(
       item =>
         this.isServing(item) &&
-        (pool.endpoints.includes(item.name) ||
-          (label !== undefined && hasLabel(item, label))),
+        isNamed(pool, item) &&
+        !drained.includes(item.name),
     );
   }
 
+  isMember(pool: core.Pool, endpoint: string): boolean {
+    const item = this.byName.get(endpoint);
+    if (item) return isNamed(pool, item);
+    return pool.endpoints.includes(endpoint);
+  }
+
   owners(endpoint: string): readonly string[] {
     this.refresh();
     return this.table.get(endpoint) ?? [];
--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -2,6 +2,7 @@
 /** The program `oleanderrock`: runs one router of the fleet. */
 import * as core from '@oleanderrock/core';
 import * as clipanion from 'clipanion';
+import * as drain from './drain.js';
 import * as run from './run.js';
 import * as settings from './settings.js';
 import * as wire from './wire.js';
@@ -88,6 +89,7 @@
   await new Promise<void>(resolve => {
     process.once('SIGTERM', resolve);
     process.once('SIGINT', resolve);
+    void kernel.find(drain.DRAIN).asked().then(resolve);
   });
   await run.drainAndStop(kernel, own);
   return 0;
--- a/packages/router/src/peerapi.ts
+++ b/packages/router/src/peerapi.ts
@@ -3,11 +3,14 @@
 import * as trpc from '@trpc/server';
 import * as v from 'valibot';
 import * as configuration from './configuration.js';
+import * as drain from './drain.js';
 import * as memory from './memory.js';
 import * as status from './status.js';
 import * as trails from './trails.js';
+import * as usage from './usage.js';
 
 const MAX_HANDED_OVER = 2_000;
+const MAX_USAGE_ROWS = 1_000;
 
 /** Context of a call. */
 export interface PeerContext {
@@ -22,6 +25,13 @@
   v.maxLength(MAX_HANDED_OVER),
 );
 
+const limitSchema = v.pipe(
+  v.number(),
+  v.integer(),
+  v.minValue(0),
+  v.maxValue(MAX_USAGE_ROWS),
+);
+
 const t = trpc.initTRPC.context<PeerContext>().create();
 
 /** The procedures; their types are inferred by the callers. */
@@ -39,6 +49,10 @@
     for (const entry of input) chats.remember(entry);
     return input.length;
   }),
+  usage: t.procedure
+    .input(limitSchema)
+    .query(({ctx, input}) => ctx.kernel.find(usage.USAGE).totals(input)),
+  drain: t.procedure.mutation(({ctx}) => ctx.kernel.find(drain.DRAIN).ask()),
   status: t.procedure.query(({ctx}) =>
     ctx.kernel.find(status.STATUS).describe(),
   ),
--- a/packages/router/src/peercalls.ts
+++ b/packages/router/src/peercalls.ts
@@ -28,6 +28,12 @@
     entries: readonly decide.ChatEntry[],
   ): Promise<core.Result<number>>;
   status(router: string): Promise<core.Result<peerApi.RouterStatus>>;
+  usage(
+    router: string,
+    limit: number,
+  ): Promise<core.Result<readonly decide.Usage[]>>;
+  /** Asks the router to drain and end. */
+  drain(router: string): Promise<core.Result<boolean>>;
 }
 
 /** The contract under which the calls are registered. */
@@ -36,6 +42,8 @@
   'steps',
   'handOver',
   'status',
+  'usage',
+  'drain',
 ]);
 
 type Client = ReturnType<
@@ -71,6 +79,17 @@
     return this.call(router, client => client.status.query());
   }
 
+  usage(
+    router: string,
+    limit: number,
+  ): Promise<core.Result<readonly decide.Usage[]>> {
+    return this.call(router, client => client.usage.query(limit));
+  }
+
+  drain(router: string): Promise<core.Result<boolean>> {
+    return this.call(router, client => client.drain.mutate());
+  }
+
   private async call<T>(
     router: string,
     ask: (client: Client) => Promise<T>,
--- a/packages/router/src/status.ts
+++ b/packages/router/src/status.ts
@@ -15,6 +15,7 @@
   in_flight: v.number(),
   is_ejected: v.boolean(),
   is_settled: v.boolean(),
+  is_leaving: v.boolean(),
 });
 
 /** Schema of a router's own state. */
@@ -25,6 +26,7 @@
   is_current: v.boolean(),
   chats: v.number(),
   queued: v.number(),
+  in_flight: v.number(),
   endpoints: v.array(endpointStatusSchema),
 });
 
@@ -54,6 +56,7 @@
       is_current: config.isCurrent(),
       chats: kernel.find(memory.MEMORY).size,
       queued: kernel.find(rooms.ROOMS).queued(),
+      in_flight: kernel.find(drain.DRAIN).inFlight(),
       endpoints: known
         .endpoints()
         .filter(item => known.owners(item.name)[0] === known.self())
@@ -63,13 +66,15 @@
 
   private endpoint(name: string): v.InferOutput<typeof endpointStatusSchema> {
     const nowMs = this.kernel.find(core.CLOCK).nowMs();
+    const known = this.kernel.find(fleet.FLEET);
     const ejection = this.kernel.find(fleet.EJECTION);
     return {
       name,
-      owner: this.kernel.find(fleet.FLEET).self(),
+      owner: known.self(),
       in_flight: this.kernel.find(pools.LOADS).inFlight(name, nowMs),
       is_ejected: ejection.isEjected(name, nowMs),
       is_settled: ejection.isSettled(name, nowMs),
+      is_leaving: known.isLeaving(name),
     };
   }
 }
--- a/packages/router/src/trails.ts
+++ b/packages/router/src/trails.ts
@@ -4,21 +4,9 @@
  */
 import * as core from '@oleanderrock/core';
 import * as lru from 'lru-cache';
-import * as v from 'valibot';
-
-/** Schema of one step of a request at one router. */
-export const stepSchema = v.object({
-  /** Wall-clock time. */
-  at_ms: v.number(),
-  router: v.string(),
-  /** What was done, as `passed_on`, `queued`, `dispatched`, `answered`. */
-  step: v.string(),
-  endpoint: v.optional(v.string()),
-  detail: v.string(),
-});
 
 /** One step of a request at one router. */
-export type Step = v.InferOutput<typeof stepSchema>;
+export type Step = core.Step;
 
 /** Store of the steps of the last requests. */
 export interface Trails {
