Write oleanderctl, a short file for each command

Cause: operators had curl only; the demo needs a command that publishes both tables. Change: rows (list, get, set, remove), apply with a diff and a dry run, status, audit, why, where, usage and drain, with one base class for options, output and exit codes. Edits go out under an id of their own, so that trying the next router after a lost answer counts once. A file that says nothing of drained endpoints leaves them drained. Ruled out: fetch, which refuses some ports and hides the cause of a failure.

--- a/packages/core/src/commandline.ts
+++ b/packages/core/src/commandline.ts
@@ -17,7 +17,9 @@
     const command = cli.process(words, process);
     return await cli.run(command, process);
   } catch (error) {
-    const [line = ''] = errors.reason(error).split('\n');
+    const [first = ''] = errors.reason(error).split('\n');
+    // The parser lists look-alikes on lines of their own; the help has them.
+    const line = first.replace(/; did you mean.*$/, '');
     process.stderr.write(`${program}: ${line} (try ${program} --help)\n`);
     return EXIT_USAGE;
   }
--- /dev/null
+++ b/packages/ctl/src/force.ts
@@ -0,0 +1,57 @@
+/** Waits until an accepted edit is in force at every router. */
+import * as timers from 'node:timers/promises';
+import * as core from '@oleanderrock/core';
+import type * as client from './client.js';
+import type * as command from './command.js';
+import type * as exits from './exits.js';
+
+const WAIT_MS = 5_000;
+const PAUSE_MS = 200;
+
+/** A verdict with how far it is in force. */
+export interface Enforced {
+  readonly verdict: core.Verdict;
+  readonly in_force?: core.InForce;
+}
+
+/** Says how far an offset is in force. */
+export function describe(force: core.InForce): string {
+  const count = `in force on ${force.routers} of ${force.of}`;
+  if (force.lagging.length === 0) return count;
+  return `${count}; lagging: ${force.lagging.join(', ')}`;
+}
+
+/** Waits for up to 5 s until all routers have the verdict's offset. */
+export async function wait(
+  routers: client.Client,
+  verdict: core.Verdict,
+): Promise<core.InForce | undefined> {
+  const deadlineMs = performance.now() + WAIT_MS;
+  const query = {offset: String(verdict.offset)};
+  let force: core.InForce | undefined;
+  for (;;) {
+    const status = await routers.call(core.fleetStatusSchema, {
+      path: '/status',
+      query,
+    });
+    if (status.ok) force = status.value.in_force;
+    if (force?.lagging.length === 0) return force;
+    if (performance.now() + PAUSE_MS > deadlineMs) return force;
+    await timers.setTimeout(PAUSE_MS);
+  }
+}
+
+/** Waits, and says what was accepted and how far it is in force. */
+export async function report(
+  routers: client.Client,
+  verdict: core.Verdict,
+): Promise<exits.Result<command.Output>> {
+  const force = await wait(routers, verdict);
+  const data: Enforced = {verdict, in_force: force};
+  const where = force
+    ? describe(force)
+    : 'no router tells where it is in force';
+  const text = `accepted at offset ${verdict.offset}: ${verdict.changes.join(', ')}\n${where}`;
+  const isDone = force?.lagging.length === 0;
+  return {ok: true, value: {data, text, exit: isDone ? 'ok' : 'pending'}};
+}
--- /dev/null
+++ b/packages/ctl/src/main.ts
@@ -0,0 +1,10 @@
+#!/usr/bin/env node
+/** The program `oleanderctl`: the operator's commands. */
+import * as core from '@oleanderrock/core';
+import * as program from './program.js';
+
+process.exitCode = await core.execute(
+  program.create(),
+  program.PROGRAM,
+  process.argv.slice(2),
+);
--- /dev/null
+++ b/packages/ctl/src/program.ts
@@ -0,0 +1,44 @@
+/** The program's commands. */
+import * as clipanion from 'clipanion';
+import * as apply from './apply.js';
+import * as audit from './audit.js';
+import * as drain from './drain.js';
+import * as exits from './exits.js';
+import * as get from './get.js';
+import * as list from './list.js';
+import * as remove from './remove.js';
+import * as set from './set.js';
+import * as status from './status.js';
+import * as usage from './usage.js';
+import * as where from './where.js';
+import * as why from './why.js';
+
+/** Name of the program. */
+export const PROGRAM = 'oleanderctl';
+
+const COMMANDS = [
+  list.ListCommand,
+  get.GetCommand,
+  set.SetCommand,
+  remove.RemoveCommand,
+  apply.ApplyCommand,
+  status.StatusCommand,
+  audit.AuditCommand,
+  why.WhyCommand,
+  where.WhereCommand,
+  usage.UsageCommand,
+  drain.DrainRouterCommand,
+  drain.DrainEndpointCommand,
+];
+
+/** Makes the command line. */
+export function create(): clipanion.Cli {
+  const cli = new clipanion.Cli({
+    binaryName: PROGRAM,
+    binaryLabel: `the operator's commands (${exits.EXIT_LIST})`,
+    enableColors: process.stdout.isTTY,
+  });
+  for (const own of COMMANDS) cli.register(own);
+  cli.register(clipanion.Builtins.HelpCommand);
+  return cli;
+}
--- a/packages/router/src/admindrain.ts
+++ b/packages/router/src/admindrain.ts
@@ -100,7 +100,8 @@
     name => name !== endpoint,
   );
   const drained = isDrained ? [...others, endpoint] : others;
-  const row = {...pool, drained_endpoints: drained};
+  const field = drained.length > 0 ? drained : undefined;
+  const row = {...pool, drained_endpoints: field};
   const {name} = pool;
   return {table: 'pools', name, expected_version: version, row};
 }
--- a/packages/router/src/adminstatus.ts
+++ b/packages/router/src/adminstatus.ts
@@ -44,7 +44,10 @@
     const known = this.kernel.find(fleet.FLEET);
     const {pools} = this.kernel.find(configuration.CONFIGURATION).tables();
     const rows = Object.values(pools).map(({row}) => row);
-    return known.endpoints().map(({name, state}) => {
+    const listed = [...known.endpoints()].sort((left, right) =>
+      left.name.localeCompare(right.name),
+    );
+    return listed.map(({name, state}) => {
       const views = reports.flatMap(({result}) =>
         result.ok ? result.value.endpoints : [],
       );
