Count requests on acceptance; meter what happens; show what was considered

Cause: a burst passed its customer's limit, because a request counted only at its end; the metrics had control bytes only; oleanderctl why told where a request went, but not what else was looked at. Change: usage counts a request when it is accepted and the tokens when it is answered. A service of meters takes what the others tell, with bounded labels. The trail has the endpoints that a choice looked at, with the reason, the requests in flight and the bound, and what was refused. Ruled out: labels for the customers that are the largest now, since a customer that leaves the list would make a counter fall; a name keeps its label.

--- a/packages/ctl/src/program.ts
+++ b/packages/ctl/src/program.ts
@@ -36,7 +36,7 @@
   const cli = new clipanion.Cli({
     binaryName: PROGRAM,
     binaryLabel: `the operator's commands (${exits.EXIT_LIST})`,
-    enableColors: process.stdout.isTTY,
+    enableColors: Boolean(process.stdout.isTTY),
   });
   for (const own of COMMANDS) cli.register(own);
   cli.register(clipanion.Builtins.HelpCommand);
--- a/packages/router/src/gate.ts
+++ b/packages/router/src/gate.ts
@@ -9,10 +9,12 @@
 import * as drain from './drain.js';
 import * as exchange from './exchange.js';
 import * as fleet from './fleet.js';
+import * as meters from './meters.js';
 import * as once from './once.js';
 import * as pools from './pools.js';
 import * as spread from './spread.js';
 import * as suspects from './suspects.js';
+import * as trails from './trails.js';
 import * as usage from './usage.js';
 
 const RETRY_AFTER_MS = 500;
@@ -32,6 +34,11 @@
   readonly method?: string;
 }
 
+interface Rows {
+  readonly route: core.Route;
+  readonly pool: core.Pool;
+}
+
 /** Where requests come in. */
 export interface Gate {
   serve(
@@ -93,8 +100,12 @@
   ): Promise<void> {
     const leave = this.kernel.find(drain.DRAIN).enter();
     try {
-      const outcome = await this.decide(request, answer);
+      const found = this.find(request.method, request.path);
+      const outcome = await this.decide(request, answer, found);
       this.finish(request, answer, outcome);
+      if (request.hops > 0) return;
+      const route = found.ok ? found.value.route.name : meters.NO_ROUTE;
+      this.kernel.find(meters.METERS).ended(route, outcome);
     } finally {
       leave();
     }
@@ -133,15 +144,16 @@
   private async decide(
     request: exchange.RouterRequest,
     answer: exchange.Answer,
+    found: core.Result<Rows>,
   ): Promise<exchange.Outcome> {
     const readiness = this.readiness();
     if (!readiness.ok) return exchange.refused(readiness.failure);
-    const found = this.find(request.method, request.path);
     if (!found.ok) return exchange.refused(found.failure);
     const {route, pool} = found.value;
     const failure = this.forbid(request, route);
     if (failure) return exchange.refused(failure);
     const task = {request, route, pool, answer};
+    this.kernel.find(usage.USAGE).accept(task);
     const server = route.repeatable
       ? this.kernel.find(spread.SPREAD)
       : this.kernel.find(once.ONCE);
@@ -166,10 +178,7 @@
     return this.kernel.find(usage.USAGE).forbid(request.customer);
   }
 
-  private find(
-    method: string,
-    path: string,
-  ): core.Result<{route: core.Route; pool: core.Pool}> {
+  private find(method: string, path: string): core.Result<Rows> {
     const tables = this.kernel.find(configuration.CONFIGURATION).tables();
     const route = matchRoute(tables.routes, method, path);
     if (!route) {
@@ -182,10 +191,7 @@
   }
 
   /** Routers in the order in which the request would want them. */
-  private line(
-    query: WhereQuery,
-    rows: {route: core.Route; pool: core.Pool},
-  ): string[] {
+  private line(query: WhereQuery, rows: Rows): string[] {
     const known = this.kernel.find(fleet.FLEET);
     if (!rows.route.repeatable && query.key !== undefined) {
       return [...known.leaders(this.kernel.find(once.ONCE).task(query.key))];
@@ -205,12 +211,9 @@
     outcome: exchange.Outcome,
   ): void {
     if (outcome.type === 'answered') return;
-    const log = this.kernel.find(core.LOGGER);
-    log.info('refused', {
-      request: request.id,
-      kind: outcome.failure.kind,
-      detail: outcome.failure.detail,
-    });
+    const {kind, detail} = outcome.failure;
+    const notes = this.kernel.find(trails.TRAILS);
+    notes.note(request.id, 'refused', `${kind}: ${detail}`);
     answer.refuse(outcome.failure);
   }
 }
--- a/packages/router/src/once.ts
+++ b/packages/router/src/once.ts
@@ -8,10 +8,12 @@
 import * as claims from './claims.js';
 import * as exchange from './exchange.js';
 import * as fleet from './fleet.js';
+import * as meters from './meters.js';
 import * as passer from './passer.js';
 import * as rooms from './rooms.js';
 import * as runner from './runner.js';
 import type * as spread from './spread.js';
+import * as trails from './trails.js';
 
 const MAX_LEADERS = 3;
 const MAX_TRIES = 6;
@@ -81,6 +83,10 @@
   ): Promise<exchange.Outcome> {
     const book = this.kernel.find(claims.CLAIMS);
     const claim = await book.claim(key);
+    this.kernel.find(meters.METERS).claimed(claim);
+    const verdict = claim.ok ? 'the key is claimed' : claim.failure.detail;
+    const notes = this.kernel.find(trails.TRAILS);
+    notes.note(task.request.id, claim.ok ? 'claimed' : 'not_claimed', verdict);
     if (!claim.ok) return exchange.refused(claim.failure);
     const outcome = await this.dispatch(task, claim.value);
     if (outcome.type === 'answered') book.answered(claim.value);
--- a/packages/router/src/passer.ts
+++ b/packages/router/src/passer.ts
@@ -10,6 +10,7 @@
 import * as exchange from './exchange.js';
 import * as fleet from './fleet.js';
 import * as httpAnswer from './httpanswer.js';
+import * as meters from './meters.js';
 import * as relay from './relay.js';
 import type * as settings from './settings.js';
 import * as trails from './trails.js';
@@ -57,6 +58,7 @@
     const {request, router, reason, target} = options;
     const notes = this.kernel.find(trails.TRAILS);
     notes.note(request.id, 'passed_on', `to ${router}: ${reason}`, target);
+    this.kernel.find(meters.METERS).passedOn();
     const outcome = await this.relay(options);
     if (outcome.type === 'failed') {
       const {kind, detail} = outcome.failure;
--- a/packages/router/src/peers.ts
+++ b/packages/router/src/peers.ts
@@ -11,6 +11,7 @@
 import * as digest from './digest.js';
 import * as drain from './drain.js';
 import * as fleet from './fleet.js';
+import * as meters from './meters.js';
 import * as peerServer from './peerserver.js';
 import * as pools from './pools.js';
 import * as rooms from './rooms.js';
@@ -131,7 +132,10 @@
     const bytes = datagram.length + digest.DATAGRAM_HEADER_BYTES;
     // Early digests leave half of the budget to the periodic ones.
     const reserve = isEarly ? this.own.controlBytesPerSecond / 2 : 0;
-    if (!this.budget.spend(bytes, this.clock.nowMs(), reserve)) return;
+    if (!this.budget.spend(bytes, this.clock.nowMs(), reserve)) {
+      this.kernel.find(meters.METERS).digestSkipped();
+      return;
+    }
     this.socket?.send(datagram, peer.peer_port, peer.address);
     this.kernel.find(control.CONTROL_METER).add('digest', 'sent', bytes);
   }
--- a/packages/router/src/rooms.ts
+++ b/packages/router/src/rooms.ts
@@ -8,12 +8,16 @@
 import * as decide from '@oleanderrock/decide';
 import type * as exchange from './exchange.js';
 import * as fleet from './fleet.js';
+import * as meters from './meters.js';
 import * as pools from './pools.js';
 import * as suspects from './suspects.js';
+import * as trails from './trails.js';
 
 /** How long an endpoint that refused for want of room is passed by. */
 const FULL_MS = 100;
 const MIN_RETRY_AFTER_MS = 50;
+/** Endpoints that a trail shows of those that a choice looked at. */
+const MAX_SHOWN = 6;
 
 /** A place at an endpoint, or the router to ask for one. */
 export type Grant =
@@ -164,7 +168,11 @@
     );
     const leave = () => settle(core.fail('caller_gone', 'the caller left'));
     wish.gone.addEventListener('abort', leave, {once: true});
+    this.noteQueued(hall, wish);
+    const sinceMs = this.nowMs();
     const result = await granted;
+    const waitMs = this.nowMs() - sinceMs;
+    this.kernel.find(meters.METERS).waited(hall.pool.name, waitMs);
     clearTimeout(timer);
     wish.gone.removeEventListener('abort', leave);
     hall.queue.remove(item);
@@ -186,13 +194,43 @@
   private choose(wish: Wish): Grant | undefined {
     const source = this.kernel.find(pools.POOLS);
     const view = source.view(wish.pool);
+    const tried: decide.Choice[] = [];
     for (const choice of source.order(wish.request, view, wish.excluded)) {
+      tried.push(choice);
       const grant = this.tryChoice(wish, choice, view);
-      if (grant) return grant;
+      if (!grant) continue;
+      this.noteChoice(wish, tried, view);
+      return grant;
     }
     return undefined;
   }
 
+  /** Notes the endpoints looked at, the last one taken, with their load. */
+  private noteChoice(
+    wish: Wish,
+    tried: readonly decide.Choice[],
+    view: pools.PoolView,
+  ): void {
+    const bound = this.kernel.find(ADMISSION).bound(view.load);
+    const shown = tried.slice(-MAX_SHOWN).map(({endpoint, reason}) => {
+      const known = view.candidates.find(item => item.name === endpoint);
+      return `${endpoint} (${reason}, ${known?.inFlight ?? 0} in flight)`;
+    });
+    const skipped = tried.length - shown.length;
+    const rest = skipped > 0 ? `${skipped} without room, ` : '';
+    const rows = `route ${wish.route.name}, pool ${wish.pool.name}`;
+    const detail = `${rows}: ${rest}${shown.join(', ')}; bound ${bound}, ${view.candidates.length} usable`;
+    const taken = tried.at(-1)?.endpoint;
+    const notes = this.kernel.find(trails.TRAILS);
+    notes.note(wish.request.id, 'considered', detail, taken);
+  }
+
+  private noteQueued(hall: Hall, wish: Wish): void {
+    const {name} = hall.pool;
+    const detail = `no room in pool ${name}; ${hall.queue.size} wait here`;
+    this.kernel.find(trails.TRAILS).note(wish.request.id, 'queued', detail);
+  }
+
   private tryChoice(
     wish: Wish,
     choice: decide.Choice,
--- a/packages/router/src/spread.ts
+++ b/packages/router/src/spread.ts
@@ -8,6 +8,7 @@
 import * as exchange from './exchange.js';
 import * as fleet from './fleet.js';
 import * as memory from './memory.js';
+import * as meters from './meters.js';
 import * as passer from './passer.js';
 import * as pools from './pools.js';
 import * as rooms from './rooms.js';
@@ -113,6 +114,7 @@
       if (again === 'fault') {
         excluded.add(grant.value.choice.endpoint);
         if (!retry.spend()) return outcome;
+        this.kernel.find(meters.METERS).retried(pool.name);
         await clock.sleep(retry.backoffMs(count), answer.gone);
       }
     }
--- a/packages/router/src/usage.ts
+++ b/packages/router/src/usage.ts
@@ -3,6 +3,7 @@
 import * as decide from '@oleanderrock/decide';
 import * as configuration from './configuration.js';
 import type * as exchange from './exchange.js';
+import * as meters from './meters.js';
 import type * as spread from './spread.js';
 
 /** Most customers of a digest. */
@@ -12,6 +13,9 @@
 export interface UsageService {
   /** The refusal of a customer that is over its limit. */
   forbid(customer: string): core.Failure | undefined;
+  /** Counts a request before it is served, so that a burst meets its limit. */
+  accept(task: spread.Task): void;
+  /** Counts the tokens of an answer. */
   record(task: spread.Task, outcome: exchange.Outcome): void;
   totals(limit: number): readonly decide.Usage[];
   /** Own use of the limited customers in this minute, for the digests. */
@@ -23,6 +27,7 @@
 /** The contract under which the usage is registered. */
 export const USAGE = core.contract<UsageService>('usage', [
   'forbid',
+  'accept',
   'record',
   'totals',
 ]);
@@ -49,24 +54,32 @@
     return {kind: 'customer_limit', detail, retryAfterMs};
   }
 
+  accept(task: spread.Task): void {
+    this.add(task, 1, 0);
+  }
+
   record(task: spread.Task, outcome: exchange.Outcome): void {
+    if (outcome.type !== 'answered' || outcome.tokens === 0) return;
+    this.add(task, 0, outcome.tokens);
+  }
+
+  private add(task: spread.Task, requests: number, tokens: number): void {
     // Only the first router counts, so that a pass-on counts once.
     if (task.request.hops > 0) return;
-    const usage = {
-      customer: task.request.customer,
-      route: task.route.name,
-      pool: task.pool.name,
-      requests: 1,
-      tokens: outcome.type === 'answered' ? outcome.tokens : 0,
-    };
+    const {customer} = task.request;
+    const [route, pool] = [task.route.name, task.pool.name];
+    const usage = {customer, route, pool, requests, tokens};
     this.book.add(usage, this.kernel.find(core.CLOCK).nowMs());
+    this.kernel.find(meters.METERS).used(usage);
   }
 
   minute(): readonly decide.MinuteUse[] {
     const {customers} = this.kernel.find(configuration.CONFIGURATION).tables();
     const nowMs = this.kernel.find(core.CLOCK).nowMs();
     const uses = this.book.minute(Object.keys(customers), nowMs);
-    return uses.filter(use => use.requests > 0).slice(0, MAX_USES);
+    return [...uses]
+      .sort((left, right) => right.requests - left.requests)
+      .slice(0, MAX_USES);
   }
 
   learn(router: string, uses: readonly decide.MinuteUse[]): void {
--- a/packages/router/src/wire.ts
+++ b/packages/router/src/wire.ts
@@ -15,6 +15,7 @@
 import * as gate from './gate.js';
 import * as handover from './handover.js';
 import * as memory from './memory.js';
+import * as meters from './meters.js';
 import * as once from './once.js';
 import * as passer from './passer.js';
 import * as peerCalls from './peercalls.js';
@@ -62,6 +63,7 @@
   kernel.register(platform.LOG_CLIENT, outside);
   kernel.register(connections.CONNECTIONS, new connections.KeptConnections());
   kernel.register(control.CONTROL_METER, new control.PromControlMeter(kernel));
+  kernel.register(meters.METERS, new meters.PromMeters(kernel));
 }
 
 /** The chosen decisions. */
@@ -80,7 +82,10 @@
   );
   kernel.register(
     fleet.EJECTION,
-    new decide.ObservedEjection({settleMs: own.settleMs}),
+    new meters.MeteredEjection(
+      kernel,
+      new decide.ObservedEjection({settleMs: own.settleMs}),
+    ),
   );
   kernel.register(
     spread.RETRY,
