--- a/packages/router/src/rooms.ts
+++ b/packages/router/src/rooms.ts
@@ -9,6 +9,7 @@
 import type * as exchange from './exchange.js';
 import * as fleet from './fleet.js';
 import * as meters from './meters.js';
+import * as peers from './peers.js';
 import * as pools from './pools.js';
 import * as suspects from './suspects.js';
 import * as trails from './trails.js';
@@ -121,6 +122,7 @@
 
   release(endpoint: string): void {
     this.kernel.find(pools.LOADS).ended(endpoint);
+    this.kernel.find(peers.PEERS).announce('load');
     this.wake();
   }
 
@@ -259,6 +261,7 @@
     const admission = this.kernel.find(ADMISSION);
     if (!admission.admits(inFlight, view.load)) return undefined;
     loads.began(endpoint);
+    this.kernel.find(peers.PEERS).announce('load');
     return {type: 'local', choice};
   }
 
