--- a/packages/router/src/places.ts
+++ b/packages/router/src/places.ts
@@ -10,9 +10,12 @@
 import * as peers from './peers.js';
 import * as pools from './pools.js';
 import * as suspects from './suspects.js';
+import * as trails from './trails.js';
 
 /** How long an endpoint that refused for want of room is passed by. */
 export const FULL_MS = 100;
+/** Endpoints that a trail shows of those that a choice looked at. */
+const MAX_SHOWN = 6;
 
 /** A place at an endpoint, or the router to ask for one. */
 export type Grant =
@@ -86,9 +89,13 @@
 
   choose(wish: Wish): Grant | undefined {
     const {view, choices} = this.order(wish);
+    const tried: decide.Choice[] = [];
     for (const choice of choices) {
+      tried.push(choice);
       const grant = this.take(wish, choice, view);
-      if (grant) return grant;
+      if (!grant) continue;
+      this.noteChoice(wish, tried, view);
+      return grant;
     }
     return undefined;
   }
@@ -96,7 +103,9 @@
   chooseAt(wish: Wish, endpoint: string): Grant | undefined {
     const {view, choices} = this.order(wish);
     const choice = choices.find(item => item.endpoint === endpoint);
-    return choice && this.take(wish, choice, view);
+    const grant = choice && this.take(wish, choice, view);
+    if (grant) this.noteChoice(wish, [grant.choice], view);
+    return grant;
   }
 
   release(endpoint: string): void {
@@ -113,6 +122,26 @@
     this.fullUntilMs.delete(endpoint);
   }
 
+  /** Notes the endpoints looked at, the last one taken, with their load. */
+  private noteChoice(
+    wish: Wish,
+    tried: readonly decide.Choice[],
+    view: pools.PoolView,
+  ): void {
+    const bound = this.kernel.find(ADMISSION).bound(view.load);
+    const shown = tried.slice(-MAX_SHOWN).map(({endpoint, reason}) => {
+      const known = view.candidates.find(item => item.name === endpoint);
+      return `${endpoint} (${reason}, ${known?.inFlight ?? 0} in flight)`;
+    });
+    const skipped = tried.length - shown.length;
+    const rest = skipped > 0 ? `${skipped} without room, ` : '';
+    const rows = `route ${wish.route.name}, pool ${wish.pool.name}`;
+    const detail = `${rows}: ${rest}${shown.join(', ')}; bound ${bound}, ${view.candidates.length} usable`;
+    const taken = tried.at(-1)?.endpoint;
+    const notes = this.kernel.find(trails.TRAILS);
+    notes.note(wish.request.id, 'considered', detail, taken);
+  }
+
   private take(
     wish: Wish,
     choice: decide.Choice,
--- a/packages/router/src/rooms.ts
+++ b/packages/router/src/rooms.ts
@@ -7,8 +7,10 @@
 import * as core from '@oleanderrock/core';
 import type * as decide from '@oleanderrock/decide';
 import * as line from './line.js';
+import * as meters from './meters.js';
 import * as places from './places.js';
 import type * as settings from './settings.js';
+import * as trails from './trails.js';
 
 const MIN_RETRY_AFTER_MS = 50;
 
@@ -73,10 +75,9 @@
       if (grant) return core.succeed(grant);
     }
     if (wish.deadlineMs <= this.nowMs()) return this.noRoom(wish);
-    const result = await room.any.wait(
-      this.toWait(wish, wish.deadlineMs, () => this.places.choose(wish)),
-    );
-    return this.toResult(wish, result);
+    const choose = () => this.places.choose(wish);
+    const wait = this.toWait(wish, wish.deadlineMs, choose);
+    return this.toResult(wish, await this.wait(wish, room.any, wait));
   }
 
   reserveAt(wish: places.Wish, endpoint: string): core.Result<places.Grant> {
@@ -127,13 +128,29 @@
     const patienceMs = this.nowMs() + this.own.contextWaitMs;
     const untilMs = Math.min(wish.deadlineMs, patienceMs);
     if (untilMs <= this.nowMs()) return undefined;
-    const result = await own.wait(this.toWait(wish, untilMs, choose));
+    const wait = this.toWait(wish, untilMs, choose);
+    const result = await this.wait(wish, own, wait);
     if (result.type === 'expired' || result.type === 'refused') {
       return undefined;
     }
     return this.toResult(wish, result);
   }
 
+  /** Waits in a line, noted in the trail and metered. */
+  private async wait(
+    wish: places.Wish,
+    own: line.Line<places.Grant>,
+    wait: line.LineWait<places.Grant>,
+  ): Promise<line.LineResult<places.Grant>> {
+    const {name} = wish.pool;
+    const detail = `no room in pool ${name}; ${own.size} wait here`;
+    this.kernel.find(trails.TRAILS).note(wish.request.id, 'queued', detail);
+    const sinceMs = this.nowMs();
+    const result = await own.wait(wait);
+    this.kernel.find(meters.METERS).waited(name, this.nowMs() - sinceMs);
+    return result;
+  }
+
   private toWait(
     wish: places.Wish,
     untilMs: number,
--- a/packages/router/src/tests/parts.ts
+++ b/packages/router/src/tests/parts.ts
@@ -96,6 +96,8 @@
     steps: unused,
     handOver: unused,
     status: unused,
+    usage: unused,
+    drain: unused,
   });
   const service = new configuration.LogConfiguration(kernel, own);
   kernel.register(configuration.CONFIGURATION, service);
