Walk requests along endpoints in one place, until their time is up

Cause: 'leaving and stopping' failed with saturated after milliseconds, though the route may wait 5 s: six refusals by owners whose counts were a digest ahead used up all tries. The loop also stood twice, for calls that may be repeated and for those that may not, and the latter excluded an endpoint for good because it had no room once. Change: one walk for both; refusals for want of room or ownership do not count as faults and the request waits on; what may be repeated after a fault is said by the caller of the walk. Keys are lower-cased at the entry, since the claim book compares them so.

--- a/packages/router/src/entry.ts
+++ b/packages/router/src/entry.ts
@@ -173,7 +173,8 @@
     id,
     customer: text(core.headers.CUSTOMER) ?? ANONYMOUS,
     chat: text(core.headers.CHAT),
-    key: text(core.headers.IDEMPOTENCY_KEY),
+    // Ids are the same in either case, and so must their stream be.
+    key: text(core.headers.IDEMPOTENCY_KEY)?.toLowerCase(),
     method: request.method ?? 'GET',
     path: request.url ?? '/',
     headers: httpAnswer.forwarded(request.headers),
--- a/packages/router/src/once.ts
+++ b/packages/router/src/once.ts
@@ -11,30 +11,30 @@
 import * as meters from './meters.js';
 import * as passer from './passer.js';
 import type * as places from './places.js';
-import * as rooms from './rooms.js';
 import * as runner from './runner.js';
-import type * as spread from './spread.js';
+import type * as tasks from './task.js';
 import * as trails from './trails.js';
+import * as walk from './walk.js';
 
 const MAX_LEADERS = 3;
-const MAX_TRIES = 6;
+
+/** Faults that leave it sure that the call was not taken. */
+const NOT_TAKEN: readonly core.Kind[] = [
+  'endpoint_refused',
+  'endpoint_unreachable',
+  'peer_unreachable',
+];
 
 /** Server of calls that may not be repeated. */
 export interface Once {
   /** The task whose leader claims the key. */
   task(key: string): string;
-  serve(task: spread.Task): Promise<exchange.Outcome>;
+  serve(task: tasks.Task): Promise<exchange.Outcome>;
 }
 
 /** The contract under which it is registered. */
 export const ONCE = core.contract<Once>('once', ['task', 'serve']);
 
-/** How a claimed call ended, and whether the call is sure not to have run. */
-interface Dispatch {
-  readonly outcome: exchange.Outcome;
-  readonly isUndone: boolean;
-}
-
 function hasNotRun(outcome: exchange.Outcome): boolean {
   if (outcome.type === 'answered') return false;
   return core.ANSWERS[outcome.failure.kind].ran === 'no';
@@ -48,7 +48,7 @@
     return this.kernel.find(claims.CLAIMS).stream(key);
   }
 
-  async serve(task: spread.Task): Promise<exchange.Outcome> {
+  async serve(task: tasks.Task): Promise<exchange.Outcome> {
     const {key, hops, target, attempt} = task.request;
     if (key === undefined) {
       const detail = `route ${task.route.name} runs at most once`;
@@ -65,7 +65,7 @@
 
   /** At the first router: passes on to the leader of the key's stream. */
   private async enter(
-    task: spread.Task,
+    task: tasks.Task,
     key: string,
   ): Promise<exchange.Outcome> {
     const known = this.kernel.find(fleet.FLEET);
@@ -85,7 +85,7 @@
 
   /** At the leader: claims the key, then dispatches under the claim. */
   private async claim(
-    task: spread.Task,
+    task: tasks.Task,
     key: string,
   ): Promise<exchange.Outcome> {
     const book = this.kernel.find(claims.CLAIMS);
@@ -95,46 +95,25 @@
     const notes = this.kernel.find(trails.TRAILS);
     notes.note(task.request.id, claim.ok ? 'claimed' : 'not_claimed', verdict);
     if (!claim.ok) return exchange.refused(claim.failure);
-    const {outcome, isUndone} = await this.dispatch(task, claim.value);
+    const outcome = await this.kernel
+      .find(walk.WALK)
+      .run(this.journey(task, claim.value));
     if (outcome.type === 'answered') book.answered(claim.value);
     // The caller may come again with the same key, so the claim goes back.
-    if (isUndone) await book.release(claim.value);
+    if (hasNotRun(outcome)) await book.release(claim.value);
     return outcome;
   }
 
-  private async dispatch(
-    task: spread.Task,
-    claim: claims.Claim,
-  ): Promise<Dispatch> {
-    const {request, route, pool, answer} = task;
-    const clock = this.kernel.find(core.CLOCK);
-    const deadlineMs = clock.nowMs() + route.wait_ms;
-    const excluded = new Set<string>();
-    let outcome: exchange.Outcome | undefined;
-    for (let count = 0; count < MAX_TRIES; count++) {
-      const wish = {
-        request,
-        route,
-        pool,
-        excluded,
-        deadlineMs,
-        gone: answer.gone,
-      };
-      const grant = await this.kernel.find(rooms.ROOMS).reserve(wish);
-      if (!grant.ok) {
-        const refusal = outcome ?? exchange.refused(grant.failure);
-        return {outcome: refusal, isUndone: true};
-      }
-      outcome = await this.use(task, grant.value, claim);
-      if (!hasNotRun(outcome)) return {outcome, isUndone: false};
-      excluded.add(grant.value.choice.endpoint);
-    }
-    outcome ??= exchange.failed('saturated', 'no endpoint took it');
-    return {outcome, isUndone: true};
+  private journey(task: tasks.Task, claim: claims.Claim): walk.Journey {
+    return {
+      task,
+      use: grant => this.use(task, grant, claim),
+      mayRepeat: failure => NOT_TAKEN.includes(failure.kind),
+    };
   }
 
   private use(
-    task: spread.Task,
+    task: tasks.Task,
     grant: places.Grant,
     claim: claims.Claim,
   ): Promise<exchange.Outcome> {
@@ -156,30 +135,18 @@
   }
 
   /** At the endpoint's owner, under a claim of the router that passed it. */
-  private async serveTarget(
-    task: spread.Task,
+  private serveTarget(
+    task: tasks.Task,
     target: string,
   ): Promise<exchange.Outcome> {
-    const {request, route, pool, answer} = task;
-    const known = this.kernel.find(fleet.FLEET);
-    if (known.owners(target)[0] !== known.self()) {
-      const detail = `${known.self()} does not own ${target}`;
-      return exchange.failed('not_owner', detail);
-    }
-    const wish = {
-      request,
-      route,
-      pool,
-      excluded: new Set<string>(),
-      deadlineMs: 0,
-      gone: answer.gone,
+    const use = (grant: places.Grant) => {
+      const {reason} = grant.choice;
+      const mayDispatch = () => !task.answer.gone.aborted;
+      const run = {...task, endpoint: target, reason, mayDispatch};
+      return this.kernel.find(runner.RUNNER).run(run);
     };
-    const grant = this.kernel.find(rooms.ROOMS).reserveAt(wish, target);
-    if (!grant.ok) return exchange.refused(grant.failure);
-    const {reason} = grant.value.choice;
-    const mayDispatch = () => !answer.gone.aborted;
-    const run = {...task, endpoint: target, reason, mayDispatch};
-    return this.kernel.find(runner.RUNNER).run(run);
+    const journey = {task, use, mayRepeat: () => false};
+    return this.kernel.find(walk.WALK).runAt(journey, target);
   }
 }
 
--- a/packages/router/src/spread.ts
+++ b/packages/router/src/spread.ts
@@ -8,48 +8,23 @@
 import * as exchange from './exchange.js';
 import * as fleet from './fleet.js';
 import * as memory from './memory.js';
-import * as meters from './meters.js';
 import * as passer from './passer.js';
 import type * as places from './places.js';
 import * as pools from './pools.js';
-import * as rooms from './rooms.js';
 import * as runner from './runner.js';
+import type * as tasks from './task.js';
+import * as walk from './walk.js';
 
-const MAX_TRIES = 6;
 const MAX_OWNERS = 3;
 
-/** A request with the rows that it matched. */
-export interface Task {
-  readonly request: exchange.RouterRequest;
-  readonly route: core.Route;
-  readonly pool: core.Pool;
-  readonly answer: exchange.Answer;
-}
-
 /** Server of calls that may be repeated. */
 export interface Spread {
-  serve(task: Task): Promise<exchange.Outcome>;
+  serve(task: tasks.Task): Promise<exchange.Outcome>;
 }
 
 /** The contract under which the spread is registered. */
 export const SPREAD = core.contract<Spread>('spread', ['serve']);
 
-/** The contract under which the retry policy is registered. */
-export const RETRY = core.contract<decide.RetryPolicy>('retry', [
-  'tried',
-  'spend',
-  'backoffMs',
-]);
-
-/** Refusals for want of room or because views differ: the next may do. */
-const ELSEWHERE: readonly core.Kind[] = [
-  'saturated',
-  'not_owner',
-  'queue_full',
-  'draining',
-  'not_ready',
-];
-
 /** Faults after which a call that may be repeated is tried elsewhere. */
 const FAULTS: readonly core.Kind[] = [
   'endpoint_refused',
@@ -65,15 +40,17 @@
 export class OwnerSpread implements Spread {
   constructor(private readonly kernel: core.Kernel) {}
 
-  async serve(task: Task): Promise<exchange.Outcome> {
+  async serve(task: tasks.Task): Promise<exchange.Outcome> {
     const {hops, target} = task.request;
-    if (target !== undefined) return this.serveTarget(task, target);
+    if (target !== undefined) {
+      return this.kernel.find(walk.WALK).runAt(this.journey(task), target);
+    }
     if (hops > 0) return this.place(task);
     return this.enter(task);
   }
 
   /** At the first router: passes on to the first endpoint's owner. */
-  private async enter(task: Task): Promise<exchange.Outcome> {
+  private async enter(task: tasks.Task): Promise<exchange.Outcome> {
     const known = this.kernel.find(fleet.FLEET);
     for (let count = 0; count < MAX_OWNERS; count++) {
       const choice = this.first(task);
@@ -90,64 +67,20 @@
   }
 
   /** At the router that places the request: walks the order of endpoints. */
-  private async place(task: Task): Promise<exchange.Outcome> {
-    const {request, route, pool, answer} = task;
-    const clock = this.kernel.find(core.CLOCK);
-    const retry = this.kernel.find(RETRY);
-    const deadlineMs = clock.nowMs() + route.wait_ms;
-    const excluded = new Set<string>();
-    let outcome: exchange.Outcome | undefined;
-    retry.tried();
-    for (let count = 1; count <= MAX_TRIES; count++) {
-      const wish = {
-        request,
-        route,
-        pool,
-        excluded,
-        deadlineMs,
-        gone: answer.gone,
-      };
-      const grant = await this.kernel.find(rooms.ROOMS).reserve(wish);
-      if (!grant.ok) return outcome ?? exchange.refused(grant.failure);
-      outcome = await this.use(task, grant.value);
-      const again = this.judge(task, outcome);
-      if (again === 'stop') return outcome;
-      if (again === 'fault') {
-        excluded.add(grant.value.choice.endpoint);
-        if (!retry.spend()) return outcome;
-        this.kernel.find(meters.METERS).retried(pool.name);
-        await clock.sleep(retry.backoffMs(count), answer.gone);
-      }
-    }
-    return outcome ?? exchange.failed('saturated', 'no endpoint took it');
+  private place(task: tasks.Task): Promise<exchange.Outcome> {
+    return this.kernel.find(walk.WALK).run(this.journey(task));
   }
 
-  /** At the owner, with the endpoint chosen by the passing router. */
-  private async serveTarget(
-    task: Task,
-    target: string,
-  ): Promise<exchange.Outcome> {
-    const {request, route, pool, answer} = task;
-    const known = this.kernel.find(fleet.FLEET);
-    if (known.owners(target)[0] !== known.self()) {
-      const detail = `${known.self()} does not own ${target}`;
-      return exchange.failed('not_owner', detail);
-    }
-    const wish = {
-      request,
-      route,
-      pool,
-      excluded: new Set<string>(),
-      deadlineMs: 0,
-      gone: answer.gone,
+  private journey(task: tasks.Task): walk.Journey {
+    return {
+      task,
+      use: grant => this.use(task, grant),
+      mayRepeat: failure => FAULTS.includes(failure.kind),
     };
-    const grant = this.kernel.find(rooms.ROOMS).reserveAt(wish, target);
-    if (!grant.ok) return exchange.refused(grant.failure);
-    return this.use(task, grant.value);
   }
 
   private async use(
-    task: Task,
+    task: tasks.Task,
     grant: places.Grant,
   ): Promise<exchange.Outcome> {
     const {request, answer} = task;
@@ -163,50 +96,24 @@
             target: endpoint,
             reason,
           });
-    this.learn(request, grant, outcome);
-    return outcome;
-  }
-
-  private learn(
-    request: exchange.RouterRequest,
-    grant: places.Grant,
-    outcome: exchange.Outcome,
-  ): void {
-    const {endpoint} = grant.choice;
-    if (outcome.type === 'answered') {
-      if (request.chat === undefined) return;
+    if (outcome.type === 'answered' && request.chat !== undefined) {
       const {chat} = request;
       this.kernel.find(memory.MEMORY).remember({chat, endpoint});
-    } else if (grant.type === 'remote' && isElsewhere(outcome)) {
-      this.kernel.find(rooms.ROOMS).noteFull(endpoint);
     }
+    return outcome;
   }
 
-  private first(task: Task): decide.Choice | undefined {
+  private first(task: tasks.Task): decide.Choice | undefined {
     const source = this.kernel.find(pools.POOLS);
     const view = source.view(task.pool);
     return source.order(task.request, view)[0];
   }
 
-  private mayPassAgain(task: Task, outcome: exchange.Outcome): boolean {
+  private mayPassAgain(task: tasks.Task, outcome: exchange.Outcome): boolean {
     if (outcome.type === 'answered' || task.answer.hasBegun) return false;
     const {kind} = outcome.failure;
     return ['peer_unreachable', 'peer_broke', 'draining', 'not_ready'].includes(
       kind,
     );
   }
-
-  private judge(
-    task: Task,
-    outcome: exchange.Outcome,
-  ): 'stop' | 'elsewhere' | 'fault' {
-    if (outcome.type === 'answered' || task.answer.hasBegun) return 'stop';
-    if (task.answer.gone.aborted) return 'stop';
-    if (isElsewhere(outcome)) return 'elsewhere';
-    return FAULTS.includes(outcome.failure.kind) ? 'fault' : 'stop';
-  }
-}
-
-function isElsewhere(outcome: exchange.Outcome): boolean {
-  return outcome.type === 'failed' && ELSEWHERE.includes(outcome.failure.kind);
 }
--- a/packages/router/src/usage.ts
+++ b/packages/router/src/usage.ts
@@ -4,7 +4,7 @@
 import * as configuration from './configuration.js';
 import type * as exchange from './exchange.js';
 import * as meters from './meters.js';
-import type * as spread from './spread.js';
+import type * as tasks from './task.js';
 
 /** Most customers of a digest. */
 const MAX_USES = 16;
@@ -14,9 +14,9 @@
   /** The refusal of a customer that is over its limit. */
   forbid(customer: string): core.Failure | undefined;
   /** Counts a request before it is served, so that a burst meets its limit. */
-  accept(task: spread.Task): void;
+  accept(task: tasks.Task): void;
   /** Counts the tokens of an answer. */
-  record(task: spread.Task, outcome: exchange.Outcome): void;
+  record(task: tasks.Task, outcome: exchange.Outcome): void;
   totals(limit: number): readonly decide.Usage[];
   /** Own use of the limited customers in this minute, for the digests. */
   minute(): readonly decide.MinuteUse[];
@@ -54,16 +54,16 @@
     return {kind: 'customer_limit', detail, retryAfterMs};
   }
 
-  accept(task: spread.Task): void {
+  accept(task: tasks.Task): void {
     this.add(task, 1, 0);
   }
 
-  record(task: spread.Task, outcome: exchange.Outcome): void {
+  record(task: tasks.Task, outcome: exchange.Outcome): void {
     if (outcome.type !== 'answered' || outcome.tokens === 0) return;
     this.add(task, 0, outcome.tokens);
   }
 
-  private add(task: spread.Task, requests: number, tokens: number): void {
+  private add(task: tasks.Task, requests: number, tokens: number): void {
     // Only the first router counts, so that a pass-on counts once.
     if (task.request.hops > 0) return;
     const {customer} = task.request;
--- a/packages/router/src/wire.ts
+++ b/packages/router/src/wire.ts
@@ -33,6 +33,7 @@
 import * as suspects from './suspects.js';
 import * as trails from './trails.js';
 import * as usage from './usage.js';
+import * as walk from './walk.js';
 
 /** How long a router's counts are believed without a new digest. */
 const COUNTS_STALE_MS = 5_000;
@@ -90,7 +91,7 @@
     ),
   );
   kernel.register(
-    spread.RETRY,
+    walk.RETRY,
     new decide.BudgetedRetry({random: kernel.find(core.RANDOM)}),
   );
   kernel.register(suspects.SUSPECTS, new decide.SignatureSuspectBook());
@@ -116,7 +117,7 @@
   kernel.register(places.ADMISSION, new decide.NaiveAdmission());
   kernel.register(pools.LOADS, new decide.NaiveLoadBook());
   kernel.register(fleet.EJECTION, new decide.NaiveEjection());
-  kernel.register(spread.RETRY, new decide.NaiveRetry());
+  kernel.register(walk.RETRY, new decide.NaiveRetry());
   kernel.register(suspects.SUSPECTS, new decide.NaiveSuspectBook());
   kernel.register(
     rooms.ROOMS,
@@ -175,6 +176,7 @@
   kernel.register(probes.PROBES, new probes.LoadProbes(kernel, own));
   kernel.register(runner.RUNNER, new runner.HttpRunner(kernel));
   kernel.register(passer.PASSER, new passer.HttpPasser(kernel, own));
+  kernel.register(walk.WALK, new walk.RoomWalk(kernel));
   kernel.register(spread.SPREAD, new spread.OwnerSpread(kernel));
   kernel.register(once.ONCE, new once.ClaimedOnce(kernel));
   kernel.register(gate.GATE, new gate.ServiceGate(kernel));
