--- a/packages/router/src/configuration.ts
+++ b/packages/router/src/configuration.ts
@@ -104,9 +104,10 @@
   }
 
   heard(router: string, nextOffset: number): void {
-    if (nextOffset > this.nextOffset()) {
-      this.aheadPeer = {router, nextOffset};
-    } else if (this.isCurrent()) {
+    const ownOffset = this.nextOffset();
+    if (nextOffset > ownOffset) this.aheadPeer = {router, nextOffset};
+    // A router that is behind says nothing of what is newest.
+    if (nextOffset === ownOffset && this.isCurrent()) {
       this.freshMs = this.nowMs();
     }
   }
@@ -161,14 +162,15 @@
 
   /** The offset from which a newcomer could read the state, if any. */
   private snapshotThrough(page: platform.LogPage): number {
-    for (const {offset, record} of page.records) {
+    for (const {offset, at_ms: atMs, record} of page.records) {
       const {type, through_offset: through} = (record ?? {}) as {
         type?: string;
         through_offset?: number;
       };
       if (type !== 'snapshot' || through === undefined) continue;
       this.snapshotOffset = Math.max(this.snapshotOffset, offset + 1);
-      this.snapshotMs = this.nowMs();
+      const ageMs = Math.max(0, this.clock.wallMs() - atMs);
+      this.snapshotMs = this.nowMs() - ageMs;
     }
     return this.snapshotOffset === 0 ? 0 : this.snapshotOffset - 1;
   }
@@ -212,7 +214,7 @@
     if (!this.isCurrent() || this.book.nextOffset === 0) return false;
     if (this.hasLostHistory) return true;
     const records = this.book.nextOffset - this.snapshotOffset;
-    if (records <= 0) return false;
+    // Also without new records, since the snapshot itself expires.
     const ageMs = this.nowMs() - this.snapshotMs;
     return (
       records >= this.own.snapshotEvery || ageMs >= this.own.snapshotMaxAgeMs
--- a/packages/router/src/tests/parts.ts
+++ b/packages/router/src/tests/parts.ts
@@ -49,11 +49,13 @@
   readonly flags?: Flags;
   /** Who leads all tasks; absent: this router. */
   readonly leader?: string;
+  /** Whether the log cannot be reached from the start. */
+  readonly isCut?: boolean;
 }
 
-function basics({name, log, leader = name}: PartOptions) {
+function basics({name, log, leader = name, isCut}: PartOptions) {
   const kernel = new core.Kernel();
-  const link = new sharedLog.LogLink(log);
+  const link = new sharedLog.LogLink(log, isCut);
   kernel.register(core.CLOCK, log.clock);
   kernel.register(core.LOGGER, new core.SilentLogger());
   kernel.register(platform.LOG_CLIENT, link);
--- a/packages/router/src/tests/sharedlog.ts
+++ b/packages/router/src/tests/sharedlog.ts
@@ -62,17 +62,21 @@
 
 /** One router's way to the log. */
 export class LogLink implements platform.LogClient {
-  isCut = false;
   /** How many of the next appends take effect without a reply. */
   lostReplies = 0;
   /** How many of the next appends have no effect. */
   lostRequests = 0;
   /** What the next append waits for once it has taken effect. */
   pause: Promise<void> | undefined;
+  /** How many reads were begun. */
+  reads = 0;
   /** The newest record that was sent, whether or not it arrived. */
   sent: unknown;
 
-  constructor(private readonly log: SharedLog) {}
+  constructor(
+    private readonly log: SharedLog,
+    private isCut = false,
+  ) {}
 
   async append(stream: string, record: unknown): Promise<core.Result<number>> {
     this.sent = record;
@@ -88,6 +92,7 @@
     options: platform.LogRead,
   ): Promise<core.Result<platform.LogPage>> {
     const {stream, from, waitMs, limit = 500, signal} = options;
+    this.reads++;
     const isWaiting = () => this.log.open(stream).length <= from;
     if (!this.isCut && isWaiting()) await this.change(waitMs, signal);
     if (this.isCut) return this.unavailable();
