Test at most once under kills, freezes, outages and resends

Change: the tests with a fleet of processes; a claim carries the time until which its call may be dispatched.

--- a/packages/router/src/claims.ts
+++ b/packages/router/src/claims.ts
@@ -27,8 +27,11 @@
 export interface Claim {
   readonly key: string;
   readonly attempt: string;
-  /** Monotonic time before the claim was appended. */
-  readonly beganMs: number;
+  /**
+   * Monotonic time until which the call may be dispatched, counted from
+   * before the claim was appended.
+   */
+  readonly untilMs: number;
 }
 
 /** Claims of keys. */
@@ -109,8 +112,7 @@
   }
 
   isValid(claim: Claim): boolean {
-    const ageMs = this.kernel.find(core.CLOCK).nowMs() - claim.beganMs;
-    return ageMs <= this.own.claimValidityMs;
+    return this.kernel.find(core.CLOCK).nowMs() <= claim.untilMs;
   }
 
   stream(key: string): string {
@@ -195,7 +197,8 @@
     if (!put.ok) return put;
     const state = this.book.state(key);
     if (state.type === 'running' && state.attempt === attempt) {
-      return core.succeed({key, attempt, beganMs});
+      const untilMs = beganMs + this.own.claimValidityMs;
+      return core.succeed({key, attempt, untilMs});
     }
     if (state.type !== 'unclaimed') return this.lost(state.type);
     void this.record({type: 'release', key, attempt});
--- /dev/null
+++ b/packages/router/src/tests/random.test.ts
@@ -0,0 +1,179 @@
+/**
+ * At most once with faults at random: kills and restarts, freezes, outages of
+ * the log, lost replies, and resends through other routers.
+ */
+import * as chai from 'chai';
+import * as core from '@oleanderrock/core';
+import type * as standins from '@oleanderrock/standins';
+import * as members from './members.js';
+import * as waiting from './until.js';
+
+const ROUTERS = ['r0', 'r1', 'r2', 'r3', 'r4', 'r5'];
+const SERVICES = ['a', 'b', 'c'];
+const KEYS = 540;
+const CALLERS = 24;
+const MAX_SENDS = 4;
+const TWIN_SHARE = 0.15;
+const PAUSE_MS = 250;
+const OUTAGE_MS = 300;
+const FLAGS = [
+  ['--claim-timeout-ms', '800'],
+  ['--claim-validity-ms', '800'],
+  ['--log-level', 'warn'],
+].flat();
+const SEEDS = (process.env['ONCE_SEEDS'] ?? '1').split(',').map(Number);
+
+type Fault = () => Promise<void>;
+
+/** One run of the fleet under one seed. */
+class Trial {
+  readonly fleet = members.createFleet();
+  readonly results: standins.CallResult[] = [];
+  readonly faults = new Map<string, number>();
+  private readonly random: core.Random;
+  private readonly away = new Set<string>();
+  private isOver = false;
+
+  constructor(seed: number) {
+    this.random = new core.SeededRandom(seed);
+  }
+
+  async start(): Promise<void> {
+    await this.fleet.start();
+    const route = {wait_ms: 300, first_byte_timeout_ms: 1_500};
+    await members.setOrders(this.fleet, SERVICES, route);
+    const services = SERVICES.map(name => this.fleet.addService({name}));
+    const routers = ROUTERS.map(name => this.boot(name));
+    await Promise.all([...services, ...routers]);
+  }
+
+  /** Sends all keys while faults go on. */
+  async run(): Promise<string[]> {
+    const keys = Array.from({length: KEYS}, () => core.createId());
+    const left = [...keys];
+    const faults = this.disturb();
+    const callers = Array.from({length: CALLERS}, () => this.send(left));
+    await Promise.all(callers);
+    this.isOver = true;
+    await faults;
+    return keys;
+  }
+
+  private async boot(name: string): Promise<void> {
+    const router = await this.fleet.addRouter({name, flags: FLAGS});
+    await waiting.until('it is ready', () => members.isReady(router));
+  }
+
+  /** One caller: takes keys and sends each until it has an outcome. */
+  private async send(left: string[]): Promise<void> {
+    for (;;) {
+      const key = left.pop();
+      if (key === undefined) return;
+      const isTwin = this.random.next() < TWIN_SHARE;
+      const both = [this.persist(key), isTwin ? this.persist(key) : undefined];
+      await Promise.all(both);
+    }
+  }
+
+  private async persist(key: string): Promise<void> {
+    for (let count = 0; count < MAX_SENDS; count++) {
+      const name = this.pick(ROUTERS);
+      const router = this.fleet.member(name);
+      const result = await members.call(router, {idempotencyKey: key});
+      this.results.push(result);
+      if (result.type === 'answered') return;
+    }
+  }
+
+  private async disturb(): Promise<void> {
+    const faults: Array<[string, Fault]> = [
+      ['kill', () => this.kill()],
+      ['freeze', () => this.freeze()],
+      ['outage', () => this.outage()],
+      ['lost replies', () => this.lose()],
+    ];
+    const running: Array<Promise<void>> = [];
+    while (!this.isOver) {
+      const [name, fault] = this.pick(faults);
+      this.faults.set(name, (this.faults.get(name) ?? 0) + 1);
+      running.push(fault());
+      await pause(PAUSE_MS);
+    }
+    await Promise.all(running);
+  }
+
+  private async kill(): Promise<void> {
+    const name = this.takeAway();
+    if (name === undefined) return;
+    await this.fleet.kill(name);
+    await pause(PAUSE_MS);
+    await this.boot(name);
+    this.away.delete(name);
+  }
+
+  private async freeze(): Promise<void> {
+    const name = this.takeAway();
+    if (name === undefined) return;
+    this.fleet.freeze(name);
+    await pause(200 + this.random.below(1_500));
+    this.fleet.resume(name);
+    this.away.delete(name);
+  }
+
+  private async outage(): Promise<void> {
+    await this.fleet.controlPlatform({log_down: true});
+    await pause(OUTAGE_MS);
+    await this.fleet.controlPlatform({log_down: false});
+  }
+
+  private async lose(): Promise<void> {
+    const replies = {lose_append_replies: 1 + this.random.below(4)};
+    await this.fleet.controlPlatform(replies);
+  }
+
+  /** A router that may fail; three are always left. */
+  private takeAway(): string | undefined {
+    const name = this.pick(ROUTERS);
+    if (this.away.size >= 3 || this.away.has(name)) return undefined;
+    this.away.add(name);
+    return name;
+  }
+
+  private pick<T>(items: readonly T[]): T {
+    return items[this.random.below(items.length)] as T;
+  }
+}
+
+function pause(delayMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, delayMs));
+}
+
+function tally(names: Iterable<string>): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const name of names) counts[name] = (counts[name] ?? 0) + 1;
+  return counts;
+}
+
+for (const seed of SEEDS) {
+  describe(`at most once, faults of seed ${seed}`, function () {
+    this.timeout(60_000);
+    const trial = new Trial(seed);
+
+    before(() => trial.start());
+
+    after(() => trial.fleet.stop());
+
+    it(`runs each of ${KEYS} keys at most once and tells the truth`, async () => {
+      const keys = await trial.run();
+      const counts = await members.countRuns(trial.fleet, SERVICES);
+      const runs = keys.map(key => counts.byKey.get(key) ?? 0);
+      const kinds = tally(trial.results.map(members.kindOf));
+      const faults = Object.fromEntries(trial.faults);
+      const line = {seed, ...tally(runs.map(run => `ran_${run}`)), ...kinds};
+      process.stdout.write(`      ${core.line({...line, ...faults})}\n`);
+      chai.expect(Math.max(...runs)).to.equal(1);
+      const untrue = members.findUntrue(trial.results, counts);
+      chai.expect(untrue).to.deep.equal([]);
+    });
+  });
+}
