Let the routers of the operators' tests drain sooner

Cause: a draining router now serves for as long as callers keep its address, 10 s by default, so the test of a drain through another router took 10.4 s.

--- a/packages/router/src/tests/operators.ts
+++ b/packages/router/src/tests/operators.ts
@@ -5,6 +5,8 @@
 import * as standins from '@oleanderrock/standins';
 
 const POLL_MS = 20;
+/** A router that drains waits for as long as callers keep its address. */
+const FLAGS = ['--where-keep-ms', '200'];
 
 /** The router's program. */
 export const PROGRAM = url.fileURLToPath(
@@ -51,7 +53,7 @@
   async start(routers: readonly string[]): Promise<void> {
     await this.fleet.start();
     await Promise.all([
-      ...routers.map(name => this.fleet.addRouter({name})),
+      ...routers.map(name => this.fleet.addRouter({name, flags: FLAGS})),
       this.fleet.addEngine({name: 'e1'}),
       this.fleet.addService({name: 's1'}),
       this.fleet.addService({name: 's2'}),
