Kill a router during an edit in the commands' test

Cause: the promise that an edit counts once, where the next address takes it after the first router is lost, was not tested. Change: the log is slow, the router is killed once its append has reached the log, and the command goes on to the other router; the audit gains exactly one verdict. The checks of the test that was there stay.

--- a/packages/ctl/src/tests/ctl.test.ts
+++ b/packages/ctl/src/tests/ctl.test.ts
@@ -36,6 +36,11 @@
     return file;
   }
 
+  async function readAudit(): Promise<core.Verdict[]> {
+    const audit = await own.run('audit', '--limit', '500', '--json');
+    return (JSON.parse(audit.out) as {verdicts: core.Verdict[]}).verdicts;
+  }
+
   it('shows a diff, and applies it once it is sure', async () => {
     const file = await write('tables.json', {pools: [POOL], routes: [ROUTE]});
     const dry = await own.run('apply', file, '--dry-run');
@@ -188,12 +193,23 @@
     }
   });
 
-  it('says that an edit is not yet in force everywhere', async () => {
+  it('edits once where a router is killed during it, and says who lags', async () => {
     const [first] = own.fleet.instances('router');
     const other = first?.name === 'r1' ? 'r2' : 'r1';
+    const both = [other, first?.name ?? ''].map(name => own.address(name));
+    const known = (await readAudit()).length;
+    await own.fleet.controlPlatform({log_slow_ms: 200});
+    const taken = await own.bytesToLog();
+    const words = ['max_queued=9', '--address', both.join(',')];
+    const setting = own.run('pools', 'set', 'services', ...words);
+    await terminal.until(async () => (await own.bytesToLog()) > taken);
     await own.fleet.kill(other);
-    const set = await own.run('pools', 'set', 'services', 'max_queued=9');
+    const set = await setting;
+    await own.fleet.controlPlatform({log_slow_ms: 0});
     expect(set.code).to.equal(EXITS.pending);
     expect(set.out).to.contain(`in force on 1 of 2; lagging: ${other}`);
+    const verdicts = await readAudit();
+    expect(verdicts).to.have.length(known + 1);
+    expect(verdicts[0]).to.include({outcome: 'accepted'});
   });
 });
--- a/packages/ctl/src/tests/terminal.ts
+++ b/packages/ctl/src/tests/terminal.ts
@@ -6,7 +6,7 @@
 import * as standins from '@oleanderrock/standins';
 import * as program from '../program.js';
 
-const POLL_MS = 50;
+const POLL_MS = 20;
 const ROUTER = new URL(
   './main.js',
   import.meta.resolve('@oleanderrock/router'),
@@ -22,6 +22,11 @@
 /** Address at which nothing listens. */
 export const NOWHERE = '127.0.0.1:1';
 
+/** Resolves once `condition` holds; the test's own timeout bounds it. */
+export async function until(condition: () => Promise<boolean>): Promise<void> {
+  while (!(await condition())) await timers.setTimeout(POLL_MS);
+}
+
 /** A small fleet and a terminal. */
 export class Terminal {
   readonly fleet = new standins.Fleet({
@@ -37,16 +42,21 @@
     ]);
     const total = `${routers.length} of ${routers.length}`;
     for (const router of routers) {
-      for (;;) {
+      await until(async () => {
         const address = this.address(router);
         const {out} = await this.run('status', '--address', address);
         const isOwned = /^s1 +home/m.test(out);
-        if (out.includes(`in force on ${total}`) && isOwned) break;
-        await timers.setTimeout(POLL_MS);
-      }
+        return out.includes(`in force on ${total}`) && isOwned;
+      });
     }
   }
 
+  /** Bytes of records that the log was asked to append. */
+  async bytesToLog(): Promise<number> {
+    const stats = await this.fleet.platformStats();
+    return (stats as {bytes_in: number}).bytes_in;
+  }
+
   /** The administration address of a router. */
   address(router: string): string {
     const {address, admin_port: port} = this.fleet.member(router).instance;
