--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -4,6 +4,7 @@
  */
 import * as core from '@oleanderrock/core';
 import * as fs from 'node:fs/promises';
+import * as os from 'node:os';
 import * as util from 'node:util';
 import * as experiments from './experiment.js';
 import * as launching from './launch.js';
@@ -57,12 +58,14 @@
 async function bench(only?: experiments.ExperimentName): Promise<void> {
   const startedAt = new Date().toISOString();
   const beganMs = performance.now();
+  const [loadBefore = 0] = os.loadavg();
   const results: experiments.Result[] = [];
   for (const part of plans.select(only)) results.push(...(await runPart(part)));
   await write({
     command: `npm run bench${only ? ` -- --only ${only}` : ''}`,
     startedAt,
     tookMs: performance.now() - beganMs,
+    machineLoad: [loadBefore, os.loadavg()[0] ?? 0],
     results,
   });
 }
--- a/packages/bench/src/player.ts
+++ b/packages/bench/src/player.ts
@@ -4,6 +4,7 @@
  */
 import * as core from '@oleanderrock/core';
 import * as standins from '@oleanderrock/standins';
+import * as perfHooks from 'node:perf_hooks';
 import * as deployments from './deployment.js';
 import type * as traces from './trace.js';
 
@@ -11,6 +12,7 @@
 const TIMEOUT_MS = 30_000;
 const CONNECT_TIMEOUT_MS = 2_000;
 const COPY_GAP_MS = 20;
+const NS_PER_MS = 1_000_000;
 
 /** One request of a trace that was sent, with what came back. */
 export interface Played {
@@ -30,6 +32,7 @@
   private readonly routers: readonly standins.CallAddress[];
   private readonly callers: readonly standins.Caller[];
   private readonly turns = new Map<string, Promise<void>>();
+  private readonly delay = perfHooks.monitorEventLoopDelay({resolution: 5});
   private played: Played[] = [];
   private sent = 0;
 
@@ -49,6 +52,8 @@
   async play(trace: readonly traces.Call[]): Promise<Played[]> {
     const beganMs = this.clock.nowMs();
     const running: Array<Promise<void>> = [];
+    this.delay.reset();
+    this.delay.enable();
     this.played = [];
     this.turns.clear();
     for (const call of trace) {
@@ -57,9 +62,15 @@
       running.push(this.start(call));
     }
     await Promise.all(running);
+    this.delay.disable();
     return this.played;
   }
 
+  /** How late this process itself ran, 99th percentile of the last trace. */
+  get ownDelayMs(): number {
+    return this.delay.percentile(99) / NS_PER_MS;
+  }
+
   /** Closes all connections. */
   close(): void {
     for (const caller of this.callers) caller.close();
--- a/packages/bench/src/surge.ts
+++ b/packages/bench/src/surge.ts
@@ -35,7 +35,9 @@
     const played = await player.play(this.trace());
     player.close();
     await publishing.publish(deployments.rows(), access);
-    return this.judge(running, played);
+    const findings = this.judge(running, played);
+    const delay = `the callers' process ran late by ${player.ownDelayMs.toFixed(0)} ms at p99`;
+    return {...findings, notes: [...findings.notes, `surge: ${delay}`]};
   }
 
   private trace(): traces.Call[] {
--- a/packages/bench/src/tests/report.test.ts
+++ b/packages/bench/src/tests/report.test.ts
@@ -31,6 +31,7 @@
     command: 'npm run bench',
     startedAt: '',
     tookMs: 1,
+    machineLoad: [1, 2],
     results: [result('naive', 0.3), result('owner', owner)],
   };
 }
