--- a/packages/core/src/headers.ts
+++ b/packages/core/src/headers.ts
@@ -8,6 +8,8 @@
 export const IDEMPOTENCY_KEY = 'idempotency-key';
 /** Id of the request, on every hop and on the answer. */
 export const REQUEST_ID = 'oleander-request-id';
+/** Name of the operator who edits, for the audit. */
+export const OPERATOR = 'oleander-operator';
 /** The endpoint that answered. */
 export const ENDPOINT = 'oleander-endpoint';
 /** Why the request went there. */
@@ -16,6 +18,8 @@
 export const HOPS = 'oleander-hops';
 /** The endpoint that the passing router chose. */
 export const TARGET = 'oleander-target';
+/** The endpoint that last served the chat, as the passing router knows it. */
+export const LAST = 'oleander-last';
 /** The claim attempt under which the request may be dispatched. */
 export const ATTEMPT = 'oleander-attempt';
 /** An endpoint's word that it did not run the request: `no`. */
--- a/packages/router/src/entry.ts
+++ b/packages/router/src/entry.ts
@@ -19,6 +19,8 @@
   port(): number;
   /** Asks callers to leave their connections. */
   retire(): void;
+  /** Takes no more connections and waits for the open ones to end. */
+  drain(timeoutMs: number): Promise<void>;
 }
 
 /** The contract under which the listener is registered. */
@@ -38,6 +40,7 @@
       port: own.entryPort,
       maxHeaderBytes: own.maxHeaderBytes,
       requestTimeoutMs: own.requestTimeoutMs,
+      keepAliveMs: own.keepAliveMs,
       log: kernel.find(core.LOGGER),
       serve: call => this.serve(call),
     });
@@ -59,6 +62,10 @@
     this.listener.retire();
   }
 
+  drain(timeoutMs: number): Promise<void> {
+    return this.listener.drain(timeoutMs);
+  }
+
   private async serve(call: listener.Call): Promise<void> {
     const [path = ''] = (call.request.url ?? '').split('?');
     if (path === '/where') return this.answerWhere(call);
@@ -166,7 +173,8 @@
     id,
     customer: text(core.headers.CUSTOMER) ?? ANONYMOUS,
     chat: text(core.headers.CHAT),
-    key: text(core.headers.IDEMPOTENCY_KEY),
+    // Ids are the same in either case, and so must their stream be.
+    key: text(core.headers.IDEMPOTENCY_KEY)?.toLowerCase(),
     method: request.method ?? 'GET',
     path: request.url ?? '/',
     headers: httpAnswer.forwarded(request.headers),
--- a/packages/router/src/once.ts
+++ b/packages/router/src/once.ts
@@ -8,19 +8,28 @@
 import * as claims from './claims.js';
 import * as exchange from './exchange.js';
 import * as fleet from './fleet.js';
+import * as meters from './meters.js';
 import * as passer from './passer.js';
-import * as rooms from './rooms.js';
+import type * as places from './places.js';
 import * as runner from './runner.js';
-import type * as spread from './spread.js';
+import type * as tasks from './task.js';
+import * as trails from './trails.js';
+import * as walk from './walk.js';
 
 const MAX_LEADERS = 3;
-const MAX_TRIES = 6;
+
+/** Faults that leave it sure that the call was not taken. */
+const NOT_TAKEN: readonly core.Kind[] = [
+  'endpoint_refused',
+  'endpoint_unreachable',
+  'peer_unreachable',
+];
 
 /** Server of calls that may not be repeated. */
 export interface Once {
   /** The task whose leader claims the key. */
   task(key: string): string;
-  serve(task: spread.Task): Promise<exchange.Outcome>;
+  serve(task: tasks.Task): Promise<exchange.Outcome>;
 }
 
 /** The contract under which it is registered. */
@@ -39,7 +48,7 @@
     return this.kernel.find(claims.CLAIMS).stream(key);
   }
 
-  async serve(task: spread.Task): Promise<exchange.Outcome> {
+  async serve(task: tasks.Task): Promise<exchange.Outcome> {
     const {key, hops, target, attempt} = task.request;
     if (key === undefined) {
       const detail = `route ${task.route.name} runs at most once`;
@@ -56,7 +65,7 @@
 
   /** At the first router: passes on to the leader of the key's stream. */
   private async enter(
-    task: spread.Task,
+    task: tasks.Task,
     key: string,
   ): Promise<exchange.Outcome> {
     const known = this.kernel.find(fleet.FLEET);
@@ -76,49 +85,36 @@
 
   /** At the leader: claims the key, then dispatches under the claim. */
   private async claim(
-    task: spread.Task,
+    task: tasks.Task,
     key: string,
   ): Promise<exchange.Outcome> {
     const book = this.kernel.find(claims.CLAIMS);
     const claim = await book.claim(key);
+    this.kernel.find(meters.METERS).claimed(claim);
+    const verdict = claim.ok ? 'the key is claimed' : claim.failure.detail;
+    const notes = this.kernel.find(trails.TRAILS);
+    notes.note(task.request.id, claim.ok ? 'claimed' : 'not_claimed', verdict);
     if (!claim.ok) return exchange.refused(claim.failure);
-    const outcome = await this.dispatch(task, claim.value);
+    const outcome = await this.kernel
+      .find(walk.WALK)
+      .run(this.journey(task, claim.value));
     if (outcome.type === 'answered') book.answered(claim.value);
     // The caller may come again with the same key, so the claim goes back.
     if (hasNotRun(outcome)) await book.release(claim.value);
     return outcome;
   }
 
-  private async dispatch(
-    task: spread.Task,
-    claim: claims.Claim,
-  ): Promise<exchange.Outcome> {
-    const {request, route, pool, answer} = task;
-    const clock = this.kernel.find(core.CLOCK);
-    const deadlineMs = clock.nowMs() + route.wait_ms;
-    const excluded = new Set<string>();
-    let outcome: exchange.Outcome | undefined;
-    for (let count = 0; count < MAX_TRIES; count++) {
-      const wish = {
-        request,
-        route,
-        pool,
-        excluded,
-        deadlineMs,
-        gone: answer.gone,
-      };
-      const grant = await this.kernel.find(rooms.ROOMS).reserve(wish);
-      if (!grant.ok) return outcome ?? exchange.refused(grant.failure);
-      outcome = await this.use(task, grant.value, claim);
-      if (!hasNotRun(outcome) || answer.hasBegun) return outcome;
-      excluded.add(grant.value.choice.endpoint);
-    }
-    return outcome ?? exchange.failed('saturated', 'no endpoint took it');
+  private journey(task: tasks.Task, claim: claims.Claim): walk.Journey {
+    return {
+      task,
+      use: grant => this.use(task, grant, claim),
+      mayRepeat: failure => NOT_TAKEN.includes(failure.kind),
+    };
   }
 
   private use(
-    task: spread.Task,
-    grant: rooms.Grant,
+    task: tasks.Task,
+    grant: places.Grant,
     claim: claims.Claim,
   ): Promise<exchange.Outcome> {
     const {endpoint, reason} = grant.choice;
@@ -139,30 +135,18 @@
   }
 
   /** At the endpoint's owner, under a claim of the router that passed it. */
-  private async serveTarget(
-    task: spread.Task,
+  private serveTarget(
+    task: tasks.Task,
     target: string,
   ): Promise<exchange.Outcome> {
-    const {request, route, pool, answer} = task;
-    const known = this.kernel.find(fleet.FLEET);
-    if (known.owners(target)[0] !== known.self()) {
-      const detail = `${known.self()} does not own ${target}`;
-      return exchange.failed('not_owner', detail);
-    }
-    const wish = {
-      request,
-      route,
-      pool,
-      excluded: new Set<string>(),
-      deadlineMs: 0,
-      gone: answer.gone,
+    const use = (grant: places.Grant) => {
+      const {reason} = grant.choice;
+      const mayDispatch = () => !task.answer.gone.aborted;
+      const run = {...task, endpoint: target, reason, mayDispatch};
+      return this.kernel.find(runner.RUNNER).run(run);
     };
-    const grant = this.kernel.find(rooms.ROOMS).reserveAt(wish, target);
-    if (!grant.ok) return exchange.refused(grant.failure);
-    const {reason} = grant.value.choice;
-    const mayDispatch = () => !answer.gone.aborted;
-    const run = {...task, endpoint: target, reason, mayDispatch};
-    return this.kernel.find(runner.RUNNER).run(run);
+    const journey = {task, use, mayRepeat: () => false};
+    return this.kernel.find(walk.WALK).runAt(journey, target);
   }
 }
 
--- a/packages/router/src/passer.ts
+++ b/packages/router/src/passer.ts
@@ -10,6 +10,7 @@
 import * as exchange from './exchange.js';
 import * as fleet from './fleet.js';
 import * as httpAnswer from './httpanswer.js';
+import * as meters from './meters.js';
 import * as relay from './relay.js';
 import type * as settings from './settings.js';
 import * as trails from './trails.js';
@@ -25,6 +26,8 @@
   readonly router: string;
   /** The endpoint to use; absent: the other router chooses. */
   readonly target?: string;
+  /** The endpoint that last served the chat. */
+  readonly last?: string;
   /** The claim attempt under which the call may be dispatched. */
   readonly attempt?: string;
   readonly reason: string;
@@ -57,6 +60,7 @@
     const {request, router, reason, target} = options;
     const notes = this.kernel.find(trails.TRAILS);
     notes.note(request.id, 'passed_on', `to ${router}: ${reason}`, target);
+    this.kernel.find(meters.METERS).passedOn();
     const outcome = await this.relay(options);
     if (outcome.type === 'failed') {
       const {kind, detail} = outcome.failure;
@@ -73,7 +77,8 @@
       return exchange.failed('peer_unreachable', `${router} is not listed`);
     }
     const kept = this.kernel.find(connections.CONNECTIONS);
-    const head = await relay.send({
+    const send = route.repeatable ? relay.sendRepeatable : relay.send;
+    const head = await send({
       address: peer.address,
       port: peer.peer_port,
       method: request.method,
@@ -128,7 +133,7 @@
   }
 
   private headers(options: Pass): Record<string, string> {
-    const {request, target, attempt} = options;
+    const {request, target, last, attempt} = options;
     const headers: Record<string, string> = {
       ...request.headers,
       [PEER_TOKEN]: this.own.peerToken,
@@ -139,6 +144,7 @@
     if (request.chat) headers[core.headers.CHAT] = request.chat;
     if (request.key) headers[core.headers.IDEMPOTENCY_KEY] = request.key;
     if (target) headers[core.headers.TARGET] = target;
+    if (last) headers[core.headers.LAST] = last;
     if (attempt) headers[core.headers.ATTEMPT] = attempt;
     return headers;
   }
--- a/packages/router/src/peers.ts
+++ b/packages/router/src/peers.ts
@@ -11,7 +11,9 @@
 import * as digest from './digest.js';
 import * as drain from './drain.js';
 import * as fleet from './fleet.js';
+import * as meters from './meters.js';
 import * as peerServer from './peerserver.js';
+import * as places from './places.js';
 import * as pools from './pools.js';
 import * as rooms from './rooms.js';
 import type * as settings from './settings.js';
@@ -131,7 +133,10 @@
     const bytes = datagram.length + digest.DATAGRAM_HEADER_BYTES;
     // Early digests leave half of the budget to the periodic ones.
     const reserve = isEarly ? this.own.controlBytesPerSecond / 2 : 0;
-    if (!this.budget.spend(bytes, this.clock.nowMs(), reserve)) return;
+    if (!this.budget.spend(bytes, this.clock.nowMs(), reserve)) {
+      this.kernel.find(meters.METERS).digestSkipped();
+      return;
+    }
     this.socket?.send(datagram, peer.peer_port, peer.address);
     this.kernel.find(control.CONTROL_METER).add('digest', 'sent', bytes);
   }
@@ -217,7 +222,7 @@
   ): void {
     const known = this.kernel.find(fleet.FLEET);
     const source = this.kernel.find(pools.POOLS);
-    const waiting = this.kernel.find(rooms.ROOMS);
+    const room = this.kernel.find(places.PLACES);
     const counts: decide.RemoteCount[] = [];
     for (const item of message.counts) {
       const endpoint = this.endpoints.find(item.endpointHash);
@@ -225,7 +230,7 @@
       counts.push({endpoint, router, inFlight: item.inFlight});
       if (known.owners(endpoint)[0] !== router) continue;
       source.setRemoteUsable(endpoint, item.isUsable);
-      waiting.noteCounts(endpoint);
+      room.noteCounts(endpoint);
     }
     this.kernel.find(pools.LOADS).learn(router, counts, nowMs);
   }
--- a/packages/router/src/probes.ts
+++ b/packages/router/src/probes.ts
@@ -3,9 +3,11 @@
  * endpoint's load report. Other services ask here whether an endpoint has
  * crashed or whether only its kept connections have gone silent.
  */
+import * as http from 'node:http';
 import * as core from '@oleanderrock/core';
 import * as v from 'valibot';
 import * as connections from './connections.js';
+import * as control from './control.js';
 import * as fleet from './fleet.js';
 import * as jsonhttp from './jsonhttp.js';
 import * as memory from './memory.js';
@@ -18,21 +20,28 @@
 export interface Probes {
   /** Whether the endpoint refuses connections or has been started anew. */
   hasCrashed(endpoint: string, timeoutMs: number): Promise<boolean>;
-  /** Renews the kept connections where a new connection works. */
-  renewIfSilent(endpoint: string): Promise<void>;
+  /** Renews the kept connections where a new one works; tells if it did. */
+  renewIfSilent(endpoint: string): Promise<boolean>;
+  /** Notes an endpoint's own word, in an answer, that it is leaving. */
+  saidLeaving(endpoint: string): void;
 }
 
 /** The contract under which the probes are registered. */
 export const PROBES = core.contract<Probes>('probes', [
   'hasCrashed',
   'renewIfSilent',
+  'saidLeaving',
 ]);
 
 /** Probes that read the load report over HTTP. */
 export class LoadProbes implements Probes, core.Lifecycle {
   private readonly tasks: core.TaskGroup;
   private readonly probing = new Set<string>();
+  /** Apart from the requests' connections, so that its bytes are metered. */
+  private readonly agent = new http.Agent({keepAlive: true});
   private readonly startIds = new Map<string, string>();
+  /** When an answer last said that the endpoint is leaving. */
+  private readonly saidLeavingMs = new Map<string, number>();
 
   constructor(
     private readonly kernel: core.Kernel,
@@ -46,25 +55,34 @@
     return Promise.resolve();
   }
 
-  stop(): Promise<void> {
-    return this.tasks.stop();
+  async stop(): Promise<void> {
+    await this.tasks.stop();
+    this.agent.destroy();
   }
 
   async hasCrashed(endpoint: string, timeoutMs: number): Promise<boolean> {
     const before = this.startIds.get(endpoint);
     const report = await this.read(endpoint, timeoutMs, false);
-    if (!report) return true;
+    if (report === 'refused') return true;
+    if (!report) return false;
     return before !== undefined && report.start_id !== before;
   }
 
-  async renewIfSilent(endpoint: string): Promise<void> {
+  async renewIfSilent(endpoint: string): Promise<boolean> {
     const target = this.kernel.find(fleet.FLEET).find(endpoint);
-    if (!target) return;
+    if (!target) return false;
     const report = await this.read(endpoint, this.own.loadPeriodMs, false);
-    if (!report) return;
+    if (!report || report === 'refused') return false;
     const kept = this.kernel.find(connections.CONNECTIONS);
     kept.renew(target.address, target.port);
     this.kernel.find(core.LOGGER).warn('connections_renewed', {endpoint});
+    return true;
+  }
+
+  saidLeaving(endpoint: string): void {
+    const nowMs = this.kernel.find(core.CLOCK).nowMs();
+    this.saidLeavingMs.set(endpoint, nowMs);
+    this.kernel.find(fleet.FLEET).setLeaving(endpoint, true);
   }
 
   /** Starts a task for each endpoint that has come into ownership. */
@@ -90,8 +108,8 @@
     while (!signal.aborted && this.isOwned(endpoint)) {
       const report = await this.read(endpoint, this.own.loadPeriodMs, true);
       if (signal.aborted) break;
-      if (report) this.adopt(endpoint, report);
-      else await this.missed(endpoint);
+      if (report && report !== 'refused') this.adopt(endpoint, report);
+      else await this.missed(endpoint, report === 'refused');
       await clock.sleep(this.own.loadPeriodMs, signal);
     }
     this.probing.delete(endpoint);
@@ -102,8 +120,7 @@
     const takenAtMs = nowMs - report.age_ms;
     const inFlight = report.in_flight + report.queued;
     this.kernel.find(pools.LOADS).report({endpoint, inFlight, takenAtMs});
-    const known = this.kernel.find(fleet.FLEET);
-    known.setLeaving(endpoint, report.state === 'leaving');
+    this.adoptState(endpoint, report.state, takenAtMs);
     this.kernel.find(fleet.EJECTION).succeeded(endpoint, nowMs);
     const before = this.startIds.get(endpoint);
     this.startIds.set(endpoint, report.start_id);
@@ -112,29 +129,50 @@
     this.kernel.find(memory.MEMORY).forget(endpoint);
   }
 
-  private async missed(endpoint: string): Promise<void> {
-    const nowMs = this.kernel.find(core.CLOCK).nowMs();
-    this.kernel.find(fleet.EJECTION).failed(endpoint, nowMs);
-    await this.renewIfSilent(endpoint);
+  /** Takes in the report's state, unless an answer told a newer one. */
+  private adoptState(
+    endpoint: string,
+    state: core.LoadReport['state'],
+    takenAtMs: number,
+  ): void {
+    const isLeaving = state === 'leaving';
+    const saidMs = this.saidLeavingMs.get(endpoint) ?? -Infinity;
+    if (!isLeaving && takenAtMs <= saidMs) return;
+    this.saidLeavingMs.delete(endpoint);
+    this.kernel.find(fleet.FLEET).setLeaving(endpoint, isLeaving);
+  }
+
+  private async missed(endpoint: string, isRefused: boolean): Promise<void> {
+    const clock = this.kernel.find(core.CLOCK);
+    const ejection = this.kernel.find(fleet.EJECTION);
+    ejection.failed(endpoint, clock.nowMs());
+    if (isRefused) return;
+    const isSilent = await this.renewIfSilent(endpoint);
+    // No answer over a new connection either counts as a second failure.
+    if (!isSilent) ejection.failed(endpoint, clock.nowMs());
   }
 
   private async read(
     endpoint: string,
     timeoutMs: number,
     isKept: boolean,
-  ): Promise<core.LoadReport | undefined> {
+  ): Promise<core.LoadReport | 'refused' | undefined> {
     const target = this.kernel.find(fleet.FLEET).find(endpoint);
     if (!target) return undefined;
     const {address, port} = target;
-    const kept = this.kernel.find(connections.CONNECTIONS);
     const reply = await jsonhttp.call({
       address,
       port,
       path: '/load',
-      agent: isKept ? kept.agent(address, port) : undefined,
+      agent: isKept ? this.agent : undefined,
       timeoutMs,
+      meter: control.metering(this.kernel.find(control.CONTROL_METER), 'load'),
     });
-    if (reply.type === 'error' || reply.status !== 200) return undefined;
+    if (reply.type === 'error') {
+      const {stage, cause} = reply.error;
+      return stage === 'connect' && cause === 'broken' ? 'refused' : undefined;
+    }
+    if (reply.status !== 200) return undefined;
     const parsed = v.safeParse(core.loadReportSchema, reply.body);
     return parsed.success ? parsed.output : undefined;
   }
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -80,6 +80,8 @@
     const notes = this.kernel.find(trails.TRAILS);
     notes.note(request.id, 'dispatched', run.reason, endpoint);
     book.began(signature, endpoint);
+    const nowMs = this.kernel.find(core.CLOCK).nowMs();
+    this.kernel.find(fleet.EJECTION).began(endpoint, nowMs);
     const outcome = await this.dispatch(run);
     await this.judge(signature, endpoint, outcome);
     this.kernel.find(rooms.ROOMS).release(endpoint);
@@ -98,7 +100,8 @@
       return exchange.failed('endpoint_unreachable', `${endpoint} is gone`);
     }
     const kept = this.kernel.find(connections.CONNECTIONS);
-    const head = await relay.send({
+    const send = route.repeatable ? relay.sendRepeatable : relay.send;
+    const head = await send({
       address: target.address,
       port: target.port,
       method: request.method,
@@ -155,7 +158,7 @@
 
   private noteState(endpoint: string, response: http.IncomingMessage): boolean {
     const isLeaving = response.headers[core.headers.STATE] === 'leaving';
-    if (isLeaving) this.kernel.find(fleet.FLEET).setLeaving(endpoint, true);
+    if (isLeaving) this.kernel.find(probes.PROBES).saidLeaving(endpoint);
     return isLeaving;
   }
 
@@ -190,6 +193,9 @@
       return;
     }
     ejection.failed(endpoint, nowMs);
+    if (kind === 'endpoint_unreachable') {
+      this.kernel.find(fleet.FLEET).unreachable(endpoint);
+    }
     if (outcome.isBroken) await this.judgeBreak(signature, endpoint);
     else book.abandoned(signature, endpoint);
     if (kind === 'endpoint_timeout') this.suspectSilence(endpoint);
--- a/packages/router/src/settings.ts
+++ b/packages/router/src/settings.ts
@@ -98,6 +98,12 @@
     unit: 'ms',
     meaning: 'how long callers keep an answer of /where',
   },
+  keepAliveMs: {
+    schema: durationMs,
+    fallback: '10000',
+    unit: 'ms',
+    meaning: 'how long idle connections of callers are kept',
+  },
   drainTimeoutMs: {
     schema: durationMs,
     fallback: '120000',
@@ -134,6 +140,18 @@
     unit: 'ms',
     meaning: "time between looks at an owned endpoint's load report",
   },
+  contextWaitMs: {
+    schema: core.wholeNumber(0, HOUR_MS),
+    fallback: '200',
+    unit: 'ms',
+    meaning: 'how long a returning chat waits for the endpoint it was at',
+  },
+  listLingerMs: {
+    schema: core.wholeNumber(0, HOUR_MS),
+    fallback: '2500',
+    unit: 'ms',
+    meaning: 'how long an instance stays known that vanishes from the list',
+  },
   settleMs: {
     schema: durationMs,
     fallback: '5000',
--- a/packages/router/src/wire.ts
+++ b/packages/router/src/wire.ts
@@ -15,11 +15,13 @@
 import * as gate from './gate.js';
 import * as handover from './handover.js';
 import * as memory from './memory.js';
+import * as meters from './meters.js';
 import * as once from './once.js';
 import * as passer from './passer.js';
 import * as peerCalls from './peercalls.js';
 import * as peers from './peers.js';
 import * as peerServer from './peerserver.js';
+import * as places from './places.js';
 import * as platform from './platform.js';
 import * as pools from './pools.js';
 import * as probes from './probes.js';
@@ -31,6 +33,7 @@
 import * as suspects from './suspects.js';
 import * as trails from './trails.js';
 import * as usage from './usage.js';
+import * as walk from './walk.js';
 
 /** How long a router's counts are believed without a new digest. */
 const COUNTS_STALE_MS = 5_000;
@@ -52,16 +55,18 @@
 
 function wireBasics(kernel: core.Kernel, own: settings.Settings): void {
   const log = new core.ConsolaLogger(own.logLevel, {router: own.name});
-  const outside = new platform.HttpPlatform({url: own.platformUrl});
   kernel.register(core.CLOCK, new core.SystemClock());
   kernel.register(core.RANDOM, new core.SeededRandom(core.hash32(own.name)));
   kernel.register(core.LOGGER, log);
   kernel.register(core.METRICS, new core.ProcessMetrics());
   kernel.register(settings.SETTINGS_SERVICE, {get: () => own});
+  const meter = new control.PromControlMeter(kernel);
+  kernel.register(control.CONTROL_METER, meter);
+  const outside = new platform.HttpPlatform({url: own.platformUrl, meter});
   kernel.register(platform.INSTANCE_SOURCE, outside);
   kernel.register(platform.LOG_CLIENT, outside);
   kernel.register(connections.CONNECTIONS, new connections.KeptConnections());
-  kernel.register(control.CONTROL_METER, new control.PromControlMeter(kernel));
+  kernel.register(meters.METERS, new meters.PromMeters(kernel));
 }
 
 /** The chosen decisions. */
@@ -73,17 +78,24 @@
     new decide.RendezvousPlacement({memory: chats}),
   );
   kernel.register(fleet.OWNERSHIP, new decide.RendezvousOwnership());
-  kernel.register(rooms.ADMISSION, new decide.BoundedAdmission());
+  kernel.register(
+    fleet.ROSTER,
+    new decide.LingeringRoster({lingerMs: own.listLingerMs}),
+  );
+  kernel.register(places.ADMISSION, new decide.BoundedAdmission());
   kernel.register(
     pools.LOADS,
     new decide.CountedLoadBook({staleMs: COUNTS_STALE_MS}),
   );
   kernel.register(
     fleet.EJECTION,
-    new decide.ObservedEjection({settleMs: own.settleMs}),
+    new meters.MeteredEjection(
+      kernel,
+      new decide.ObservedEjection({settleMs: own.settleMs}),
+    ),
   );
   kernel.register(
-    spread.RETRY,
+    walk.RETRY,
     new decide.BudgetedRetry({random: kernel.find(core.RANDOM)}),
   );
   kernel.register(suspects.SUSPECTS, new decide.SignatureSuspectBook());
@@ -91,6 +103,7 @@
     rooms.ROOMS,
     new rooms.QueuedRooms(
       kernel,
+      own,
       pool => new decide.FairQueue({maxQueued: pool.max_queued}),
     ),
   );
@@ -105,15 +118,17 @@
     fleet.OWNERSHIP,
     new decide.LocalOwnership({router: own.name}),
   );
-  kernel.register(rooms.ADMISSION, new decide.NaiveAdmission());
+  kernel.register(fleet.ROSTER, new decide.NaiveRoster());
+  kernel.register(places.ADMISSION, new decide.NaiveAdmission());
   kernel.register(pools.LOADS, new decide.NaiveLoadBook());
   kernel.register(fleet.EJECTION, new decide.NaiveEjection());
-  kernel.register(spread.RETRY, new decide.NaiveRetry());
+  kernel.register(walk.RETRY, new decide.NaiveRetry());
   kernel.register(suspects.SUSPECTS, new decide.NaiveSuspectBook());
   kernel.register(
     rooms.ROOMS,
     new rooms.QueuedRooms(
       kernel,
+      own,
       pool => new decide.FifoQueue({maxQueued: pool.max_queued}),
     ),
   );
@@ -152,6 +167,7 @@
 function wireServices(kernel: core.Kernel, own: settings.Settings): void {
   kernel.register(drain.DRAIN, new drain.CountedDrain(kernel));
   kernel.register(fleet.FLEET, new fleet.ListedFleet(kernel, own));
+  kernel.register(places.PLACES, new places.OwnedPlaces(kernel));
   kernel.register(pools.POOLS, new pools.ListedPools(kernel));
   kernel.register(
     peerCalls.PEER_CALLS,
@@ -165,6 +181,7 @@
   kernel.register(probes.PROBES, new probes.LoadProbes(kernel, own));
   kernel.register(runner.RUNNER, new runner.HttpRunner(kernel));
   kernel.register(passer.PASSER, new passer.HttpPasser(kernel, own));
+  kernel.register(walk.WALK, new walk.RoomWalk(kernel));
   kernel.register(spread.SPREAD, new spread.OwnerSpread(kernel));
   kernel.register(once.ONCE, new once.ClaimedOnce(kernel));
   kernel.register(gate.GATE, new gate.ServiceGate(kernel));
