Publish the tables with oleanderctl in the demo and the bench

Change: publish.ts runs oleanderctl apply on a file in a temporary folder and tries again after the exit codes that say no router or not yet in force. Ruled out: the edit by HTTP, which passed by the operators' program. Conclusion: the demo goes the operators' way.

--- a/packages/bench/src/publish.ts
+++ b/packages/bench/src/publish.ts
@@ -1,8 +1,19 @@
-/** Publishes the operators' tables on a fleet. */
+/** Publishes the operators' tables on a fleet with `oleanderctl`. */
 import * as core from '@oleanderrock/core';
-import * as v from 'valibot';
+import * as standins from '@oleanderrock/standins';
+import * as fs from 'node:fs/promises';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import * as url from 'node:url';
 import type * as deployment from './deployment.js';
 
+const PROGRAM = new URL('../../ctl/dist/main.js', import.meta.url);
+const OPERATOR = 'bench';
+/** Exit codes after which the same command may succeed. */
+const PASSING = [3, 5];
+const MAX_TRIES = 4;
+const RETRY_MS = 250;
+
 /** Where operators reach a router, and with what. */
 export interface AdminAccess {
   /** As `127.0.0.1:8082`. */
@@ -10,51 +21,42 @@
   readonly token: string;
 }
 
-function call(
-  access: AdminAccess,
-  path: string,
-  body?: object,
-): Promise<Response> {
-  return fetch(`http://${access.address}/admin/v1/${path}`, {
-    method: body ? 'POST' : 'GET',
-    body: body && JSON.stringify(body),
-    headers: {
-      authorization: `Bearer ${access.token}`,
-      'content-type': 'application/json',
-      connection: 'close',
-    },
-  });
-}
-
-async function readTables(access: AdminAccess): Promise<core.Tables> {
-  const answer = await call(access, 'tables');
-  if (!answer.ok) throw new Error(`the tables: status ${answer.status}`);
-  return v.parse(core.tablesSchema, await answer.json());
-}
-
-function changes(rows: deployment.Rows, now: core.Tables): core.Change[] {
-  return (['pools', 'routes'] as const).flatMap(table =>
-    rows[table].map(row => ({
-      table,
-      name: row.name,
-      expected_version: now[table][row.name]?.version ?? 0,
-      row,
-    })),
-  );
-}
-
-/** Sets rows in one edit. Throws where it is not accepted. */
+/**
+ * Sets rows in one edit and resolves when it is in force on every router.
+ * Throws, with the command's output, where that fails.
+ */
 export async function publish(
   rows: deployment.Rows,
   access: AdminAccess,
 ): Promise<void> {
-  const edit = {
-    operator: 'bench',
-    changes: changes(rows, await readTables(access)),
+  const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'oleander-bench-'));
+  try {
+    const file = path.join(folder, 'tables.json');
+    await fs.writeFile(file, JSON.stringify(rows));
+    await apply(file, access);
+  } finally {
+    await fs.rm(folder, {recursive: true});
+  }
+}
+
+async function apply(file: string, access: AdminAccess): Promise<void> {
+  const clock = new core.SystemClock();
+  const {address, token} = access;
+  const flags = {
+    '--address': address,
+    '--token': token,
+    '--operator': OPERATOR,
   };
-  const answer = await call(access, 'edits', edit);
-  const text = await answer.text();
-  if (!answer.ok || !text.includes('accepted')) {
-    throw new Error(`the tables were not accepted: ${answer.status} ${text}`);
+  const args = ['apply', file, '--yes', ...Object.entries(flags).flat()];
+  const program = url.fileURLToPath(PROGRAM);
+  for (let count = 1; ; count++) {
+    const command = new standins.Child('oleanderctl', program, args);
+    const {status} = await command.exited;
+    if (status === 0) return;
+    if (count >= MAX_TRIES || !PASSING.includes(status ?? 0)) {
+      const output = command.lines.join('; ');
+      throw new Error(`oleanderctl apply: status ${status}: ${output}`);
+    }
+    await clock.sleep(RETRY_MS);
   }
 }
