--- a/packages/decide/src/usage.ts
+++ b/packages/decide/src/usage.ts
@@ -32,7 +32,10 @@
 export interface UsageBook {
   /** Counts a request when it is accepted, its tokens when it is answered. */
   add(usage: Usage, nowMs: number): void;
-  /** Replaces what another router counted in the running minute. */
+  /**
+   * Replaces what another router counted of these customers in the running
+   * minute; what it told of others before stays, and fades.
+   */
   learn(router: string, uses: readonly MinuteUse[], nowMs: number): void;
   /**
    * Milliseconds until the customer is below its limit again, counting the
@@ -65,7 +68,7 @@
 
 interface RemoteUse {
   readonly atMs: number;
-  readonly uses: ReadonlyMap<string, MinuteUse>;
+  readonly use: MinuteUse;
 }
 
 /** After this many slots, all that the window holds now has left it. */
@@ -105,7 +108,8 @@
   private readonly maxCustomers: number;
   private readonly accounts: lru.LRUCache<string, Account>;
   private readonly others: Rows = new Map();
-  private readonly remotes = new Map<string, RemoteUse>();
+  /** By customer, then by router. */
+  private readonly remotes = new Map<string, Map<string, RemoteUse>>();
 
   constructor({maxCustomers = DEFAULT_MAX_CUSTOMERS}: UsageOptions = {}) {
     this.maxCustomers = maxCustomers;
@@ -122,12 +126,14 @@
   }
 
   learn(router: string, uses: readonly MinuteUse[], nowMs: number): void {
-    for (const [name, {atMs}] of this.remotes) {
-      if (nowMs - atMs >= window.WINDOW_MS) this.remotes.delete(name);
+    for (const use of uses) {
+      const known = this.remotes.get(use.customer);
+      if (!known && this.remotes.size >= this.maxCustomers) this.sweep(nowMs);
+      if (!known && this.remotes.size >= this.maxCustomers) continue;
+      const byRouter = known ?? new Map<string, RemoteUse>();
+      byRouter.set(router, {atMs: nowMs, use});
+      this.remotes.set(use.customer, byRouter);
     }
-    const kept = uses.slice(0, this.maxCustomers);
-    const byName = new Map(kept.map(use => [use.customer, use]));
-    this.remotes.set(router, {atMs: nowMs, uses: byName});
   }
 
   excessMs(customer: string, limit: Limit, nowMs: number): number {
@@ -171,17 +177,26 @@
     }
   }
 
+  /** Drops what other routers told longer ago than a window. */
+  private sweep(nowMs: number): void {
+    for (const [customer, byRouter] of this.remotes) {
+      for (const [router, {atMs}] of byRouter) {
+        if (nowMs - atMs >= window.WINDOW_MS) byRouter.delete(router);
+      }
+      if (byRouter.size === 0) this.remotes.delete(customer);
+    }
+  }
+
   private remoteUse(
     customer: string,
     nowMs: number,
     laterSlots: number,
   ): window.Amount {
     let total = NOTHING;
-    for (const {atMs, uses} of this.remotes.values()) {
+    for (const {atMs, use} of this.remotes.get(customer)?.values() ?? []) {
       const ageMs = nowMs - atMs + laterSlots * window.SLOT_MS;
-      const use = uses.get(customer);
       const share = Math.max(0, 1 - ageMs / window.WINDOW_MS);
-      if (!use || share === 0) continue;
+      if (share === 0) continue;
       const requests = Math.ceil(use.requests * share);
       const tokens = Math.ceil(use.tokens * share);
       total = sum(total, {requests, tokens});
--- a/packages/router/src/peers.ts
+++ b/packages/router/src/peers.ts
@@ -25,6 +25,10 @@
 const MIN_GAP_MS = 100;
 const MAX_DATAGRAMS = 4_096;
 const MAX_NOTES = 16;
+const MS_PER_SECOND = 1_000;
+/** Size of a digest without notes, and of one customer's use in it. */
+const DIGEST_BYTES = 90;
+const USE_BYTES = 24;
 
 /** Exchange of digests. */
 export interface Peers {
@@ -158,10 +162,25 @@
         incarnation: note.incarnation,
       })),
       suspects: notes.slice(0, MAX_NOTES),
-      uses: this.kernel.find(usage.USAGE).minute(),
+      uses: this.uses(),
     };
   }
 
+  /**
+   * As many customers' use as fits in this digest's share of the budget; the
+   * next digest goes on with the others.
+   */
+  private uses(): readonly decide.MinuteUse[] {
+    const all = this.kernel.find(usage.USAGE).minute();
+    const periods = MS_PER_SECOND / this.own.digestPeriodMs;
+    const digests = Math.max(1, this.neighbours.size) * periods;
+    const shareBytes = this.own.controlBytesPerSecond / digests;
+    const room = Math.floor((shareBytes - DIGEST_BYTES) / USE_BYTES);
+    const count = Math.min(all.length, Math.max(1, room));
+    const from = (this.sequence * count) % Math.max(1, all.length);
+    return [...all.slice(from), ...all.slice(0, from)].slice(0, count);
+  }
+
   /** Own counts: of owned endpoints, and of others with requests left. */
   private counts(nowMs: number): digest.EndpointCount[] {
     const known = this.kernel.find(fleet.FLEET);
--- a/packages/router/src/settings.ts
+++ b/packages/router/src/settings.ts
@@ -130,7 +130,7 @@
   },
   controlBytesPerSecond: {
     schema: count,
-    fallback: '4000',
+    fallback: '3600',
     unit: 'bytes/s',
     meaning: 'budget for digests sent, UDP and IP headers included',
   },
--- a/packages/router/src/wire.ts
+++ b/packages/router/src/wire.ts
@@ -38,7 +38,7 @@
 /** How long a router's counts are believed without a new digest. */
 const COUNTS_STALE_MS = 5_000;
 const DOWN_NOTE_MS = 10_000;
-const MAX_NEIGHBOURS = 32;
+const MAX_NEIGHBOURS = 24;
 const MAX_CUSTOMERS = 2_000;
 
 /** Wires a router that is ready to start. */
