Match answers strictly, find poison in few crashes, tell truly what ran

By reading: a refusal after a try that may have run was told as not run. Change: unmatched answers only over new connections, which then close; final statuses only; a reset where a cut would look whole; the first error stands where a resend cannot connect; suspicion travels with passes and refusals.

--- a/packages/decide/src/suspects.ts
+++ b/packages/decide/src/suspects.ts
@@ -20,6 +20,8 @@
 export interface SuspectBook {
   /** `wait` while another suspect runs on the endpoint. */
   check(signature: string, endpoint: string, nowMs: number): SuspectVerdict;
+  /** What is held against the request now, if anything. */
+  state(signature: string, nowMs: number): 'suspect' | 'condemned' | undefined;
   began(signature: string, endpoint: string): void;
   /** The request ended without a crash; a suspect is cleared by it. */
   ended(signature: string, endpoint: string, nowMs: number): void;
@@ -119,6 +121,10 @@
     return isTaken ? 'wait' : 'free';
   }
 
+  state(name: string, nowMs: number): Suspicion['state'] | undefined {
+    return this.stateOf(name, nowMs);
+  }
+
   began(name: string, endpoint: string): void {
     this.requests.add(name, endpoint);
   }
@@ -218,6 +224,10 @@
     return 'free';
   }
 
+  state(): undefined {
+    return undefined;
+  }
+
   began(name: string, endpoint: string): void {
     this.requests.add(name, endpoint);
   }
--- a/packages/router/src/gate.ts
+++ b/packages/router/src/gate.ts
@@ -155,7 +155,6 @@
     request: exchange.RouterRequest,
     route: core.Route,
   ): core.Failure | undefined {
-    if (request.hops > 0) return undefined;
     const nowMs = this.kernel.find(core.CLOCK).nowMs();
     const book = this.kernel.find(suspects.SUSPECTS);
     const signature = suspects.sign(request, route);
@@ -163,6 +162,7 @@
       const detail = 'endpoints crashed under this request; it is refused';
       return {kind: 'poison', detail};
     }
+    if (request.hops > 0) return undefined;
     return this.kernel.find(usage.USAGE).forbid(request.customer);
   }
 
--- a/packages/router/src/httpanswer.ts
+++ b/packages/router/src/httpanswer.ts
@@ -13,6 +13,8 @@
   readonly requestId: string;
   /** Whether refusals are marked for the router that passed the request on. */
   readonly isPeer: boolean;
+  /** More headers of a refusal, asked when it is sent. */
+  readonly marks?: () => Readonly<Record<string, string>>;
 }
 
 /** Writes an answer to an HTTP response as it streams. */
@@ -65,7 +67,10 @@
   }
 
   cut(): void {
-    this.response.destroy();
+    const {socket} = this.response;
+    // Without chunks the end of the connection would look like the body's.
+    if (socket && !this.response.chunkedEncoding) socket.resetAndDestroy();
+    else this.response.destroy();
   }
 
   refuse(failure: core.Failure): void {
@@ -74,7 +79,7 @@
       return;
     }
     const mark: Record<string, string> = this.options.isPeer
-      ? {[REFUSAL]: failure.kind}
+      ? {[REFUSAL]: failure.kind, ...this.options.marks?.()}
       : {};
     listener.sendProblem(this.response, failure, this.options.requestId, mark);
   }
--- a/packages/router/src/passer.ts
+++ b/packages/router/src/passer.ts
@@ -12,6 +12,7 @@
 import * as httpAnswer from './httpanswer.js';
 import * as relay from './relay.js';
 import type * as settings from './settings.js';
+import * as suspects from './suspects.js';
 import * as trails from './trails.js';
 
 const MAX_REFUSAL_BYTES = 65_536;
@@ -103,7 +104,10 @@
   ): Promise<exchange.Outcome> {
     const {route, router, answer} = options;
     const refusal = response.headers[httpAnswer.REFUSAL];
-    if (refusal !== undefined) return readRefusal(response, router);
+    if (refusal !== undefined) {
+      suspects.heed(this.kernel, response.headers[suspects.SUSPICION]);
+      return readRefusal(response, router);
+    }
     const endpoint = String(response.headers[core.headers.ENDPOINT] ?? '');
     answer.begin({
       status: response.statusCode ?? 0,
@@ -139,6 +143,7 @@
     };
     if (request.chat) headers[core.headers.CHAT] = request.chat;
     if (request.key) headers[core.headers.IDEMPOTENCY_KEY] = request.key;
+    Object.assign(headers, suspects.mark(this.kernel, request));
     if (target) headers[core.headers.TARGET] = target;
     if (attempt) headers[core.headers.ATTEMPT] = attempt;
     return headers;
--- a/packages/router/src/peerserver.ts
+++ b/packages/router/src/peerserver.ts
@@ -14,6 +14,7 @@
 import * as peerApi from './peerapi.js';
 import * as peerCalls from './peercalls.js';
 import type * as settings from './settings.js';
+import * as suspects from './suspects.js';
 
 const MAX_HOPS = 2;
 
@@ -92,9 +93,11 @@
     const {request, response} = call;
     response.writeProcessing();
     const id = String(request.headers[core.headers.REQUEST_ID] ?? '');
+    let passed: exchange.RouterRequest | undefined = undefined;
     const answer = new httpAnswer.HttpAnswer(response, {
       requestId: id,
       isPeer: true,
+      marks: () => (passed ? suspects.mark(this.kernel, passed) : {}),
     });
     if (this.kernel.find(drain.DRAIN).isDraining()) {
       response.setHeader('connection', 'close');
@@ -106,7 +109,8 @@
       answer.refuse(body.failure);
       return;
     }
-    const passed = readPass(request, path, body.value);
+    suspects.heed(this.kernel, request.headers[suspects.SUSPICION]);
+    passed = readPass(request, path, body.value);
     if (passed.hops > MAX_HOPS) {
       const detail = `passed on ${passed.hops} times`;
       answer.refuse({kind: 'hop_limit', detail});
--- a/packages/router/src/relay.ts
+++ b/packages/router/src/relay.ts
@@ -8,6 +8,9 @@
 import * as core from '@oleanderrock/core';
 import type * as exchange from './exchange.js';
 
+const MIN_STATUS = 200;
+const MAX_STATUS = 599;
+
 /** Where and how a request is sent. */
 export interface RelayOptions {
   readonly address: string;
@@ -95,6 +98,7 @@
 function connected(request: http.ClientRequest): Promise<net.Socket> {
   return new Promise((resolve, reject) => {
     request.once('error', reject);
+    request.once('close', () => reject(new Error('the connection closed')));
     request.once('socket', socket => {
       if (!socket.connecting) resolve(socket);
       else socket.once('connect', () => resolve(socket));
@@ -105,6 +109,7 @@
 function answered(request: http.ClientRequest): Promise<http.IncomingMessage> {
   return new Promise((resolve, reject) => {
     request.once('error', reject);
+    request.once('close', () => reject(new Error('the connection closed')));
     request.once('response', resolve);
   });
 }
@@ -121,24 +126,47 @@
   });
 }
 
-/** A head whose end can be told from a cut, and which answers this request. */
+/** Whether the request has an id and the answer does not repeat it. */
+function isUnmatched(
+  response: http.IncomingMessage,
+  options: RelayOptions,
+): boolean {
+  if (options.requestId === '') return false;
+  return response.headers[core.headers.REQUEST_ID] === undefined;
+}
+
+/** Why a head cannot be taken for the answer to this request. */
 function checkHead(
   response: http.IncomingMessage,
   options: RelayOptions,
+  isReused: boolean,
 ): string | undefined {
+  const status = response.statusCode ?? 0;
+  if (status < MIN_STATUS || status > MAX_STATUS) {
+    return `the answer has the status ${status}`;
+  }
   const id = response.headers[core.headers.REQUEST_ID];
   if (id !== undefined && id !== options.requestId) {
     return `the answer carries another request's id, ${String(id)}`;
   }
+  if (isUnmatched(response, options) && isReused) {
+    return 'the answer carries no id and may be an earlier one that is late';
+  }
   const hasEnd =
     response.headers['content-length'] !== undefined ||
     response.headers['transfer-encoding'] === 'chunked' ||
     options.method === 'HEAD' ||
-    response.statusCode === 204 ||
-    response.statusCode === 304;
+    status === 204 ||
+    status === 304;
   return hasEnd ? undefined : 'the answer has neither a length nor chunks';
 }
 
+/** Keeps a connection from being used again, on which answers have no id. */
+function closeAfter(response: http.IncomingMessage): void {
+  const {socket} = response;
+  response.once('end', () => socket.destroy());
+}
+
 /** Sends the request and waits for the head of the answer. */
 export async function send(options: RelayOptions): Promise<Head | Failed> {
   const request = open(options);
@@ -172,8 +200,11 @@
   request.end(options.body);
   try {
     const response = await answered(request);
-    const fault = checkHead(response, options);
-    if (!fault) return {type: 'head', response};
+    const fault = checkHead(response, options, request.reusedSocket);
+    if (!fault) {
+      if (isUnmatched(response, options)) closeAfter(response);
+      return {type: 'head', response};
+    }
     request.destroy();
     return stop('sent', 'protocol', fault);
   } catch (error) {
@@ -196,7 +227,10 @@
 ): Promise<Head | Failed> {
   const first = await send(options);
   if (first.type === 'head' || !first.error.isStale) return first;
-  return send({...options, agent: undefined});
+  const second = await send({...options, agent: undefined});
+  // No new connection either: the other end crashed, maybe under the request.
+  const isGone = second.type === 'error' && second.error.stage === 'connect';
+  return isGone ? first : second;
 }
 
 /** Copies the body to the answer; resolves with the error that cut it. */
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -9,6 +9,7 @@
 import * as connections from './connections.js';
 import * as exchange from './exchange.js';
 import * as fleet from './fleet.js';
+import * as peers from './peers.js';
 import * as probes from './probes.js';
 import * as relay from './relay.js';
 import * as rooms from './rooms.js';
@@ -69,6 +70,11 @@
     .exhaustive();
 }
 
+/** The outcome where the router itself fails; the place is given back. */
+function fault(error: unknown): exchange.Outcome {
+  return exchange.failed('internal', core.reason(error));
+}
+
 /** Runs requests over HTTP. */
 export class HttpRunner implements Runner {
   constructor(private readonly kernel: core.Kernel) {}
@@ -82,7 +88,7 @@
     book.began(signature, endpoint);
     const nowMs = this.kernel.find(core.CLOCK).nowMs();
     this.kernel.find(fleet.EJECTION).began(endpoint, nowMs);
-    const outcome = await this.dispatch(run);
+    const outcome = await this.dispatch(run).catch(fault);
     await this.judge(signature, endpoint, outcome);
     this.kernel.find(rooms.ROOMS).release(endpoint);
     const result =
@@ -208,6 +214,7 @@
     else if (book.running(endpoint).includes(signature)) {
       this.kernel.find(core.LOGGER).warn('endpoint_crashed', {endpoint});
       book.crashed(endpoint, nowMs);
+      this.kernel.find(peers.PEERS).announce('state');
     }
   }
 
--- a/packages/router/src/spread.ts
+++ b/packages/router/src/spread.ts
@@ -12,6 +12,7 @@
 import * as pools from './pools.js';
 import * as rooms from './rooms.js';
 import * as runner from './runner.js';
+import * as suspects from './suspects.js';
 
 const MAX_TRIES = 6;
 const MAX_OWNERS = 3;
@@ -73,6 +74,7 @@
   /** At the first router: passes on to the first endpoint's owner. */
   private async enter(task: Task): Promise<exchange.Outcome> {
     const known = this.kernel.find(fleet.FLEET);
+    let told: exchange.Outcome | undefined;
     for (let count = 0; count < MAX_OWNERS; count++) {
       const choice = this.first(task);
       const [owner] = choice ? known.owners(choice.endpoint) : [];
@@ -82,9 +84,10 @@
         router: owner,
         reason: `owner of ${choice.endpoint} (${choice.reason})`,
       });
-      if (!this.mayPassAgain(task, outcome)) return outcome;
+      told = worse(told, outcome);
+      if (!this.mayPassAgain(task, outcome)) return told;
     }
-    return this.place(task);
+    return worse(told, await this.place(task));
   }
 
   /** At the router that places the request: walks the order of endpoints. */
@@ -94,7 +97,7 @@
     const retry = this.kernel.find(RETRY);
     const deadlineMs = clock.nowMs() + route.wait_ms;
     const excluded = new Set<string>();
-    let outcome: exchange.Outcome | undefined;
+    let told: exchange.Outcome | undefined;
     retry.tried();
     for (let count = 1; count <= MAX_TRIES; count++) {
       const wish = {
@@ -106,17 +109,18 @@
         gone: answer.gone,
       };
       const grant = await this.kernel.find(rooms.ROOMS).reserve(wish);
-      if (!grant.ok) return outcome ?? exchange.refused(grant.failure);
-      outcome = await this.use(task, grant.value);
+      if (!grant.ok) return told ?? exchange.refused(grant.failure);
+      const outcome = await this.use(task, grant.value);
+      told = worse(told, outcome);
       const again = this.judge(task, outcome);
-      if (again === 'stop') return outcome;
+      if (again === 'stop') return told;
       if (again === 'fault') {
         excluded.add(grant.value.choice.endpoint);
-        if (!retry.spend()) return outcome;
+        if (!retry.spend()) return told;
         await clock.sleep(retry.backoffMs(count), answer.gone);
       }
     }
-    return outcome ?? exchange.failed('saturated', 'no endpoint took it');
+    return told ?? exchange.failed('saturated', 'no endpoint took it');
   }
 
   /** At the owner, with the endpoint chosen by the passing router. */
@@ -190,17 +194,36 @@
     );
   }
 
+  /** Whether the tries so far showed that the request crashes endpoints. */
+  private isCondemned({request, route}: Task): boolean {
+    const signature = suspects.sign(request, route);
+    const nowMs = this.kernel.find(core.CLOCK).nowMs();
+    const book = this.kernel.find(suspects.SUSPECTS);
+    return book.state(signature, nowMs) === 'condemned';
+  }
+
   private judge(
     task: Task,
     outcome: exchange.Outcome,
   ): 'stop' | 'elsewhere' | 'fault' {
     if (outcome.type === 'answered' || task.answer.hasBegun) return 'stop';
     if (task.answer.gone.aborted) return 'stop';
+    if (this.isCondemned(task)) return 'stop';
     if (isElsewhere(outcome)) return 'elsewhere';
     return FAULTS.includes(outcome.failure.kind) ? 'fault' : 'stop';
   }
 }
 
+/** What to tell after two tries: not run only where neither may have run. */
+function worse(
+  before: exchange.Outcome | undefined,
+  outcome: exchange.Outcome,
+): exchange.Outcome {
+  if (before?.type !== 'failed' || outcome.type === 'answered') return outcome;
+  const mayHaveRun = core.ANSWERS[before.failure.kind].ran !== 'no';
+  return mayHaveRun ? before : outcome;
+}
+
 function isElsewhere(outcome: exchange.Outcome): boolean {
   return outcome.type === 'failed' && ELSEWHERE.includes(outcome.failure.kind);
 }
--- a/packages/router/src/suspects.ts
+++ b/packages/router/src/suspects.ts
@@ -11,6 +11,11 @@
   'crashed',
 ]);
 
+const VALID_MS = {
+  suspect: decide.DEFAULT_SUSPECT_MS,
+  condemned: decide.DEFAULT_CONDEMNED_MS,
+} as const;
+
 const signatures = new WeakMap<exchange.RouterRequest, string>();
 
 /** The signature of a request; a resend has the same one. */
@@ -30,6 +35,31 @@
   return made;
 }
 
+/** Between routers, with a request or a refusal: what is held against it. */
+export const SUSPICION = 'oleander-suspicion';
+
+/** The mark for a request under suspicion; digests would come too late. */
+export function mark(
+  kernel: core.Kernel,
+  request: exchange.RouterRequest,
+): Record<string, string> {
+  const signature = signatures.get(request);
+  if (signature === undefined) return {};
+  const nowMs = kernel.find(core.CLOCK).nowMs();
+  const state = kernel.find(SUSPECTS).state(signature, nowMs);
+  return state ? {[SUSPICION]: `${signature} ${state}`} : {};
+}
+
+/** Takes in the mark of another router. */
+export function heed(kernel: core.Kernel, value: unknown): void {
+  if (typeof value !== 'string') return;
+  const [signature = '', state] = value.split(' ');
+  if (state !== 'suspect' && state !== 'condemned') return;
+  const validMs = VALID_MS[state];
+  const nowMs = kernel.find(core.CLOCK).nowMs();
+  kernel.find(SUSPECTS).learn({signature, state, validMs}, nowMs);
+}
+
 /** Notes on suspects for the digests of the next seconds. */
 export interface SuspectNotes {
   notes(nowMs: number): readonly decide.SuspectNote[];
--- a/packages/router/src/tests/faultsupport.ts
+++ b/packages/router/src/tests/faultsupport.ts
@@ -6,6 +6,7 @@
 import * as standins from '@oleanderrock/standins';
 
 const POLL_MS = 20;
+const UNTIL_MS = 20_000;
 const ROUTER = url.fileURLToPath(new URL('../main.js', import.meta.url));
 
 /** What a fleet is made of. */
@@ -62,19 +63,23 @@
       },
     ],
   ]);
+  await ready(fleet, '/chat');
+}
+
+/** Resolves once all routers know the path's route. */
+export async function ready(
+  fleet: standins.Fleet,
+  path: string,
+): Promise<void> {
   await until(async () => {
-    const all = fleet.addresses().map(address => ready(address, '/chat/x'));
+    const all = fleet.addresses().map(address => knows(address, path));
     return (await Promise.all(all)).every(is => is);
   });
 }
 
-/** Whether the router knows the path's route and every other router. */
-async function ready(address: string, path: string): Promise<boolean> {
-  const answer = await fetch(`http://${address}/where?path=${path}`);
-  const probe = await fetch(`http://${address}/ready`);
-  if (!answer.ok || !probe.ok) return false;
-  const refusal = await fetch(`http://${address}${path}`, {method: 'POST'});
-  return !(await refusal.text()).includes('no_route');
+async function knows(address: string, path: string): Promise<boolean> {
+  const answer = await call(address, path);
+  return !/no_route|not_ready|pool_empty/.test(answer.text);
 }
 
 /** A row as an operator writes it: whatever the schema lets out may lack. */
@@ -108,11 +113,15 @@
   });
 }
 
-/** Resolves once `condition` holds; the test's own timeout bounds it. */
+/** Resolves once `condition` holds; throws where it takes too long. */
 export async function until(
   condition: () => boolean | Promise<boolean>,
 ): Promise<void> {
-  while (!(await condition())) await timers.setTimeout(POLL_MS);
+  const deadlineMs = Date.now() + UNTIL_MS;
+  while (!(await condition())) {
+    if (Date.now() > deadlineMs) throw new Error('waited in vain');
+    await timers.setTimeout(POLL_MS);
+  }
 }
 
 /** Resolves after a time that the promise under test names. */
@@ -145,6 +154,15 @@
   return (await fleet.stats(name)) as Counts;
 }
 
+/** Requests that run at the endpoints now. */
+export async function running(
+  fleet: standins.Fleet,
+  endpoints: readonly string[],
+): Promise<number> {
+  const all = await Promise.all(endpoints.map(name => counts(fleet, name)));
+  return all.reduce((sum, item) => sum + item.in_flight, 0);
+}
+
 /** What one raw HTTP call gave. */
 export interface Raw {
   readonly status: number;
