--- a/packages/router/src/tests/silence.test.ts
+++ b/packages/router/src/tests/silence.test.ts
@@ -105,8 +105,9 @@
     const {connections} = await support.counts(fleet, 'e1');
     await fleet.control('e1', {silent: true});
     expectAnswers(await ask(), 2 * LIMIT_MS);
-    for (let count = 0; count < 3; count++)
+    for (let count = 0; count < 3; count++) {
       expectAnswers(await ask(), LIMIT_MS);
+    }
     expect(connections).to.be.above(0);
     await support.until(async () => {
       const {held} = (await fleet.stats('e1')) as {held: number};
