--- a/packages/router/src/exchange.ts
+++ b/packages/router/src/exchange.ts
@@ -3,7 +3,7 @@
  * front end turns its messages into these, so that another front end can use
  * the same decisions.
  */
-import type * as core from '@oleanderrock/core';
+import * as core from '@oleanderrock/core';
 
 /** A request as the router handles it. */
 export interface RouterRequest {
@@ -83,3 +83,10 @@
 export function refused(failure: core.Failure): Outcome {
   return {type: 'failed', failure, isBroken: false};
 }
+
+/** What to tell after two tries: not run only where neither may have run. */
+export function worse(before: Outcome | undefined, outcome: Outcome): Outcome {
+  if (before?.type !== 'failed' || outcome.type === 'answered') return outcome;
+  const mayHaveRun = core.ANSWERS[before.failure.kind].ran !== 'no';
+  return mayHaveRun ? before : outcome;
+}
--- a/packages/router/src/spread.ts
+++ b/packages/router/src/spread.ts
@@ -12,6 +12,7 @@
 import type * as places from './places.js';
 import * as pools from './pools.js';
 import * as runner from './runner.js';
+import * as suspects from './suspects.js';
 import type * as tasks from './task.js';
 import * as walk from './walk.js';
 
@@ -63,6 +64,7 @@
   /** At the first router: passes on to the first endpoint's owner. */
   private async enter(task: tasks.Task): Promise<exchange.Outcome> {
     const known = this.kernel.find(fleet.FLEET);
+    let told: exchange.Outcome | undefined;
     for (let count = 0; count < MAX_OWNERS; count++) {
       const choice = this.first(task);
       const [owner] = choice ? known.owners(choice.endpoint) : [];
@@ -73,9 +75,10 @@
         last: choice.reason === 'memory' ? choice.endpoint : undefined,
         reason: `owner of ${choice.endpoint} (${choice.reason})`,
       });
-      if (!this.mayPassAgain(task, outcome)) return outcome;
+      told = exchange.worse(told, outcome);
+      if (!this.mayPassAgain(task, outcome)) return told;
     }
-    return this.place(task);
+    return exchange.worse(told, await this.place(task));
   }
 
   /** At the router that places the request: walks the order of endpoints. */
@@ -87,7 +90,8 @@
     return {
       task,
       use: grant => this.use(task, grant),
-      mayRepeat: failure => FAULTS.includes(failure.kind),
+      mayRepeat: failure =>
+        FAULTS.includes(failure.kind) && !this.isCondemned(task),
     };
   }
 
@@ -128,4 +132,12 @@
       kind,
     );
   }
+
+  /** Whether the tries so far showed that the request crashes endpoints. */
+  private isCondemned({request, route}: tasks.Task): boolean {
+    const signature = suspects.sign(request, route);
+    const nowMs = this.kernel.find(core.CLOCK).nowMs();
+    const book = this.kernel.find(suspects.SUSPECTS);
+    return book.state(signature, nowMs) === 'condemned';
+  }
 }
--- a/packages/router/src/walk.ts
+++ b/packages/router/src/walk.ts
@@ -66,28 +66,28 @@
     const waitUntilMs = clock.nowMs() + task.route.wait_ms;
     const deadlineMs = Math.min(waitUntilMs, untilMs);
     const excluded = new Set<string>();
-    let outcome: exchange.Outcome | undefined;
+    let told: exchange.Outcome | undefined;
     let faults = 0;
     this.kernel.find(RETRY).tried();
     for (let refusals = 0; refusals < MAX_REFUSALS;) {
       const wish = tasks.wish(task, {deadlineMs, excluded});
       const grant = await this.kernel.find(rooms.ROOMS).reserve(wish);
-      if (!grant.ok) return outcome ?? exchange.refused(grant.failure);
-      outcome = await journey.use(grant.value);
-      if (outcome.type === 'answered' || task.answer.hasBegun) return outcome;
-      const {endpoint} = grant.value.choice;
+      if (!grant.ok) return told ?? exchange.refused(grant.failure);
+      const outcome = await journey.use(grant.value);
+      told = exchange.worse(told, outcome);
+      if (outcome.type === 'answered' || task.answer.hasBegun) return told;
       if (isElsewhere(outcome.failure)) {
         this.noteRefusal(grant.value);
         refusals++;
         continue;
       }
-      excluded.add(endpoint);
+      excluded.add(grant.value.choice.endpoint);
       faults++;
       const isOver = faults > MAX_FAULTS || task.answer.gone.aborted;
-      if (isOver || !journey.mayRepeat(outcome.failure)) return outcome;
-      if (!(await this.mayRetry(task, faults))) return outcome;
+      if (isOver || !journey.mayRepeat(outcome.failure)) return told;
+      if (!(await this.mayRetry(task, faults))) return told;
     }
-    return outcome ?? exchange.failed('saturated', 'no endpoint took it');
+    return told ?? exchange.failed('saturated', 'no endpoint took it');
   }
 
   async runAt(journey: Journey, endpoint: string): Promise<exchange.Outcome> {
