Ask the router that the silence test means

Cause: 'silence repeats on new connections ...' and '... freeze' failed now and then. The test took the first router of the list for r1, but routers start in parallel; when the first was r2 or r3 nothing was ever passed to its forwarder, or the frozen router itself was asked. Ruled out: a hanging request; a script with the same steps showed all 24 answered in 1.0 s after each silencing, the acknowledgement's limit. Change: both tests ask r1. What they expect is unchanged.

--- a/packages/router/src/tests/silence.test.ts
+++ b/packages/router/src/tests/silence.test.ts
@@ -123,9 +123,10 @@
       await fleet.list(name, {peer_port: await forwarder.listen()});
     }
     // Callers of r1 alone: most requests are passed on.
+    const {address, port} = fleet.member('r1').instance;
     const raw = async (index: number) => {
       const fromMs = Date.now();
-      const answer = await support.call(fleet.addresses()[0]!, '/chat', {
+      const answer = await support.call(`${address}:${port}`, '/chat', {
         headers: {'oleander-chat': `chat-${index}`},
         body: '{"output_tokens":2}',
       });
@@ -152,9 +153,9 @@
     fleet.freeze('r3');
     fleet.freeze('e2');
     await support.pause(FROZEN_MS);
-    const [first] = fleet.instances('router');
+    const first = fleet.member('r1');
     for (let count = 0; count < 3; count++) {
-      expectAnswers(await ask(24, fleet.member(first!.name)), 2 * LIMIT_MS);
+      expectAnswers(await ask(24, first), 2 * LIMIT_MS);
     }
     fleet.resume('r3');
     fleet.resume('e2');
