Watch only routers that send digests here too

Cause: a router watched all receivers of its digests, also pool mates. A mate with nearer mates of its own does not choose this router, so its silence says nothing; in the test's 410 routers with pools of 50, routers waited for digests that nobody sends, would have counted live routers as gone and told others so. A limit below 4 chose the whole ring (slice(-0)). Change: the choice names the receivers and, of these, the watched ones: the ring's sides, which choose each other. Not covered: lists that differ between two neighbours on the ring.

--- a/packages/decide/src/neighbours.ts
+++ b/packages/decide/src/neighbours.ts
@@ -5,6 +5,14 @@
  */
 import * as core from '@oleanderrock/core';
 
+/** Whom a router tells, and from whom it expects to hear. */
+export interface Neighbourhood {
+  /** Routers to send digests to. */
+  readonly receivers: readonly string[];
+  /** Those of them that choose this router too, so that silence tells. */
+  readonly watched: readonly string[];
+}
+
 /** Strategy that chooses the receivers of digests. */
 export interface Neighbours {
   /**
@@ -15,25 +23,27 @@
     self: string,
     routers: readonly string[],
     poolMates: readonly string[],
-  ): readonly string[];
+  ): Neighbourhood;
 }
 
 /** Every router sends to every other. */
 export class AllNeighbours implements Neighbours {
-  select(self: string, routers: readonly string[]): readonly string[] {
-    return routers.filter(router => router !== self);
+  select(self: string, routers: readonly string[]): Neighbourhood {
+    const others = routers.filter(router => router !== self);
+    return {receivers: others, watched: others};
   }
 }
 
 /** Options of the bounded choice. */
 export interface BoundedNeighboursOptions {
-  /** Most receivers. */
+  /** Most receivers, at least 2. */
   readonly limit: number;
 }
 
 /**
  * At most `limit` receivers: the next ones on a ring of hashed names, so that
- * every router is watched by others, then pool mates, the nearest first.
+ * every router is watched by others, then pool mates, the nearest first. A mate
+ * may have others that are nearer to it, so only the ring is watched.
  */
 export class BoundedNeighbours implements Neighbours {
   constructor(private readonly options: BoundedNeighboursOptions) {}
@@ -42,19 +52,21 @@
     self: string,
     routers: readonly string[],
     poolMates: readonly string[],
-  ): readonly string[] {
+  ): Neighbourhood {
     const {limit} = this.options;
-    if (routers.length <= limit) return routers;
+    if (routers.length <= limit) {
+      return {receivers: routers, watched: routers};
+    }
     const ring = this.around(self, routers);
-    const half = Math.floor(limit / 4);
-    const watchers = [...ring.slice(0, half), ...ring.slice(-half)];
-    const chosen = new Set(watchers);
+    const side = Math.max(1, Math.floor(limit / 4));
+    const watched = [...ring.slice(0, side), ...ring.slice(-side)];
+    const chosen = new Set(watched);
     const wanted = new Set(poolMates);
     for (const router of ring) {
       if (chosen.size >= limit) break;
       if (wanted.has(router)) chosen.add(router);
     }
-    return [...chosen];
+    return {receivers: [...chosen], watched};
   }
 
   /** The other routers in the order of the ring, from `self` onwards. */
--- a/packages/router/src/peers.ts
+++ b/packages/router/src/peers.ts
@@ -262,12 +262,12 @@
     const endpoints = known.endpoints().map(item => item.name);
     this.endpoints.update(endpoints);
     this.mates = new Set(this.poolMates());
-    const chosen = this.kernel
+    const {receivers, watched} = this.kernel
       .find(NEIGHBOURS)
       .select(known.self(), names, [...this.mates]);
-    this.neighbours = new Set(chosen);
+    this.neighbours = new Set(receivers);
     const nowMs = this.clock.nowMs();
-    this.kernel.find(fleet.MEMBERSHIP).watch(chosen, nowMs);
+    this.kernel.find(fleet.MEMBERSHIP).watch(watched, nowMs);
   }
 
   /** Routers that own endpoints of the pools in which this one owns some. */
