Let no place go to a caller that left before its wait

Cause: a line listened for the caller's leaving only from its wait on; a signal that had fired before was not seen, and the wait held its slot in the line until its time was up or took a place. Change: such a wait ends at once. Before: 'ends the wait of a caller that leaves, or has left before' gave 'granted'. After: passes.

--- a/packages/router/src/line.ts
+++ b/packages/router/src/line.ts
@@ -50,6 +50,8 @@
 
   /** Waits for a place. */
   async wait(wait: LineWait<G>): Promise<LineResult<G>> {
+    // A signal that has fired already calls no listener.
+    if (wait.gone.aborted) return {type: 'gone'};
     const stop = new AbortController();
     const result = await new Promise<LineResult<G>>(resolve => {
       const item = this.item(wait, resolve);
