End a customer's turn when its request gets a place

Cause: the line took the head out of its fair queue by remove, which does not end the customer's turn; so a customer kept its turn until it had none waiting, and the queue was first come, first served between customers. The queue's own tests use take and did not see it. Change: the line takes the head.

--- a/packages/router/src/line.ts
+++ b/packages/router/src/line.ts
@@ -73,11 +73,13 @@
   /** Gives places to those in front for as long as there are any. */
   pump(): void {
     for (;;) {
-      const head = this.queue.peek(this.clock.nowMs());
+      const nowMs = this.clock.nowMs();
+      const head = this.queue.peek(nowMs);
       if (!head) return;
       const grant = head.value.wait.choose();
       if (grant === undefined) return;
-      this.queue.remove(head);
+      // Taken and not removed, so that its customer's turn is over.
+      this.queue.take(nowMs);
       head.value.end({type: 'granted', grant});
     }
   }
--- a/packages/router/src/tests/line.test.ts
+++ b/packages/router/src/tests/line.test.ts
@@ -135,6 +135,18 @@
     expect(late.result?.type).to.equal('granted');
   });
 
+  it('lets customers take turns', async () => {
+    const bench = new Bench(1);
+    const flood = [0, 1, 2].map(() => bench.wait('a', 1, 100));
+    const single = bench.wait('b', 1, 100);
+    bench.pump();
+    bench.release();
+    await settle();
+    const types = flood.map(({result}) => result?.type);
+    expect(types).to.deep.equal(['granted', undefined, undefined]);
+    expect(single.result?.type).to.equal('granted');
+  });
+
   it('ends a wait when its time is up, and gives it no place', async () => {
     const bench = new Bench(1);
     const waiter = bench.wait('a', 1, 10);
