--- a/packages/decide/src/tests/budget.test.ts
+++ b/packages/decide/src/tests/budget.test.ts
@@ -61,7 +61,7 @@
 
   it('lets more bytes out where nothing bounds them', () => {
     const own = new budget.ByteBudget(OPTIONS);
-    const wanted = Array.from({length: 100}, (_, index) => index * 10);
+    const wanted = [...Array(100).keys()].map(index => index * 10);
     const sent = wanted.filter(atMs => own.spend(100, atMs));
     // Without the budget all of the 10 000 bytes leave within one second.
     expect(sent.length * 100).to.be.at.most(500 + 1_000);
--- a/packages/decide/src/tests/neighbours.test.ts
+++ b/packages/decide/src/tests/neighbours.test.ts
@@ -17,7 +17,7 @@
 ) => neighbours.Neighbourhood;
 
 const names = (count: number) =>
-  Array.from({length: count}, (_, index) => `r${index}`);
+  [...Array(count).keys()].map(index => `r${index}`);
 
 const bounded = new neighbours.BoundedNeighbours({limit: LIMIT});
 
--- a/packages/router/src/tests/flow.ts
+++ b/packages/router/src/tests/flow.ts
@@ -32,7 +32,7 @@
     private readonly fleet: standins.Fleet,
     private readonly options: FlowOptions,
   ) {
-    const callers = Array.from({length: options.callers}, (_, index) => index);
+    const callers = [...Array(options.callers).keys()].map(index => index);
     this.tasks = callers.map(index => this.ask(index));
   }
 
--- a/packages/router/src/tests/owners.test.ts
+++ b/packages/router/src/tests/owners.test.ts
@@ -120,7 +120,8 @@
   const ENGINES = ['e1', 'e2', 'e3', 'e4'];
   const PROMPT = {prompt_tokens: 200, output_tokens: 1};
   let fleet: standins.Fleet;
-  const chats = Array.from({length: 2_000}, (_, index) => `c${index}`)
+  const chats = [...Array(2_000).keys()]
+    .map(index => `c${index}`)
     .filter(chat => core.best(chat, ENGINES) === 'e1')
     .slice(0, CHATS);
 
@@ -128,7 +129,14 @@
     fleet = await support.startFleet({
       routers: 4,
       engines: ENGINES.length,
-      routerFlags: ['--settle-ms', '300', '--where-keep-ms', '300'],
+      routerFlags: [
+        '--settle-ms',
+        '300',
+        '--where-keep-ms',
+        '300',
+        '--keep-alive-ms',
+        '300',
+      ],
       route: {wait_ms: 3_000},
       pool: {load_multiple: 4},
     });
