--- a/packages/router/src/line.ts
+++ b/packages/router/src/line.ts
@@ -50,6 +50,8 @@
 
   /** Waits for a place. */
   async wait(wait: LineWait<G>): Promise<LineResult<G>> {
+    // A signal that has fired already calls no listener.
+    if (wait.gone.aborted) return {type: 'gone'};
     const stop = new AbortController();
     const result = await new Promise<LineResult<G>>(resolve => {
       const item = this.item(wait, resolve);
@@ -76,7 +78,7 @@
       if (!head) return;
       const grant = head.value.wait.choose();
       if (grant === undefined) return;
-      // Taking ends the customer's turn, which removing would not.
+      // Taken and not removed, so that its customer's turn is over.
       this.queue.take(nowMs);
       head.value.end({type: 'granted', grant});
     }
