Say in one line what is wrong with a stand-in's command line

A port in use ended in a stack trace, and a shell that holds the variables of a router could not start a stand-in at all. The program runs through the shared command line, has a help, and reads flags only.

--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -62,15 +62,23 @@
     flags: core.SettingInputs['flags'],
     make: Make<S>,
   ): Promise<number> {
-    const inputs = {flags, environment: process.env};
+    // The shell's variables are meant for routers and operators.
+    const inputs = {flags, environment: {}};
     const loaded = core.loadSettings(specifications, inputs);
     if (!loaded.ok) {
-      this.context.stderr.write(`${loaded.problems.join('\n')}\n`);
-      return 1;
+      for (const problem of loaded.problems) {
+        this.context.stderr.write(`standins: ${problem}\n`);
+      }
+      return core.EXIT_USAGE;
     }
     const server = make(loaded.values, options());
     endOnSignal(server);
-    await server.listen();
+    try {
+      await server.listen();
+    } catch (error) {
+      this.context.stderr.write(`standins: ${core.reason(error)}\n`);
+      return 1;
+    }
     const started = core.line({event: 'listening', port: server.port});
     this.context.stdout.write(`${started}\n`);
     return new Promise<number>(() => {});
@@ -79,6 +87,9 @@
 
 class PlatformCommand extends RunCommand {
   static override paths = [['platform']];
+  static override usage = clipanion.Command.Usage({
+    description: 'run the platform: list, log and weights',
+  });
 
   execute(): Promise<number> {
     const flags = {port: this.port};
@@ -93,6 +104,9 @@
 
 class ServiceCommand extends RunCommand {
   static override paths = [['service']];
+  static override usage = clipanion.Command.Usage({
+    description: 'run a plain service',
+  });
   name = clipanion.Option.String('--name');
 
   execute(): Promise<number> {
@@ -112,6 +126,9 @@
 
 class EngineCommand extends RunCommand {
   static override paths = [['engine']];
+  static override usage = clipanion.Command.Usage({
+    description: 'run an engine',
+  });
   name = clipanion.Option.String('--name');
   cacheTokens = clipanion.Option.String('--cache-tokens');
   slots = clipanion.Option.String('--slots');
@@ -132,8 +149,10 @@
 const cli = new clipanion.Cli({
   binaryName: 'standins',
   binaryLabel: 'Stand-ins for the platform and for endpoints',
+  enableColors: Boolean(process.stdout.isTTY),
 });
 cli.register(PlatformCommand);
 cli.register(EngineCommand);
 cli.register(ServiceCommand);
-await cli.runExit(process.argv.slice(2));
+cli.register(clipanion.Builtins.HelpCommand);
+process.exitCode = await core.execute(cli, 'standins', process.argv.slice(2));
