Word what is wrong with a row, a setting or a command for people

A typo in a field was told as 'Expected never', a missing one as 'Expected "match" but received undefined', and an unknown flag as 'Command not found'. A lower bound of 1 for all numbers of a query was tried and broke status?offset=0, which the commands' tests showed.

--- a/packages/core/src/commandline.ts
+++ b/packages/core/src/commandline.ts
@@ -5,6 +5,9 @@
 /** Exit code of a command line or setting that is wrong. */
 export const EXIT_USAGE = 2;
 
+/** Words that may name a command. */
+const SHOWN_WORDS = 3;
+
 /** Streams and variables of a program. */
 export type Surroundings = Pick<
   clipanion.BaseContext,
@@ -29,10 +32,24 @@
     const command = cli.process(words, context);
     return await cli.run(command, context);
   } catch (error) {
-    const [first = ''] = errors.reason(error).split('\n');
-    // The parser lists look-alikes on lines of their own; the help has them.
-    const line = first.replace(/; did you mean.*$/, '');
+    const line = describe(error, words);
     context.stderr.write(`${program}: ${line} (try ${program} --help)\n`);
     return EXIT_USAGE;
   }
 }
+
+/** What is wrong with the words, in one line. */
+function describe(error: unknown, words: readonly string[]): string {
+  const [first = ''] = errors.reason(error).split('\n');
+  if (!first.startsWith('Command not found')) return first;
+  return `there is no command or flag as in "${names(words).join(' ')}"`;
+}
+
+/** The first words and the flags, without values: one may be a secret. */
+function names(words: readonly string[]): string[] {
+  const at = words.findIndex(word => word.startsWith('-'));
+  const plain = at < 0 ? words : words.slice(0, at);
+  const flags = words.filter(word => word.startsWith('-'));
+  const bare = flags.map(flag => flag.replace(/=.*$/, ''));
+  return [...plain.slice(0, SHOWN_WORDS), ...bare];
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,6 +6,7 @@
 export * as headers from './headers.js';
 export * from './ids.js';
 export * from './instances.js';
+export * from './issues.js';
 export * from './kernel.js';
 export * from './logger.js';
 export * from './mailbox.js';
--- a/packages/core/src/settings.ts
+++ b/packages/core/src/settings.ts
@@ -10,6 +10,9 @@
 const ENV_PREFIX = 'OLEANDER_';
 const MASK = '********';
 
+/** Variables of the operators' commands, which one shell may hold as well. */
+const OPERATOR_VARIABLES = ['OLEANDER_ADMIN_ADDRESS', 'OLEANDER_OPERATOR'];
+
 /** What is known of one setting. */
 export interface Specification {
   /** Schema from the written text to the value. */
@@ -134,10 +137,11 @@
     if ('problem' in checked) problems.push(checked.problem);
     else values[name] = checked.value;
   }
+  const known = Object.keys(specifications).map(variableName);
   for (const variable of Object.keys(inputs.environment)) {
     if (!variable.startsWith(ENV_PREFIX)) continue;
-    const known = Object.keys(specifications).map(variableName);
-    if (!known.includes(variable)) problems.push(`${variable} is not known`);
+    if ([...known, ...OPERATOR_VARIABLES].includes(variable)) continue;
+    problems.push(`${variable} is not known; unset it or mend its name`);
   }
   if (problems.length > 0) return {ok: false, problems};
   return {ok: true, values: values as Values<S>};
--- a/packages/ctl/src/exits.ts
+++ b/packages/ctl/src/exits.ts
@@ -60,7 +60,8 @@
 const MEANINGS: Partial<Record<core.Kind, Meaning>> = {
   unauthorized: {
     exit: 'refused',
-    advice: 'give the admin token by --token or OLEANDER_ADMIN_TOKEN',
+    advice:
+      'give the admin token by --token or OLEANDER_ADMIN_TOKEN, and an admin port',
   },
   edit_conflict: {exit: 'conflict', advice: READ_AGAIN},
   precondition_failed: {exit: 'conflict', advice: READ_AGAIN},
@@ -73,7 +74,11 @@
     exit: 'unreachable',
     advice: 'see oleanderctl status for the routers that answer',
   },
-  not_found: {exit: 'refused', advice: 'list the names that there are'},
+  not_found: {exit: 'refused', advice: 'check the name or the id'},
+  no_route: {
+    exit: 'refused',
+    advice: 'check that --address is an admin port of a router',
+  },
 };
 
 /** The trouble that a router's refusal is. */
--- a/packages/ctl/src/get.ts
+++ b/packages/ctl/src/get.ts
@@ -11,7 +11,7 @@
 export class GetCommand extends command.OperatorCommand {
   static override paths = words.paths('get');
   static override usage = command.usage(
-    'show one row with its version',
+    'show one row of routes, pools or customers with its version',
     'With --json the row stands as `set NAME --file` takes it, with a version.',
     [['A pool', 'oleanderctl pools get engines']],
   );
--- a/packages/ctl/src/list.ts
+++ b/packages/ctl/src/list.ts
@@ -13,7 +13,7 @@
 export class ListCommand extends command.OperatorCommand {
   static override paths = words.paths('list');
   static override usage = command.usage(
-    'list the rows of a table',
+    'list the rows of routes, pools or customers',
     'Each row stands with the version of its last edit.',
     [
       ['The routes', 'oleanderctl routes list'],
--- a/packages/ctl/src/remove.ts
+++ b/packages/ctl/src/remove.ts
@@ -13,7 +13,7 @@
 export class RemoveCommand extends command.OperatorCommand {
   static override paths = words.paths('remove');
   static override usage = command.usage(
-    'remove a row',
+    'remove a row of routes, pools or customers',
     'A pool that a route names cannot be removed.',
     [['A route', 'oleanderctl routes remove chat']],
   );
--- a/packages/ctl/src/rows.ts
+++ b/packages/ctl/src/rows.ts
@@ -63,5 +63,5 @@
   const [issue] = parsed.issues;
   const path = v.getDotPath(issue);
   const field = path === null ? place : `${place}: ${path}`;
-  return exits.stop('usage', `${field}: ${issue.message}`);
+  return exits.stop('usage', `${field}: ${core.explain(issue)}`);
 }
--- a/packages/decide/src/edits.ts
+++ b/packages/decide/src/edits.ts
@@ -133,7 +133,8 @@
 
 function describeIssue(issue: v.BaseIssue<unknown>): string {
   const path = v.getDotPath(issue);
-  return path === null ? issue.message : `${path}: ${issue.message}`;
+  const text = core.explain(issue);
+  return path === null ? text : `${path}: ${text}`;
 }
 
 function findBrokenRule(tables: core.Tables): string | undefined {
--- a/packages/router/src/adminaudit.ts
+++ b/packages/router/src/adminaudit.ts
@@ -3,8 +3,7 @@
 import * as configuration from './configuration.js';
 import * as resource from './resource.js';
 
-const DEFAULT_LIMIT = 50;
-const MAX_LIMIT = 500;
+const LIMIT = {fallback: 50, min: 1, max: 500};
 
 /** Tells the newest verdicts, as every reader of the log reaches them. */
 export class AuditResource implements resource.Resource {
@@ -17,7 +16,7 @@
   private list(ask: resource.Ask): core.Result<resource.Reply> {
     if (ask.path.length > 0) return resource.missing(ask);
     if (ask.method !== 'GET') return resource.wrongMethod(ask, 'GET');
-    const limit = resource.readCount(ask, 'limit', DEFAULT_LIMIT, MAX_LIMIT);
+    const limit = resource.readNumber(ask, 'limit', LIMIT);
     if (!limit.ok) return limit;
     const config = this.kernel.find(configuration.CONFIGURATION);
     const newest = [...config.verdicts()].reverse().slice(0, limit.value);
--- a/packages/router/src/adminstatus.ts
+++ b/packages/router/src/adminstatus.ts
@@ -7,6 +7,10 @@
 import * as status from './status.js';
 import * as survey from './survey.js';
 
+/** Without an offset, the newest one is asked about. */
+const NEWEST = Number.MAX_SAFE_INTEGER;
+const OFFSET = {fallback: NEWEST, min: 0, max: NEWEST};
+
 type Reports = ReadonlyArray<survey.Reported<status.RouterStatus>>;
 
 /** Asks all routers for their own state. */
@@ -16,8 +20,7 @@
   async answer(ask: resource.Ask): Promise<core.Result<resource.Reply>> {
     if (ask.path.length > 0) return resource.missing(ask);
     if (ask.method !== 'GET') return resource.wrongMethod(ask, 'GET');
-    const max = Number.MAX_SAFE_INTEGER;
-    const offset = resource.readCount(ask, 'offset', max, max);
+    const offset = resource.readNumber(ask, 'offset', OFFSET);
     if (!offset.ok) return offset;
     const calls = this.kernel.find(peerCalls.PEER_CALLS);
     const reports = await survey.survey(this.kernel, {
--- a/packages/router/src/adminusage.ts
+++ b/packages/router/src/adminusage.ts
@@ -6,8 +6,8 @@
 import * as survey from './survey.js';
 import * as usage from './usage.js';
 
-const DEFAULT_LIMIT = 50;
 const MAX_LIMIT = 1_000;
+const LIMIT = {fallback: 50, min: 1, max: MAX_LIMIT};
 
 /** Sums what the routers counted since their starts. */
 export class UsageResource implements resource.Resource {
@@ -16,7 +16,7 @@
   async answer(ask: resource.Ask): Promise<core.Result<resource.Reply>> {
     if (ask.path.length > 0) return resource.missing(ask);
     if (ask.method !== 'GET') return resource.wrongMethod(ask, 'GET');
-    const limit = resource.readCount(ask, 'limit', DEFAULT_LIMIT, MAX_LIMIT);
+    const limit = resource.readNumber(ask, 'limit', LIMIT);
     if (!limit.ok) return limit;
     const calls = this.kernel.find(peerCalls.PEER_CALLS);
     const reports = await survey.survey<readonly decide.Usage[]>(this.kernel, {
--- a/packages/router/src/resource.ts
+++ b/packages/router/src/resource.ts
@@ -62,18 +62,24 @@
   const [issue] = parsed.issues;
   const path = v.getDotPath(issue);
   const place = path === null ? 'the body' : path;
-  return core.fail('bad_request', `${place}: ${issue.message}`);
+  return core.fail('bad_request', `${place}: ${core.explain(issue)}`);
+}
+
+/** A whole number of the query. */
+export interface NumberOptions {
+  readonly fallback: number;
+  readonly min: number;
+  readonly max: number;
 }
 
 /** Reads a whole number of the query within bounds. */
-export function readCount(
+export function readNumber(
   ask: Ask,
   name: string,
-  fallback: number,
-  max: number,
+  {fallback, min, max}: NumberOptions,
 ): core.Result<number> {
   const text = ask.query.get(name) ?? String(fallback);
-  const parsed = v.safeParse(core.wholeNumber(0, max), text);
+  const parsed = v.safeParse(core.wholeNumber(min, max), text);
   if (parsed.success) return core.succeed(parsed.output);
   return core.fail('bad_request', `${name}: ${parsed.issues[0].message}`);
 }
