Refuse a row of another name, tell of endpoints that are not listed

A pool with a misspelt endpoint was accepted in silence; it must be accepted, as the list lags, so the command now names the endpoints that the list has not.

--- a/packages/ctl/src/apply.ts
+++ b/packages/ctl/src/apply.ts
@@ -58,7 +58,7 @@
     if (!consent.ok) return consent;
     const verdict = await rows.submit(routers, changes);
     if (!verdict.ok) return verdict;
-    return force.report(routers, verdict.value);
+    return force.report(routers, verdict.value, changes);
   }
 
   private async readWanted(): Promise<exits.Result<diff.Wanted>> {
@@ -68,7 +68,10 @@
     if (!parsed.success) {
       const [issue] = parsed.issues;
       const field = v.getDotPath(issue) ?? 'the file';
-      return exits.stop('usage', `${this.file}: ${field}: ${issue.message}`);
+      return exits.stop(
+        'usage',
+        `${this.file}: ${field}: ${core.explain(issue)}`,
+      );
     }
     return checkRows(this.file, parsed.output);
   }
--- a/packages/ctl/src/set.ts
+++ b/packages/ctl/src/set.ts
@@ -15,7 +15,7 @@
 export class SetCommand extends command.OperatorCommand {
   static override paths = words.paths('set');
   static override usage = command.usage(
-    'create a row, or change one',
+    'create or change a row of routes, pools or customers',
     'Fields as `field=value` change the row that is there; lists take commas, nested fields dots, and an empty value clears. `--file` gives the whole row as JSON; `-` is standard input. The edit is refused when the row has changed since it was read, or since `--row-version`.',
     [
       [
@@ -57,7 +57,7 @@
     if (!change.ok) return change;
     const verdict = await rows.submit(routers, [change.value]);
     if (!verdict.ok) return verdict;
-    return force.report(routers, verdict.value);
+    return force.report(routers, verdict.value, [change.value]);
   }
 
   private async readRow(
@@ -72,10 +72,16 @@
       ? await files.readJson(file, this.context.stdin)
       : exits.succeed(rows.find(tables, table, name).row ?? {});
     if (!base.ok) return base;
-    const fields = {name, ...(base.value as assign.Fields)};
-    const assigned = assign.assign(table, fields, assignments);
+    const {value} = base;
+    if (!isObject(value)) {
+      return exits.stop('usage', `${file}: must be a JSON object`);
+    }
+    const assigned = assign.assign(table, {name, ...value}, assignments);
     if (!assigned.ok) return assigned;
-    return rows.check(table, assigned.value, `${table}/${name}`);
+    const row = rows.check(table, assigned.value, `${table}/${name}`);
+    if (!row.ok || row.value.name === name) return row;
+    const line = `${table}/${name}: name: the row is named "${row.value.name}"`;
+    return exits.stop('usage', line, 'give both the same name');
   }
 
   private expect(change: core.Change): exits.Result<core.Change> {
@@ -87,3 +93,7 @@
     return exits.succeed({...change, expected_version: version});
   }
 }
+
+function isObject(value: unknown): value is assign.Fields {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
