Say what to do when a router cannot start or serve

A port in use now names the flag; a host name in the platform's URL is refused, since sockets go by IP number; settings tells on standard error what is wrong; help has no colours where no terminal reads; the warning about the list says when it is asked again, and a router that is not on the list says so.

--- a/packages/router/src/fleet.ts
+++ b/packages/router/src/fleet.ts
@@ -265,7 +265,10 @@
         continue;
       }
       if (signal.aborted) return;
-      log.warn('list_unavailable', {reason: result.failure.detail});
+      log.warn('list_unavailable', {
+        reason: result.failure.detail,
+        retry_ms: RETRY_MS,
+      });
       await clock.sleep(RETRY_MS, signal);
     }
   }
@@ -278,6 +281,9 @@
     this.adoptRoster(nowMs);
     const log = this.kernel.find(core.LOGGER);
     log.info('list', {version: list.version, size: list.instances.length});
+    if (this.byName.get(this.own.name)?.kind === 'router') return;
+    const reason = 'the list has no router of this name; it gets no endpoint';
+    log.warn('not_listed', {reason});
   }
 
   /** Takes over the roster, where it has changed. */
--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -29,6 +29,13 @@
     for (const name of Object.keys(settings.SETTINGS)) flags[name] = own[name];
     return {flags, environment: process.env};
   }
+
+  /** Says what is wrong with the settings, one line each. */
+  protected complain(problems: readonly string[]): void {
+    for (const problem of problems) {
+      this.context.stderr.write(`oleanderrock: ${problem}\n`);
+    }
+  }
 }
 
 class RunCommand extends SettingsCommand {
@@ -47,9 +54,7 @@
   async execute(): Promise<number> {
     const loaded = core.loadSettings(settings.SETTINGS, this.inputs());
     if (!loaded.ok) {
-      for (const problem of loaded.problems) {
-        this.context.stderr.write(`oleanderrock: ${problem}\n`);
-      }
+      this.complain(loaded.problems);
       return core.EXIT_USAGE;
     }
     return serve(loaded.values);
@@ -66,24 +71,37 @@
     const lines = core.describeSettings(settings.SETTINGS, this.inputs());
     for (const line of lines) {
       const unit = line.unit ? ` ${line.unit}` : '';
-      const value = line.source === 'missing' ? '(missing)' : line.value;
+      const isMissing = line.source === 'missing';
+      const value = isMissing
+        ? '(missing)'
+        : `${line.value}${unit} (${line.source})`;
       this.context.stdout.write(
         `${line.flag} ${line.variable}\n    ${line.meaning}\n` +
-          `    value: ${value}${unit} (${line.source}); default: ${line.fallback || 'none'}\n`,
+          `    value: ${value}; default: ${line.fallback || 'none'}\n`,
       );
     }
     const loaded = core.loadSettings(settings.SETTINGS, this.inputs());
-    return Promise.resolve(loaded.ok ? 0 : core.EXIT_USAGE);
+    if (loaded.ok) return Promise.resolve(0);
+    this.complain(loaded.problems);
+    return Promise.resolve(core.EXIT_USAGE);
   }
 }
 
+/** Why the router did not start, and what to do about a port in use. */
+function advise(error: unknown): string {
+  const line = core.reason(error);
+  if (!line.includes('EADDRINUSE')) return line;
+  const [, name = 'peer'] = / for (\w+): /.exec(line) ?? [];
+  return `${line} (end what uses it, or give another --${name}-port)`;
+}
+
 /** Runs the router until a signal ends it. */
 async function serve(own: settings.Settings): Promise<number> {
   const kernel = wire.wire(own);
   try {
     await run.start(kernel);
   } catch (error) {
-    process.stderr.write(`oleanderrock: ${core.reason(error)}\n`);
+    process.stderr.write(`oleanderrock: ${advise(error)}\n`);
     return 1;
   }
   await new Promise<void>(resolve => {
@@ -98,6 +116,7 @@
 const cli = new clipanion.Cli({
   binaryName: 'oleanderrock',
   binaryLabel: 'oleanderrock, a router of the fleet',
+  enableColors: Boolean(process.stdout.isTTY),
 });
 cli.register(RunCommand);
 cli.register(ShowSettingsCommand);
--- a/packages/router/src/settings.ts
+++ b/packages/router/src/settings.ts
@@ -1,4 +1,5 @@
 /** The router's settings, read from flags and environment variables. */
+import * as net from 'node:net';
 import * as core from '@oleanderrock/core';
 import * as v from 'valibot';
 
@@ -18,7 +19,16 @@
   v.string(),
   v.ip('must be an IP address, not a host name'),
 );
-const url = v.pipe(v.string(), v.url('must be a URL, as http://10.0.0.1:80'));
+const url = v.pipe(
+  v.string(),
+  v.url('must be a URL, as http://10.0.0.1:80'),
+  v.check(hasIpNumber, 'must have an IP number, no host name'),
+);
+
+function hasIpNumber(text: string): boolean {
+  const {hostname} = new URL(text);
+  return net.isIP(hostname.replace(/^\[|\]$/g, '')) !== 0;
+}
 
 /** Specifications of all settings of the router. */
 export const SETTINGS = {
