--- a/packages/core/src/tables.ts
+++ b/packages/core/src/tables.ts
@@ -75,7 +75,7 @@
     v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(100_000)),
     64,
   ),
-  /** Most requests that wait at one router for this pool. */
+  /** Most requests that wait in one line: the pool's, or an endpoint's. */
   max_queued: v.optional(
     v.pipe(v.number(), v.integer(), v.minValue(0), v.maxValue(100_000)),
     256,
--- a/packages/router/src/digest.ts
+++ b/packages/router/src/digest.ts
@@ -156,6 +156,21 @@
   }
 }
 
+/** Tells digests that came late or twice from those that tell something new. */
+export class OrderGuard {
+  private readonly newest = new Map<number, [number, number]>();
+
+  /** Whether the digest is newer than all others of its router so far. */
+  accepts({routerHash, incarnation, sequence}: Digest): boolean {
+    const [lastRun, lastSequence] = this.newest.get(routerHash) ?? [-1, -1];
+    const isOld =
+      incarnation < lastRun ||
+      (incarnation === lastRun && sequence <= lastSequence);
+    if (!isOld) this.newest.set(routerHash, [incarnation, sequence]);
+    return !isOld;
+  }
+}
+
 /** Finds names by their hashes. */
 export class NameIndex {
   private names = new Map<number, string>();
--- a/packages/router/src/fleet.ts
+++ b/packages/router/src/fleet.ts
@@ -281,11 +281,24 @@
     this.adoptRoster(nowMs);
     const log = this.kernel.find(core.LOGGER);
     log.info('list', {version: list.version, size: list.instances.length});
+    this.checkSite();
     if (this.byName.get(this.own.name)?.kind === 'router') return;
     const reason = 'the list has no router of this name; it gets no endpoint';
     log.warn('not_listed', {reason});
   }
 
+  /** Owners follow the list; a setting that differs from it is a mistake. */
+  private checkSite(): void {
+    const listed = this.byName.get(this.own.name);
+    if (!listed) return;
+    const {region, failure_domain: failureDomain} = listed;
+    const isSame =
+      region === this.own.region && failureDomain === this.own.failureDomain;
+    if (isSame) return;
+    const log = this.kernel.find(core.LOGGER);
+    log.warn('site_differs', {region, failure_domain: failureDomain});
+  }
+
   /** Takes over the roster, where it has changed. */
   private adoptRoster(nowMs: number): void {
     const instances = this.kernel.find(ROSTER).current(nowMs);
--- a/packages/router/src/peers.ts
+++ b/packages/router/src/peers.ts
@@ -52,6 +52,7 @@
   private readonly wakers = new Map<string, AbortController>();
   private readonly routers = new digest.NameIndex();
   private readonly endpoints = new digest.NameIndex();
+  private readonly order = new digest.OrderGuard();
   private readonly budget: decide.ByteBudget;
   private socket: dgram.Socket | undefined;
   private incarnation = Math.floor(Date.now() / 1_000);
@@ -211,7 +212,7 @@
       const bytes = datagram.length + digest.DATAGRAM_HEADER_BYTES;
       this.kernel.find(control.CONTROL_METER).add('digest', 'received', bytes);
       const message = digest.decode(datagram, this.own.peerToken);
-      if (message) this.adopt(message);
+      if (message && this.order.accepts(message)) this.adopt(message);
     }
   }
 
--- a/packages/router/src/tests/digest.test.ts
+++ b/packages/router/src/tests/digest.test.ts
@@ -87,6 +87,21 @@
     expect(bytes).to.be.at.most(MAX_BYTES);
   });
 
+  it('are taken in order only: none late, none twice', () => {
+    const order = new digest.OrderGuard();
+    const from = (incarnation: number, sequence: number) =>
+      order.accepts({...USUAL, incarnation, sequence});
+    const given = [from(5, 1), from(5, 3), from(5, 2), from(5, 3), from(5, 4)];
+    expect(given).to.deep.equal([true, true, false, false, true]);
+    expect([from(6, 1), from(5, 9), from(6, 2)]).to.deep.equal([
+      true,
+      false,
+      true,
+    ]);
+    const other = order.accepts({...USUAL, routerHash: 1, sequence: 1});
+    expect(other).to.equal(true);
+  });
+
   it('name routers by hashes that can be found', () => {
     const index = new digest.NameIndex();
     index.update(['r1', 'r2']);
