--- a/packages/router/src/tests/notrun.test.ts
+++ b/packages/router/src/tests/notrun.test.ts
@@ -24,7 +24,8 @@
 /** A kind, how to bring it about, and what to set up and undo. */
 interface Case {
   readonly kind: core.Kind;
-  readonly ask: Ask;
+  /** Made when it is sent, since keys carry their time. */
+  readonly ask: () => Ask;
   readonly setUp?: (fleet: standins.Fleet) => Promise<unknown>;
   readonly tearDown?: (fleet: standins.Fleet) => Promise<unknown>;
 }
@@ -76,34 +77,34 @@
 }
 
 const CASES: readonly Case[] = [
-  {kind: 'no_route', ask: {path: '/nowhere'}},
+  {kind: 'no_route', ask: () => ({path: '/nowhere'})},
   {
     kind: 'bad_request',
-    ask: {path: '/chat', headers: {'oleander-chat': 'a b'}},
+    ask: () => ({path: '/chat', headers: {'oleander-chat': 'a b'}}),
   },
   {
     kind: 'too_large',
-    ask: {path: '/chat', body: 'x'.repeat(MAX_BODY_BYTES + 1)},
+    ask: () => ({path: '/chat', body: 'x'.repeat(MAX_BODY_BYTES + 1)}),
   },
-  {kind: 'key_required', ask: {path: '/order', body: '{}'}},
-  {kind: 'key_invalid', ask: keyed('no-such-key')},
-  {kind: 'key_expired', ask: keyAt(Date.now() - 11 * MINUTE_MS)},
-  {kind: 'key_from_future', ask: keyAt(Date.now() + MINUTE_MS)},
+  {kind: 'key_required', ask: () => ({path: '/order', body: '{}'})},
+  {kind: 'key_invalid', ask: () => keyed('no-such-key')},
+  {kind: 'key_expired', ask: () => keyAt(Date.now() - 11 * MINUTE_MS)},
+  {kind: 'key_from_future', ask: () => keyAt(Date.now() + MINUTE_MS)},
   {
     kind: 'customer_limit',
-    ask: {path: '/chat', headers: {'oleander-customer': 'broke'}},
+    ask: () => ({path: '/chat', headers: {'oleander-customer': 'broke'}}),
   },
-  {kind: 'pool_empty', ask: {path: '/none'}},
-  {kind: 'endpoint_unreachable', ask: {path: '/dead', body: '{}'}},
+  {kind: 'pool_empty', ask: () => ({path: '/none'})},
+  {kind: 'endpoint_unreachable', ask: () => ({path: '/dead', body: '{}'})},
   {
     kind: 'endpoint_refused',
-    ask: keyed(core.createId()),
+    ask: () => keyed(core.createId()),
     setUp: fleet => fleet.control('s1', {refuse: true}),
     tearDown: fleet => fleet.control('s1', {refuse: false}),
   },
   {
     kind: 'log_unavailable',
-    ask: keyed(core.createId()),
+    ask: () => keyed(core.createId()),
     setUp: fleet => fleet.controlPlatform({log_down: true}),
     tearDown: fleet => fleet.controlPlatform({log_down: false}),
   },
@@ -115,7 +116,7 @@
     ] as const
   ).map(([kind, path]) => ({
     kind,
-    ask: {path, body: '{}'},
+    ask: () => ({path, body: '{}'}),
     setUp: occupy,
     tearDown: release,
   })),
@@ -174,7 +175,7 @@
   for (const {kind, ask, setUp, tearDown} of CASES) {
     it(`is true of ${kind}`, async () => {
       await setUp?.(fleet);
-      const {path, ...options} = ask;
+      const {path, ...options} = ask();
       const [address] = fleet.addresses();
       const answer = await support.call(address!, path, options);
       await tearDown?.(fleet);
--- a/packages/router/src/tests/once.test.ts
+++ b/packages/router/src/tests/once.test.ts
@@ -71,7 +71,8 @@
 
   /** Waits until all routers serve both routes. */
   async function settle(): Promise<void> {
-    await fleet.control('c', {work_ms: 0});
+    const quicken = (name: string) => fleet.control(name, {work_ms: 0});
+    await Promise.all(SERVICES.map(quicken));
     const paths = ['/orders', '/single'];
     const serves = async (name: string, path: string) => {
       const kind = await send(router(name), core.createId(), {path});
