Drop a digest limit that nothing enforced

Cause: the last read of the change: MAX_DIGEST_BYTES was exported and never used, so it promised a limit that does not exist. Change: the constant is gone; behaviour is as before. A real limit on digests stays open.

--- a/packages/router/src/digest.ts
+++ b/packages/router/src/digest.ts
@@ -14,9 +14,6 @@
 /** Bytes of the IPv4 and UDP headers around a digest. */
 export const DATAGRAM_HEADER_BYTES = 28;
 
-/** Largest digest; it fits one frame of any usual network. */
-export const MAX_DIGEST_BYTES = 1_200;
-
 const hashSchema = v.pipe(v.number(), v.integer(), v.minValue(0));
 const countSchema = v.pipe(v.number(), v.integer(), v.minValue(0));
 const suspectStateSchema = v.picklist(['suspect', 'condemned', 'cleared']);
