--- a/packages/core/src/hash.ts
+++ b/packages/core/src/hash.ts
@@ -1,5 +1,4 @@
 /** Hashes of strings, for placement, signatures and short ids on the wire. */
-import * as nodeCrypto from 'node:crypto';
 import * as xxhash from 'xxhash-wasm';
 
 const api = await xxhash.default();
@@ -46,10 +45,3 @@
   }
   return found;
 }
-
-/** Whether two secrets are equal, in a time that does not tell where not. */
-export function equalSecrets(left: string, right: string): boolean {
-  const digest = (text: string) =>
-    nodeCrypto.createHash('sha256').update(text).digest();
-  return nodeCrypto.timingSafeEqual(digest(left), digest(right));
-}
--- a/packages/core/src/listener.ts
+++ b/packages/core/src/listener.ts
@@ -6,7 +6,6 @@
 import * as net from 'node:net';
 import * as errors from './errors.js';
 import * as headerNames from './headers.js';
-import * as ids from './ids.js';
 import type * as logger from './logger.js';
 import * as mailbox from './mailbox.js';
 import * as taskGroups from './tasks.js';
@@ -32,6 +31,8 @@
   /** How long idle connections are kept. */
   readonly keepAliveMs?: number;
   readonly log: logger.Logger;
+  /** Makes ids for the answers to what is not HTTP; by default they have none. */
+  readonly createId?: () => string;
   serve(call: Call): Promise<void>;
 }
 
@@ -59,7 +60,9 @@
     this.server.on('request', (request, response) => {
       this.calls.get(request.socket)?.put({request, response});
     });
-    this.server.on('clientError', (error, socket) => refuse(error, socket));
+    this.server.on('clientError', (error, socket) =>
+      refuse(error, socket, this.options.createId?.() ?? ''),
+    );
   }
 
   /** The port that the listener took. */
@@ -162,12 +165,16 @@
 }
 
 /** Answers a message that is not HTTP, or too large, in the usual form. */
-function refuse(error: Error & {code?: string}, socket: NodeJS.WritableStream) {
+function refuse(
+  error: Error & {code?: string},
+  socket: NodeJS.WritableStream,
+  requestId: string,
+) {
   if (!socket.writable) return;
   const kind =
     error.code === 'HPE_HEADER_OVERFLOW' ? 'too_large' : 'bad_request';
   const body = JSON.stringify(
-    errors.problem({kind, detail: error.message}, ids.createId()),
+    errors.problem({kind, detail: error.message}, requestId),
   );
   const {status, title} = errors.ANSWERS[kind];
   socket.end(
--- a/packages/core/src/logger.ts
+++ b/packages/core/src/logger.ts
@@ -2,7 +2,7 @@
  * Logs: one line of key=value pairs for each event, through consola.
  * Values with spaces or quotes are written as JSON strings.
  */
-import * as consola from 'consola';
+import * as consola from 'consola/core';
 import * as kernel from './kernel.js';
 import type * as output from './output.js';
 
--- a/packages/router/src/listening.ts
+++ b/packages/router/src/listening.ts
@@ -26,6 +26,7 @@
       host: own.host,
       requestTimeoutMs: own.requestTimeoutMs,
       log: kernel.find(core.LOGGER),
+      createId: core.createId,
       serve: call => this.serve(call),
     });
   }
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -4,12 +4,19 @@
  */
 import * as childProcess from 'node:child_process';
 import * as fs from 'node:fs';
+import * as path from 'node:path';
 import * as esbuild from 'esbuild';
 
 // Modules that are not ES modules ask for `require`.
 const BANNER = `import {createRequire} from 'node:module';
 const require = createRequire(import.meta.url);`;
 
+/** Resolves prom-client to the parts of it that the programs use. */
+function useParts(build) {
+  const parts = path.resolve('scripts/prom.mjs');
+  build.onResolve({filter: /^prom-client$/}, () => ({path: parts}));
+}
+
 const compiled = childProcess.spawnSync(
   process.execPath,
   ['node_modules/typescript/bin/tsc', '-b', 'packages/router'],
@@ -28,6 +35,7 @@
   format: 'esm',
   target: 'node20',
   banner: {js: BANNER},
+  plugins: [{name: 'prom-client', setup: useParts}],
   logLevel: 'warning',
 });
 fs.writeFileSync('target/package.json', '{"type": "module"}\n');
