Place prefixes where they are held, as all routers tell each other

Change: digests carry new placements; a prefix goes to an endpoint that holds it; prefixes of less than 4,000 tokens have a tighter bound.

--- a/packages/decide/src/index.ts
+++ b/packages/decide/src/index.ts
@@ -13,6 +13,7 @@
 export * from './outcomehealth.js';
 export * from './ownership.js';
 export * from './placement.js';
+export * from './prefixhomes.js';
 export * from './prefixplacement.js';
 export * from './queue.js';
 export * from './retry.js';
--- /dev/null
+++ b/packages/decide/src/prefixhomes.ts
@@ -0,0 +1,95 @@
+/**
+ * Homes of prompt prefixes: the endpoints that served a prefix of late and so
+ * hold its context. All routers tell each other their placements, so that an
+ * endpoint that joins takes no prefix from one that holds it.
+ */
+
+/** A prefix that was served at an endpoint. */
+export interface Placed {
+  readonly prefix: string;
+  readonly endpoint: string;
+}
+
+/** Homes of prefixes. */
+export interface PrefixHomes {
+  /** A request with the prefix goes to the endpoint, by this router. */
+  placed(placed: Placed, nowMs: number): void;
+  /** Another router has placed the prefix. */
+  learn(placed: Placed, nowMs: number): void;
+  /** Endpoints that hold the prefix, as far as is known. */
+  of(prefix: string, nowMs: number): readonly string[];
+  /** Own placements since the last call, for the other routers. */
+  untold(): readonly Placed[];
+  /** An endpoint lost what it held. */
+  forget(endpoint: string): void;
+}
+
+/** How long an endpoint is taken to hold a prefix after its last use, in ms. */
+const HELD_MS = 60_000;
+
+/** Most prefixes that are remembered; the least recently used is dropped. */
+const MAX_PREFIXES = 20_000;
+
+/** Most placements that wait to be told. */
+const MAX_UNTOLD = 64;
+
+/** Homes by the placements of all routers. */
+export class ToldPrefixHomes implements PrefixHomes {
+  /** Last use by endpoint, by prefix; the least recently used prefix first. */
+  private readonly homes = new Map<string, Map<string, number>>();
+  private readonly fresh = new Map<string, Placed>();
+
+  placed(placed: Placed, nowMs: number): void {
+    this.learn(placed, nowMs);
+    const {prefix, endpoint} = placed;
+    if (this.fresh.size < MAX_UNTOLD) {
+      this.fresh.set(`${prefix} ${endpoint}`, placed);
+    }
+  }
+
+  learn({prefix, endpoint}: Placed, nowMs: number): void {
+    const uses = this.homes.get(prefix) ?? new Map<string, number>();
+    uses.set(endpoint, nowMs);
+    this.homes.delete(prefix);
+    this.homes.set(prefix, uses);
+    if (this.homes.size <= MAX_PREFIXES) return;
+    const [oldest] = this.homes.keys();
+    if (oldest !== undefined) this.homes.delete(oldest);
+  }
+
+  of(prefix: string, nowMs: number): readonly string[] {
+    const uses = this.homes.get(prefix);
+    if (!uses) return [];
+    for (const [endpoint, usedMs] of uses) {
+      if (nowMs - usedMs > HELD_MS) uses.delete(endpoint);
+    }
+    return [...uses.keys()];
+  }
+
+  untold(): readonly Placed[] {
+    const told = [...this.fresh.values()];
+    this.fresh.clear();
+    return told;
+  }
+
+  forget(endpoint: string): void {
+    for (const uses of this.homes.values()) uses.delete(endpoint);
+  }
+}
+
+/** Remembers nothing: the naive version. */
+export class NoPrefixHomes implements PrefixHomes {
+  placed(): void {}
+
+  learn(): void {}
+
+  of(): readonly string[] {
+    return [];
+  }
+
+  untold(): readonly Placed[] {
+    return [];
+  }
+
+  forget(): void {}
+}
--- a/packages/decide/src/prefixplacement.ts
+++ b/packages/decide/src/prefixplacement.ts
@@ -1,8 +1,9 @@
 /**
- * Placement of requests that go straight from any router to an endpoint.
- * Requests that share a prompt prefix rank the endpoints alike at every router,
- * without a message, and a bound on the load spreads a popular prefix over the
- * next endpoints of its rank. Requests without a prefix go where least runs.
+ * Placement of requests that go straight from any router to an endpoint. A
+ * prompt prefix goes where it is held; one that nobody holds goes to the same
+ * endpoint from every router, without a message, by its rendezvous rank. A
+ * bound on the load spreads a popular prefix over further endpoints. Requests
+ * without a prefix go where least runs.
  */
 import * as core from '@oleanderrock/core';
 
@@ -18,6 +19,10 @@
 export interface PlacementAsk {
   /** Names the shared part of the prompt; absent: none is shared. */
   readonly prefix?: string;
+  /** Tokens that an endpoint without the prefix has to read. */
+  readonly prefixTokens?: number;
+  /** Endpoints that hold the prefix. */
+  readonly homes?: readonly string[];
   /** Failure domain of the router. */
   readonly zone: string;
 }
@@ -28,19 +33,29 @@
   choose(ask: PlacementAsk, spots: readonly Spot[]): Spot | undefined;
 }
 
+/** Load up to which an endpoint takes a prefix, against the pool's mean. */
+export interface LoadBound {
+  readonly multiple: number;
+  /** Requests above the multiple, so that idle pools keep their homes. */
+  readonly slack: number;
+}
+
 /**
- * Multiple of the mean load up to which an endpoint keeps its prefixes. Below
- * the users' limit of twice the mean, since counts are some 100 ms old.
+ * Bound for prefixes that are dear to read: somewhat below the users' limit of
+ * twice the mean and 3, since counts are some 100 ms old.
  */
-export const DEFAULT_LOAD_MULTIPLE = 1.4;
+export const DEAR_BOUND: LoadBound = {multiple: 1.85, slack: 3};
+
+/** Bound for short prefixes, which leave room for the dear ones. */
+export const CHEAP_BOUND: LoadBound = {multiple: 1.4, slack: 2};
 
-/** Requests above the multiple that are allowed, so that idle pools keep homes. */
-export const DEFAULT_LOAD_SLACK = 2;
+/** Tokens from which on a prefix is dear: some 50 ms of an engine's time. */
+export const DEAR_TOKENS = 4_000;
 
 /** Options of the placement by prefix. */
 export interface PrefixPlacementOptions {
-  readonly loadMultiple?: number;
-  readonly loadSlack?: number;
+  readonly dear?: LoadBound;
+  readonly cheap?: LoadBound;
   readonly random: core.Random;
 }
 
@@ -63,37 +78,42 @@
   }
 }
 
-/** By rendezvous on the prefix, within a bound on the load. */
+/** By homes and rendezvous on the prefix, within a bound on the load. */
 export class PrefixPlacement implements SpotPlacement {
-  private readonly loadMultiple: number;
-  private readonly loadSlack: number;
+  private readonly dear: LoadBound;
+  private readonly cheap: LoadBound;
   private readonly least: LeastLoadedPlacement;
 
   constructor({
-    loadMultiple = DEFAULT_LOAD_MULTIPLE,
-    loadSlack = DEFAULT_LOAD_SLACK,
+    dear = DEAR_BOUND,
+    cheap = CHEAP_BOUND,
     random,
   }: PrefixPlacementOptions) {
-    this.loadMultiple = loadMultiple;
-    this.loadSlack = loadSlack;
+    this.dear = dear;
+    this.cheap = cheap;
     this.least = new LeastLoadedPlacement(random);
   }
 
   choose(ask: PlacementAsk, spots: readonly Spot[]): Spot | undefined {
-    const {prefix} = ask;
+    const {prefix, prefixTokens = 0, homes = []} = ask;
     if (prefix === undefined) return this.least.choose(ask, spots);
-    const limit = this.limit(spots);
+    const bound = prefixTokens >= DEAR_TOKENS ? this.dear : this.cheap;
+    const limit = loadLimit(spots, bound);
     const open = spots.filter(spot => spot.inFlight < limit);
     if (open.length === 0) return this.least.choose(ask, spots);
+    const holding = open.filter(spot => homes.includes(spot.id));
+    if (holding.length > 0) return this.least.choose(ask, holding);
     const ids = open.map(spot => spot.id);
     const home = core.best(prefix, ids);
     return open.find(spot => spot.id === home);
   }
+}
 
-  /** Load from which on an endpoint takes no more. */
-  private limit(spots: readonly Spot[]): number {
-    const total = spots.reduce((sum, spot) => sum + spot.inFlight, 0);
-    const mean = total / Math.max(1, spots.length);
-    return mean * this.loadMultiple + this.loadSlack;
-  }
+/** Load from which on an endpoint takes no more. */
+function loadLimit(
+  spots: readonly Spot[],
+  {multiple, slack}: LoadBound,
+): number {
+  const total = spots.reduce((sum, spot) => sum + spot.inFlight, 0);
+  return (total / Math.max(1, spots.length)) * multiple + slack;
 }
--- a/packages/direct/src/decisions.ts
+++ b/packages/direct/src/decisions.ts
@@ -44,3 +44,12 @@
   'learn',
   'changes',
 ]);
+
+/** The contract under which the homes of prefixes are registered. */
+export const HOMES = core.contract<decide.PrefixHomes>('prefix-homes', [
+  'placed',
+  'learn',
+  'of',
+  'untold',
+  'forget',
+]);
--- a/packages/direct/src/dialect.ts
+++ b/packages/direct/src/dialect.ts
@@ -17,6 +17,8 @@
   readonly waitMs?: number;
   /** Names the longest part of the prompt that other requests share. */
   readonly sharedPrefix?: string;
+  /** Tokens of the prompt up to the end of that part. */
+  readonly sharedTokens: number;
 }
 
 /** What an endpoint is told besides what the caller said. */
--- a/packages/direct/src/digest.ts
+++ b/packages/direct/src/digest.ts
@@ -30,6 +30,8 @@
   d: v.array(v.tuple([v.string(), v.number()])),
   /** Suspect requests. */
   s: v.array(noteSchema),
+  /** Prefixes that were placed since the last digest, by endpoint. */
+  c: v.record(v.string(), v.array(v.string())),
 });
 
 /** What a router tells of itself. */
@@ -40,6 +42,7 @@
   readonly outcomes: ReadonlyMap<string, decide.Outcomes>;
   readonly leavers: ReturnType<endpointBook.EndpointBook['leavers']>;
   readonly suspects: readonly decide.SuspectNote[];
+  readonly placed: readonly decide.Placed[];
 }
 
 /** Outcomes travel as whole numbers of this part. */
@@ -65,6 +68,7 @@
     l: load,
     d: digest.leavers.map(([id, offset]) => [id, offset]),
     s: [...digest.suspects],
+    c: byEndpoint(digest.placed),
   };
   return Buffer.from(JSON.stringify(wire));
 }
@@ -73,7 +77,7 @@
 export function decode(bytes: Buffer): Digest | undefined {
   const parsed = v.safeParse(wireSchema, parseJson(bytes));
   if (!parsed.success) return undefined;
-  const {r: router, p: phase, v: version, e, l, d, s} = parsed.output;
+  const {r: router, p: phase, v: version, e, l, d, s, c} = parsed.output;
   const inFlight = new Map<string, number>();
   const outcomes = new Map<string, decide.Outcomes>();
   for (const [id, [running, good, failed]] of Object.entries(l)) {
@@ -84,7 +88,19 @@
     });
   }
   const standing = {phase, version, endpointsOffset: e};
-  return {router, standing, inFlight, outcomes, leavers: d, suspects: s};
+  const placed = Object.entries(c).flatMap(([endpoint, prefixes]) =>
+    prefixes.map(prefix => ({prefix, endpoint})),
+  );
+  const told = {leavers: d, suspects: s, placed};
+  return {router, standing, inFlight, outcomes, ...told};
+}
+
+function byEndpoint(placed: readonly decide.Placed[]) {
+  const prefixes: Record<string, string[]> = {};
+  for (const {prefix, endpoint} of placed) {
+    (prefixes[endpoint] ??= []).push(prefix);
+  }
+  return prefixes;
 }
 
 function parseJson(bytes: Buffer): unknown {
--- a/packages/direct/src/dispatcher.ts
+++ b/packages/direct/src/dispatcher.ts
@@ -196,12 +196,26 @@
       zone: book.find(id)?.zone ?? '',
       inFlight: load.inFlight(id, nowMs),
     }));
-    const {zone} = this.kernel.find(fleetBook.FLEET_BOOK).self();
-    const prefix = asked.head.sharedPrefix;
     const chosen = this.kernel
       .find(decisions.PLACEMENT)
-      .choose({prefix, zone}, spots);
-    return chosen && book.find(chosen.id);
+      .choose(this.wish(asked, nowMs), spots);
+    if (!chosen) return undefined;
+    this.remember(asked, chosen.id, nowMs);
+    return book.find(chosen.id);
+  }
+
+  private wish({head}: asks.Ask, nowMs: number): decide.PlacementAsk {
+    const {zone} = this.kernel.find(fleetBook.FLEET_BOOK).self();
+    const {sharedPrefix: prefix, sharedTokens: prefixTokens} = head;
+    if (prefix === undefined) return {zone};
+    const homes = this.kernel.find(decisions.HOMES).of(prefix, nowMs);
+    return {zone, prefix, prefixTokens, homes};
+  }
+
+  private remember({head}: asks.Ask, endpoint: string, nowMs: number): void {
+    const {sharedPrefix: prefix} = head;
+    if (prefix === undefined) return;
+    this.kernel.find(decisions.HOMES).placed({prefix, endpoint}, nowMs);
   }
 
   /** Healthy endpoints; a suspect request keeps away from other suspects. */
--- a/packages/direct/src/gossip.ts
+++ b/packages/direct/src/gossip.ts
@@ -116,6 +116,7 @@
       outcomes: this.kernel.find(decisions.HEALTH).own(nowMs),
       leavers: endpoints.leavers(nowMs),
       suspects: this.kernel.find(decisions.SUSPECTS).changes(nowMs),
+      placed: this.kernel.find(decisions.HOMES).untold(),
     };
   }
 
@@ -142,6 +143,8 @@
     }
     const suspects = this.kernel.find(decisions.SUSPECTS);
     for (const note of digest.suspects) suspects.learn(note, nowMs);
+    const homes = this.kernel.find(decisions.HOMES);
+    for (const placed of digest.placed) homes.learn(placed, nowMs);
     this.kernel.find(catchUp.CATCH_UP).heard(router, standing);
   }
 
--- a/packages/direct/src/keepers.ts
+++ b/packages/direct/src/keepers.ts
@@ -8,6 +8,7 @@
 import type * as feeds from './feed.js';
 import * as fleetBook from './fleetbook.js';
 import type * as follower from './follower.js';
+import * as connections from './connections.js';
 import * as decisions from './decisions.js';
 import type * as model from './model.js';
 import * as tablesBook from './tablesbook.js';
@@ -86,6 +87,8 @@
     this.book.take(item, this.nowMs());
     if (item.value) return;
     this.kernel.find(decisions.HEALTH).forget(item.key);
+    this.kernel.find(decisions.HOMES).forget(item.key);
+    this.kernel.find(connections.CONNECTIONS).forget(item.key);
   }
 
   private nowMs(): number {
--- a/packages/direct/src/liveness.ts
+++ b/packages/direct/src/liveness.ts
@@ -49,6 +49,7 @@
     const nowMs = this.kernel.find(core.CLOCK).nowMs();
     this.kernel.find(decisions.HEALTH).unreachable(endpoint.id, nowMs);
     this.kernel.find(decisions.SUSPECTS).crashed(endpoint.id, nowMs);
+    this.kernel.find(decisions.HOMES).forget(endpoint.id);
     this.kernel.find(core.LOGGER).warn('endpoint_unreachable', {
       endpoint: endpoint.id,
       address: `${endpoint.address}:${endpoint.port}`,
--- a/packages/router/src/wiredirect.ts
+++ b/packages/router/src/wiredirect.ts
@@ -22,6 +22,7 @@
   const random = kernel.find(core.RANDOM);
   kernel.register(direct.HEALTH, new decide.DecayingHealth());
   kernel.register(direct.LOAD, new decide.ToldFleetLoad());
+  kernel.register(direct.HOMES, new decide.ToldPrefixHomes());
   kernel.register(direct.PLACEMENT, new decide.PrefixPlacement({random}));
   kernel.register(
     direct.REPEATS,
