Read the store less often, and tell leavers by digest

Change: a router reads the endpoints at 160 ms times the number of routers, at most each 3 s; whoever reads that an endpoint leaves tells all at once. Reads of the tables wait 20 s; the list of routers is read each 20 s.

--- a/packages/direct/src/endpointbook.ts
+++ b/packages/direct/src/endpointbook.ts
@@ -33,6 +33,8 @@
   items(): readonly EndpointItem[];
   /** Keys that began to drain or left of late, with their offsets. */
   leavers(nowMs: number): ReadonlyArray<readonly [string, number]>;
+  /** Calls `left` when an endpoint begins to drain or is gone. */
+  onLeave(left: () => void): void;
   /** Another router saw the endpoint drain or leave at the offset. */
   learnLeaver(id: string, offset: number, nowMs: number): void;
 }
@@ -47,6 +49,7 @@
   'reached',
   'items',
   'leavers',
+  'onLeave',
   'learnLeaver',
 ]);
 
@@ -60,6 +63,7 @@
   private readonly records = new Map<string, EndpointItem>();
   private readonly left = new Map<string, Leave>();
   private readonly removed: string[] = [];
+  private readonly listeners: Array<() => void> = [];
   private next = 0;
 
   constructor(private readonly kernel: core.Kernel) {}
@@ -111,6 +115,10 @@
     return told;
   }
 
+  onLeave(left: () => void): void {
+    this.listeners.push(left);
+  }
+
   learnLeaver(id: string, offset: number, nowMs: number): void {
     const known = this.records.get(id);
     if (!known?.value || known.offset >= offset) return;
@@ -129,6 +137,7 @@
     if (was === is && before?.value?.bornMs === value?.bornMs) return;
     if (was === 'ready' && is !== 'ready') {
       this.left.set(key, {offset, atMs: nowMs});
+      for (const left of this.listeners) left();
     }
     this.kernel.find(core.LOGGER).info('endpoint', {
       endpoint: key,
--- a/packages/direct/src/followers.ts
+++ b/packages/direct/src/followers.ts
@@ -9,13 +9,26 @@
 import type * as settings from './settings.js';
 
 /**
- * How long a read of the tables waits at the store, in ms. A connection that
- * has gone silent is noticed after it.
+ * How long a read of the tables waits at the store, in ms, within the store's
+ * limit of 30 s. A connection that goes silent meanwhile is closed when the
+ * next read of the endpoints fails on its own.
  */
-const TABLES_WAIT_MS = 4_000;
+const TABLES_WAIT_MS = 20_000;
 
 /** Pause between reads of the list of routers, in ms; digests tell sooner. */
-const ROUTERS_PACE_MS = 5_000;
+const ROUTERS_PACE_MS = 20_000;
+
+/**
+ * Mean time between two reads of the endpoints by any router of the fleet, in
+ * ms; whoever reads that one leaves tells the others at once.
+ */
+const FLEET_PACE_MS = 160;
+
+/** Longest pause between this router's own reads of the endpoints, in ms. */
+const MAX_ENDPOINTS_PACE_MS = 3_000;
+
+/** Part of a pause that is random, so that routers do not read together. */
+const PACE_JITTER = 0.4;
 
 /** First pause after which routers that started together have listed, in ms. */
 const ROUTERS_FIRST_MS = 700;
@@ -49,7 +62,7 @@
 
   constructor(
     private readonly kernel: core.Kernel,
-    own: settings.Settings,
+    private readonly own: settings.Settings,
   ) {
     this.tasks = new core.TaskGroup(kernel.find(core.LOGGER));
     const source = kernel.find(feeds.FEEDS);
@@ -65,7 +78,7 @@
       feed: source.endpoints,
       keeper: new keepers.EndpointsKeeper(kernel),
       waitMs: 0,
-      pauseMs: () => own.endpointsPaceMs,
+      pauseMs: () => this.endpointsPaceMs(),
     });
     const routers = new follower.Follower(kernel, {
       name: 'routers',
@@ -99,6 +112,17 @@
     await this.kernel.find(feeds.FEEDS).withdraw(self, limit);
   }
 
+  /** The more routers read, the less often each has to. */
+  private endpointsPaceMs(): number {
+    const nowMs = this.kernel.find(core.CLOCK).nowMs();
+    const fleet = this.kernel.find(fleetBook.FLEET_BOOK);
+    const routers = fleet.live(nowMs).length + 1;
+    const sharedMs = Math.min(MAX_ENDPOINTS_PACE_MS, FLEET_PACE_MS * routers);
+    const paceMs = Math.max(this.own.endpointsPaceMs, sharedMs);
+    const jitter = this.kernel.find(core.RANDOM).next() - 0.5;
+    return paceMs * (1 + PACE_JITTER * jitter);
+  }
+
   private routersPaceMs(): number {
     this.routersRead += 1;
     return this.routersRead <= 2 ? ROUTERS_FIRST_MS : ROUTERS_PACE_MS;
--- a/packages/direct/src/gossip.ts
+++ b/packages/direct/src/gossip.ts
@@ -54,6 +54,7 @@
     this.socket.on('message', bytes => this.take(bytes));
     const book = this.kernel.find(tablesBook.TABLES_BOOK);
     book.onChange(() => this.hasten());
+    this.kernel.find(endpointBook.ENDPOINT_BOOK).onLeave(() => this.hasten());
     this.tasks.spawn('gossip', signal => this.run(signal));
   }
 
--- a/packages/direct/src/settings.ts
+++ b/packages/direct/src/settings.ts
@@ -90,9 +90,9 @@
   },
   endpointsPaceMs: {
     schema: core.wholeNumber(50, MAX_MS),
-    fallback: '1000',
+    fallback: '700',
     unit: 'ms',
-    meaning: 'pause between reads of the list of endpoints',
+    meaning: 'shortest pause between reads of the list of endpoints',
   },
   digestMs: {
     schema: core.wholeNumber(50, MAX_MS),
