--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,6 +4,7 @@
 export * from './errors.js';
 export * from './hash.js';
 export * as headers from './headers.js';
+export * from './heap.js';
 export * from './ids.js';
 export * from './instances.js';
 export * from './issues.js';
--- a/packages/decide/src/outcomehealth.ts
+++ b/packages/decide/src/outcomehealth.ts
@@ -114,9 +114,11 @@
   usable(pool: readonly string[], nowMs: number): readonly string[] {
     const reachable = pool.filter(id => !this.isAway(id, nowMs));
     if (reachable.length === 0) return pool;
-    const shares = reachable.map(id => this.sum(id, nowMs));
-    const limit = failureLimit(shares);
-    const kept = reachable.filter((_, at) => !isFailing(shares[at]!, limit));
+    const sums = reachable.map(id => ({id, outcomes: this.sum(id, nowMs)}));
+    const limit = failureLimit(sums.map(({outcomes}) => outcomes));
+    const kept = sums
+      .filter(({outcomes}) => !isFailing(outcomes, limit))
+      .map(({id}) => id);
     return kept.length * 2 >= reachable.length ? kept : reachable;
   }
 
--- a/packages/direct/src/delivery.ts
+++ b/packages/direct/src/delivery.ts
@@ -178,15 +178,13 @@
 }
 
 /** The whole body, or the error that kept it from being whole. */
-async function readWhole({
-  response,
-  heard,
-}: attempts.OpenAnswer): Promise<Buffer | Error> {
+async function readWhole(open: attempts.OpenAnswer): Promise<Buffer | Error> {
+  const {response} = open;
   const pieces: Buffer[] = [];
   let size = 0;
   try {
     for await (const piece of response) {
-      heard();
+      open.heard();
       pieces.push(piece as Buffer);
       size += (piece as Buffer).length;
       if (size > MAX_BUFFERED_BYTES) return new Error('the answer is too long');
--- a/packages/direct/src/directory.ts
+++ b/packages/direct/src/directory.ts
@@ -20,9 +20,13 @@
 /** Most addresses that callers take. */
 const MAX_ADDRESSES = 64;
 
-/** The contracts under which the listeners are registered. */
+/** The contract under which the listener for addresses is registered. */
 export const DIRECTORY = core.contract<core.Lifecycle>('directory', ['start']);
+
+/** The contract under which the listener for readiness is registered. */
 export const READINESS = core.contract<core.Lifecycle>('readiness', ['start']);
+
+/** The contract under which the listener for routers is registered. */
 export const PEER_STATE = core.contract<core.Lifecycle>('peer-state', [
   'start',
 ]);
--- a/packages/router/src/direct.ts
+++ b/packages/router/src/direct.ts
@@ -22,7 +22,7 @@
     names.map(name => [option(name), {type: 'string' as const}]),
   );
   const {values} = util.parseArgs({args: words, options});
-  const given = values as Flags;
+  const given = values;
   return Object.fromEntries(names.map(name => [name, given[option(name)]]));
 }
 
--- a/packages/router/src/entry.ts
+++ b/packages/router/src/entry.ts
@@ -48,8 +48,9 @@
   protected async serve(call: core.listener.Call): Promise<void> {
     const [path = ''] = (call.request.url ?? '').split('?');
     if (path === '/where') return this.answerWhere(call);
-    if (path === '/health')
+    if (path === '/health') {
       return core.listener.sendJson(call.response, 200, {});
+    }
     if (path === '/ready') return this.answerReady(call);
     if (path === '/metrics') return this.answerMetrics(call);
     return this.serveRequest(call);
--- a/packages/router/src/wiredirect.ts
+++ b/packages/router/src/wiredirect.ts
@@ -62,6 +62,7 @@
   kernel.register(core.RANDOM, new core.SeededRandom(seed));
   const metrics = new core.ProcessMetrics({withRuntime: false});
   kernel.register(core.METRICS, metrics);
+  kernel.register(core.HEAP, new core.GrowthHeapKeeper(kernel));
   registerDecisions(kernel, own);
   registerBooks(kernel, own);
   const {storeAddress} = own;
