--- /dev/null
+++ b/packages/router/src/tests/directfleet.ts
@@ -0,0 +1,264 @@
+/** Support: a fleet that sends straight to endpoints, on the users' platform. */
+import * as http from 'node:http';
+import * as net from 'node:net';
+import * as core from '@oleanderrock/core';
+import * as direct from '@oleanderrock/direct';
+import * as standins from '@oleanderrock/standins';
+import * as wireDirect from '../wiredirect.js';
+import * as until from './until.js';
+
+/** Loopback addresses of the parts; routers count up from the third. */
+const STORE_ADDRESS = '127.0.0.1';
+const FIRST_ROUTER = 10;
+
+/** Key of the customer `acme`. */
+export const KEY = 'key-of-acme';
+
+/** Host of all routes. */
+export const HOST = 'chat.example';
+
+/** A route as operators write it. */
+export function route(
+  pathPrefix: string,
+  kind: 'idempotent' | 'non_idempotent' | 'streaming',
+  more: Record<string, unknown> = {},
+): Record<string, unknown> {
+  return {
+    name: `r${pathPrefix.replaceAll('/', '-')}`,
+    host: HOST,
+    pathPrefix,
+    kind,
+    service: 'pool',
+    timeoutMs: 2_000,
+    goalMs: 100,
+    priority: 1,
+    maxAttempts: kind === 'non_idempotent' ? 1 : 2,
+    public: false,
+    resumable: kind === 'streaming',
+    ...more,
+  };
+}
+
+/** A configuration as operators write it. */
+export function config(
+  version: number,
+  more: Record<string, unknown> = {},
+): Record<string, unknown> {
+  return {
+    version,
+    routes: [
+      route('/read/', 'idempotent'),
+      route('/book/', 'non_idempotent'),
+      route('/chat/', 'streaming'),
+      route('/once/', 'streaming', {resumable: false, maxAttempts: 1}),
+    ],
+    services: [],
+    limits: {
+      headerBytes: 16_384,
+      bodyBytes: 1_048_576,
+      headerMs: 3_000,
+      idleMs: 15_000,
+    },
+    tenants: [{name: 'acme', keys: [KEY]}],
+    ...more,
+  };
+}
+
+async function freePort(): Promise<number> {
+  const server = net.createServer();
+  await new Promise<void>(resolve => server.listen(0, '0.0.0.0', resolve));
+  const {port} = server.address() as net.AddressInfo;
+  await new Promise(resolve => server.close(resolve));
+  return port;
+}
+
+/** What a caller got. */
+export interface Got {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+  /** Whether the answer ended as whole. */
+  readonly isWhole: boolean;
+}
+
+/** Options of a call. */
+export interface CallOptions {
+  readonly method?: string;
+  readonly body?: string;
+  readonly headers?: Record<string, string>;
+  readonly signal?: AbortSignal;
+}
+
+let callCount = 0;
+
+/** A fleet with its store and endpoints. */
+export class DirectFleet {
+  readonly store = new standins.TopicStore();
+  readonly endpoints: standins.HostedEndpoint[] = [];
+  readonly kernels: core.Kernel[] = [];
+  private ports = {entry: 0, ready: 0, directory: 0, peer: 0, gossip: 0};
+  private storePort = 0;
+
+  /** Starts the store, endpoints and routers; resolves when all are ready. */
+  async start(endpoints = 2, routers = 1): Promise<void> {
+    this.storePort = await this.store.start(STORE_ADDRESS);
+    this.ports = {
+      entry: await freePort(),
+      ready: await freePort(),
+      directory: await freePort(),
+      peer: await freePort(),
+      gossip: await freePort(),
+    };
+    this.store.put('keyed.op', 'config', config(1));
+    for (let count = 0; count < endpoints; count++) await this.addEndpoint();
+    for (let count = 0; count < routers; count++) await this.addRouter();
+    await until.until('all routers are ready', () => this.allReady());
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.kernels.map(kernel => kernel.stop()));
+    await Promise.all(this.endpoints.map(endpoint => endpoint.stop()));
+    await this.store.stop();
+  }
+
+  async addEndpoint(pool = 'pool'): Promise<standins.HostedEndpoint> {
+    const id = `e${this.endpoints.length + 1}`;
+    const made = new standins.HostedEndpoint(id, pool, STORE_ADDRESS);
+    await made.start();
+    this.endpoints.push(made);
+    this.store.put('keyed.servers', id, made.entry());
+    return made;
+  }
+
+  async addRouter(): Promise<core.Kernel> {
+    const kernel = wireDirect.wireDirect(this.settings(this.kernels.length));
+    this.kernels.push(kernel);
+    await kernel.start();
+    return kernel;
+  }
+
+  /** Address of the router by its number. */
+  address(router: number): string {
+    return `127.0.0.${FIRST_ROUTER + router}`;
+  }
+
+  phase(router: number): direct.Phase {
+    return this.kernels[router]!.find(direct.LIFE).phase();
+  }
+
+  version(router: number): number {
+    return this.kernels[router]!.find(direct.TABLES_BOOK).version();
+  }
+
+  /** Requests that ran, over all endpoints. */
+  runs(): standins.SeenRun[] {
+    return this.endpoints.flatMap(endpoint => endpoint.runs);
+  }
+
+  /** Calls a router as a caller does. */
+  call(path: string, options: CallOptions = {}, router = 0): Promise<Got> {
+    const {method = 'POST', body = '', headers = {}, signal} = options;
+    callCount += 1;
+    const all = {
+      host: HOST,
+      'attempt-id': `attempt-${callCount}`,
+      'deadline-ms': '3000',
+      'x-api-key': KEY,
+      ...headers,
+    };
+    return this.send(this.ports.entry, router, {
+      method,
+      path,
+      headers: all,
+      body,
+      signal,
+    });
+  }
+
+  /** Asks for the addresses to use. */
+  async resolve(zone: string, router = 0): Promise<string[]> {
+    const path = `/resolve?name=${HOST}&region=r&zone=${zone}`;
+    const got = await this.send(this.ports.directory, router, {path});
+    const {addrs = []} = JSON.parse(got.body) as {addrs?: string[]};
+    return addrs.map(address => address.split(':')[0]!).sort();
+  }
+
+  /** The status of the readiness check, or of the metrics. */
+  async ready(router = 0, path = '/ready'): Promise<Got> {
+    return this.send(this.ports.ready, router, {path});
+  }
+
+  private allReady(): boolean {
+    const count = this.kernels.length;
+    return this.kernels.every(kernel => {
+      const nowMs = kernel.find(core.CLOCK).nowMs();
+      const heard = kernel.find(direct.FLEET_BOOK).live(nowMs).length;
+      const isReady = kernel.find(direct.LIFE).phase() === 'ready';
+      return isReady && heard === count - 1;
+    });
+  }
+
+  private settings(router: number): direct.settings.Settings {
+    const address = this.address(router);
+    const listen = (port: number) => `${address}:${port}`;
+    const loaded = core.loadSettings(direct.settings.SETTINGS, {
+      flags: {
+        name: `router-${router}`,
+        address,
+        zone: router % 2 === 0 ? 'zone-a' : 'zone-b',
+        entryListen: listen(this.ports.entry),
+        readyListen: listen(this.ports.ready),
+        directoryListen: listen(this.ports.directory),
+        peerListen: listen(this.ports.peer),
+        gossipPort: String(this.ports.gossip),
+        seeds: `${this.address(0)}:${this.ports.peer}`,
+        storeAddress: `${STORE_ADDRESS}:${this.storePort}`,
+        endpointsPaceMs: '100',
+        digestMs: '100',
+        logLevel: 'error',
+      },
+      environment: {},
+    });
+    if (!loaded.ok) throw new Error(loaded.problems.join('; '));
+    return direct.settings.settle(loaded.values);
+  }
+
+  private send(
+    port: number,
+    router: number,
+    options: http.RequestOptions & {body?: string},
+  ): Promise<Got> {
+    return new Promise((resolve, reject) => {
+      const request = http.request({
+        ...options,
+        host: this.address(router),
+        port,
+        agent: false,
+      });
+      request.on('error', reject);
+      request.on('response', response => {
+        const pieces: Buffer[] = [];
+        response.on('data', (piece: Buffer) => pieces.push(piece));
+        response.on('error', () => undefined);
+        response.on('close', () =>
+          resolve({
+            status: response.statusCode ?? 0,
+            headers: response.headers,
+            body: Buffer.concat(pieces).toString(),
+            isWhole: response.complete,
+          }),
+        );
+      });
+      request.end(options.body);
+    });
+  }
+}
+
+/** Events `1` to `count` as the stand-in writes them. */
+export function events(count: number, from = 1): string {
+  const all: string[] = [];
+  for (let number = from; number <= count; number++) {
+    all.push(`id: ${number}\ndata: event ${number}\n\n`);
+  }
+  return all.join('');
+}
--- /dev/null
+++ b/packages/standins/src/hostedendpoint.ts
@@ -0,0 +1,184 @@
+/**
+ * Stand-in for an engine or plain service on the users' platform. A test sets
+ * how the next requests are answered, by a queue of behaviours.
+ */
+import * as http from 'node:http';
+import type * as net from 'node:net';
+
+/** How one request is answered. */
+export type Behaviour =
+  | {readonly type: 'answer'; readonly body?: string}
+  /** The endpoint runs the request and answers 500. */
+  | {readonly type: 'fail'}
+  /** The endpoint refuses and does not run the request. */
+  | {readonly type: 'shed'}
+  /** The request runs, and its connection is reset without an answer. */
+  | {readonly type: 'reset'}
+  /** Another request's id stands in the answer. */
+  | {readonly type: 'foreign'}
+  /** The answer is shorter than its length says. */
+  | {readonly type: 'truncate'}
+  | {readonly type: 'unsealed'}
+  /** No answer, until the caller leaves. */
+  | {readonly type: 'hang'}
+  /** Events by number, from the one after `Last-Event-Id` up to `events`. */
+  | {
+      readonly type: 'stream';
+      readonly events: number;
+      /** Breaks off in the middle of this event. */
+      readonly breakIn?: number;
+      readonly paceMs?: number;
+    };
+
+/** A request that ran. */
+export interface SeenRun {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+  /** Whether the caller left before the end. */
+  hasLeft: boolean;
+}
+
+/** The endpoint. */
+export class HostedEndpoint {
+  readonly runs: SeenRun[] = [];
+  /** Answers of the next requests; afterwards `usual` holds. */
+  readonly next: Behaviour[] = [];
+  usual: Behaviour = {type: 'answer'};
+  port = 0;
+  private server: http.Server;
+
+  constructor(
+    readonly id: string,
+    readonly pool: string,
+    private readonly address: string,
+  ) {
+    this.server = this.makeServer();
+  }
+
+  /** Starts, on the same port as before if there was one. */
+  async start(): Promise<void> {
+    await new Promise<void>(resolve =>
+      this.server.listen(this.port, this.address, resolve),
+    );
+    this.port = (this.server.address() as net.AddressInfo).port;
+  }
+
+  /** Ends at once; connections are reset. */
+  async stop(): Promise<void> {
+    const closed = new Promise(resolve => this.server.close(resolve));
+    this.server.closeAllConnections();
+    await closed;
+    this.server = this.makeServer();
+  }
+
+  /** The entry that it writes of itself. */
+  entry(state: 'ready' | 'draining' = 'ready'): Record<string, unknown> {
+    return {
+      service: this.pool,
+      address: `${this.address}:${this.port}`,
+      zone: 'zone-a',
+      version: 'v1',
+      slots: 8,
+      state,
+      warmupLeftMs: 0,
+      seq: 1,
+      born: 1_700_000_000_000,
+    };
+  }
+
+  private makeServer(): http.Server {
+    return http.createServer((request, response) => {
+      void this.serve(request, response);
+    });
+  }
+
+  private async serve(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const pieces: Buffer[] = [];
+    for await (const piece of request) pieces.push(piece as Buffer);
+    if (request.headers['expect-instance'] !== this.id) {
+      response.writeHead(421, {'instance-id': this.id}).end();
+      return;
+    }
+    const behaviour = this.next.shift() ?? this.usual;
+    if (behaviour.type === 'shed') {
+      response.writeHead(503, {'not-executed': '1'}).end();
+      return;
+    }
+    const run: SeenRun = {
+      method: request.method ?? '',
+      path: request.url ?? '',
+      headers: request.headers,
+      body: Buffer.concat(pieces).toString(),
+      hasLeft: false,
+    };
+    this.runs.push(run);
+    response.once('close', () => (run.hasLeft = !response.writableFinished));
+    await this.answer(behaviour, run, response);
+  }
+
+  private async answer(
+    behaviour: Behaviour,
+    run: SeenRun,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const id = String(run.headers['attempt-id']);
+    const headers = {'attempt-id': id, 'response-seal': `${this.id}.${id}`};
+    switch (behaviour.type) {
+      case 'answer':
+        response.writeHead(200, headers).end(behaviour.body ?? `by ${this.id}`);
+        break;
+      case 'fail':
+        response.writeHead(500, headers).end('failed');
+        break;
+      case 'foreign':
+        response.writeHead(200, {...headers, 'attempt-id': 'other'}).end('no');
+        break;
+      case 'unsealed':
+        response.writeHead(200, {'attempt-id': id}).end('no');
+        break;
+      case 'truncate':
+        response.writeHead(200, {...headers, 'content-length': 1_000});
+        response.write('cut');
+        setTimeout(() => response.destroy(), 10);
+        break;
+      case 'reset':
+        run.hasLeft = true;
+        response.destroy();
+        break;
+      case 'stream':
+        await stream(behaviour, run, response, headers);
+        break;
+      default:
+        break;
+    }
+  }
+}
+
+const DEFAULT_PACE_MS = 2;
+
+async function stream(
+  {events, breakIn, paceMs = DEFAULT_PACE_MS}: Behaviour & {type: 'stream'},
+  run: SeenRun,
+  response: http.ServerResponse,
+  headers: Record<string, string>,
+): Promise<void> {
+  response.writeHead(200, {...headers, 'content-type': 'text/event-stream'});
+  const first = Number(run.headers['last-event-id'] ?? 0) + 1;
+  for (let number = first; number <= events; number++) {
+    const event = `id: ${number}\ndata: event ${number}\n\n`;
+    if (number === breakIn) {
+      response.write(event.slice(0, event.length / 2));
+      setTimeout(() => response.destroy(), DEFAULT_PACE_MS);
+      return;
+    }
+    if (response.destroyed) return;
+    response.write(event);
+    await new Promise(resolve => setTimeout(resolve, paceMs));
+  }
+  response.end();
+}
