Take an answer without a length that is reset for no answer

Node's parser takes the reset for the end of such an answer and calls it complete; the request's error, which says otherwise, was swallowed. Ruled out: chunked and counted answers, which Node reports as cut (tests of truncation passed before). Change: an error of the request after the head destroys its answer. The new test failed with 200 for 502 and passes.

--- a/packages/core/src/relay.ts
+++ b/packages/core/src/relay.ts
@@ -178,7 +178,11 @@
   try {
     const response = await answered(request);
     const fault = options.checkHead?.(response, request.reusedSocket);
-    if (!fault) return {type: 'head', response};
+    if (!fault) {
+      // A reset would else pass for the end of an answer without a length.
+      request.once('error', error => response.destroy(error));
+      return {type: 'head', response};
+    }
     request.destroy();
     return stop('sent', 'protocol', fault);
   } catch (error) {
--- /dev/null
+++ b/packages/direct/src/tests/parts.test.ts
@@ -0,0 +1,187 @@
+/** Parts of a router that sends straight to endpoints. */
+import * as chai from 'chai';
+import * as core from '@oleanderrock/core';
+import * as fc from 'fast-check';
+import * as digests from '../digest.js';
+import * as direct from '../index.js';
+
+const {expect} = chai;
+
+const RUNS = {seed: 20_261_204, numRuns: 200};
+
+function kernel(): core.Kernel {
+  const made = new core.Kernel();
+  made.register(core.LOGGER, new core.SilentLogger());
+  return made;
+}
+
+function tables(version: number): direct.Tables {
+  const route = {
+    host: 'Chat.Example',
+    pools: [{name: 'pool', weight: 1}],
+    repeat: 'idempotent' as const,
+    isResumable: false,
+    maxRuns: 1,
+    timeoutMs: 100,
+    goalMs: 100,
+    priority: 1,
+    isPublic: false,
+  };
+  return {
+    version,
+    routes: [
+      {...route, name: 'short', pathPrefix: '/a/'},
+      {...route, name: 'long', pathPrefix: '/a/b/'},
+    ],
+    customers: [{name: 'acme', keys: ['k1', 'k2']}],
+    limits: {maxBodyBytes: 1, idleMs: 1},
+  };
+}
+
+function endpoint(id: string, isDraining = false): direct.Endpoint {
+  return {
+    id,
+    pool: 'pool',
+    address: '127.0.0.1',
+    port: 1,
+    zone: 'z',
+    isDraining,
+  };
+}
+
+describe('the splitter of events', () => {
+  it('passes on the same bytes however they are cut', () => {
+    const cuts = fc.array(fc.nat(400), {maxLength: 12});
+    const texts = fc.array(fc.string({unit: 'grapheme-ascii', maxLength: 30}));
+    fc.assert(
+      fc.property(texts, cuts, (data, places) => {
+        const all = data
+          .map((text, at) => `id: ${at + 1}\ndata: ${JSON.stringify(text)}\n\n`)
+          .join('');
+        const bytes = Buffer.from(all);
+        const ends = [...places, bytes.length].sort((a, b) => a - b);
+        const splitter = new direct.EventSplitter();
+        const passed: Buffer[] = [];
+        let from = 0;
+        for (const end of ends.map(each => Math.min(each, bytes.length))) {
+          const whole = splitter.push(bytes.subarray(from, end));
+          expect(
+            whole.length === 0 || whole.toString().endsWith('\n\n'),
+          ).to.equal(true);
+          passed.push(Buffer.from(whole));
+          from = end;
+        }
+        expect(Buffer.concat(passed).toString()).to.equal(all);
+        const last = data.length > 0 ? String(data.length) : undefined;
+        expect(splitter.lastEventId).to.equal(last);
+      }),
+      RUNS,
+    );
+  });
+
+  it('drops the half of an event whose connection broke', () => {
+    const splitter = new direct.EventSplitter();
+    expect(
+      splitter.push(Buffer.from('id: 1\ndata: x\n\nid: 2\nda')).toString(),
+    ).to.equal('id: 1\ndata: x\n\n');
+    splitter.reset();
+    expect(
+      splitter.push(Buffer.from('id: 2\ndata: y\n\n')).toString(),
+    ).to.equal('id: 2\ndata: y\n\n');
+    expect(splitter.lastEventId).to.equal('2');
+  });
+});
+
+describe('the book of tables', () => {
+  it('never goes back, in whatever order versions come', () => {
+    fc.assert(
+      fc.property(fc.array(fc.nat(50)), versions => {
+        const book = new direct.IndexedTablesBook(kernel());
+        let highest = direct.NO_VERSION;
+        for (const version of versions) {
+          book.take(tables(version), 'test');
+          highest = Math.max(highest, version);
+          expect(book.version()).to.equal(highest);
+        }
+      }),
+      RUNS,
+    );
+  });
+
+  it('finds the longest prefix, and who holds a key', () => {
+    const book = new direct.IndexedTablesBook(kernel());
+    book.take(tables(1), 'test');
+    expect(book.route('chat.example', '/a/b/c?d')?.name).to.equal('long');
+    expect(book.route('chat.example', '/a/bc')?.name).to.equal('short');
+    expect(book.route('chat.example', '/b/')).to.equal(undefined);
+    expect(book.route('other', '/a/')).to.equal(undefined);
+    expect(book.holder('k2')?.name).to.equal('acme');
+    expect(book.holder('k3')).to.equal(undefined);
+  });
+});
+
+describe('the book of endpoints', () => {
+  it('holds the newest record of each key, in whatever order they come', () => {
+    const records = fc.array(
+      fc.record({key: fc.constantFrom('a', 'b'), isDraining: fc.boolean()}),
+      {maxLength: 20},
+    );
+    const ranks = fc.array(fc.nat(), {minLength: 20, maxLength: 20});
+    fc.assert(
+      fc.property(records, ranks, (all, places) => {
+        const items = all.map(({key, isDraining}, offset) => ({
+          key,
+          offset,
+          value: endpoint(key, isDraining),
+        }));
+        const shuffled = [...items].sort(
+          (one, other) => places[one.offset]! - places[other.offset]!,
+        );
+        const [inOrder, inAnother] = [items, shuffled].map(each => {
+          const book = new direct.ListedEndpoints(kernel());
+          for (const item of each) book.take(item, 0);
+          return book
+            .ready('pool')
+            .map(({id}) => id)
+            .sort();
+        });
+        expect(inAnother).to.deep.equal(inOrder);
+      }),
+      RUNS,
+    );
+  });
+
+  it('takes a leaver from another router, but no old news', () => {
+    const book = new direct.ListedEndpoints(kernel());
+    book.take({key: 'a', offset: 5, value: endpoint('a')}, 0);
+    book.learnLeaver('a', 4, 0);
+    expect(book.ready('pool')).to.have.length(1);
+    book.learnLeaver('a', 6, 0);
+    expect(book.ready('pool')).to.have.length(0);
+    expect(book.leavers(0).map(([id]) => id)).to.deep.equal(['a']);
+    book.take({key: 'a', offset: 7, value: endpoint('a')}, 0);
+    expect(book.ready('pool')).to.have.length(1);
+  });
+});
+
+describe('the digest', () => {
+  it('reads back what it wrote, and nothing else', () => {
+    const digest: digests.Digest = {
+      router: {name: 'r', address: '127.0.0.1', zone: 'z'},
+      standing: {phase: 'ready', version: 3, endpointsOffset: 9},
+      inFlight: new Map([['e', 2]]),
+      outcomes: new Map([['e', {good: 1.5, failed: 0.5}]]),
+      leavers: [['f', 8]],
+      suspects: [{signature: 's', state: 'suspect', validMs: 10}],
+      placed: [{prefix: 'p', endpoint: 'e'}],
+    };
+    expect(digests.decode(digests.encode(digest))).to.deep.equal(digest);
+    expect(digests.decode(Buffer.from('{}'))).to.equal(undefined);
+    fc.assert(
+      fc.property(fc.uint8Array(), bytes => {
+        expect(digests.decode(Buffer.from(bytes))).to.equal(undefined);
+      }),
+      RUNS,
+    );
+  });
+});
--- a/packages/router/src/tests/direct.test.ts
+++ b/packages/router/src/tests/direct.test.ts
@@ -73,6 +73,20 @@
     });
   }
 
+  it('takes an answer without a length that is reset for no answer', async () => {
+    for (const each of fleet.endpoints) {
+      each.usual = {type: 'unframed', isReset: true};
+    }
+    const cut = await fleet.call('/book/a');
+    expect(cut.status).to.equal(502);
+    for (const each of fleet.endpoints) {
+      each.usual = {type: 'unframed', isReset: false};
+    }
+    const whole = await fleet.call('/book/a');
+    expect(whole.body).to.equal('half and half');
+    expect(whole.headers['content-length']).to.equal('13');
+  });
+
   it('takes a success without a seal for no answer', async () => {
     for (const each of fleet.endpoints) each.usual = {type: 'unsealed'};
     const got = await fleet.call('/book/a');
@@ -114,8 +128,9 @@
   });
 
   it('passes a stream on whole', async () => {
-    for (const each of fleet.endpoints)
+    for (const each of fleet.endpoints) {
       each.usual = {type: 'stream', events: 9};
+    }
     const got = await fleet.call('/chat/a');
     expect(got.body).to.equal(support.events(9));
     expect(got.isWhole).to.equal(true);
--- a/packages/standins/src/hostedendpoint.ts
+++ b/packages/standins/src/hostedendpoint.ts
@@ -19,6 +19,8 @@
   /** The answer is shorter than its length says. */
   | {readonly type: 'truncate'}
   | {readonly type: 'unsealed'}
+  /** No length: the answer ends with its connection, or is reset before. */
+  | {readonly type: 'unframed'; readonly isReset: boolean}
   /** No answer, until the caller leaves. */
   | {readonly type: 'hang'}
   /** Events by number, from the one after `Last-Event-Id` up to `events`. */
@@ -146,6 +148,9 @@
         response.write('cut');
         setTimeout(() => response.destroy(), 10);
         break;
+      case 'unframed':
+        unframed(behaviour.isReset, response, headers);
+        break;
       case 'reset':
         run.hasLeft = true;
         response.destroy();
@@ -159,6 +164,24 @@
   }
 }
 
+/** An answer that ends with its connection. */
+function unframed(
+  isReset: boolean,
+  response: http.ServerResponse,
+  headers: Record<string, string>,
+): void {
+  const {socket} = response;
+  const lines = Object.entries(headers).map(([name, value]) => {
+    return `${name}: ${value}\r\n`;
+  });
+  socket?.write(`HTTP/1.1 200 OK\r\n${lines.join('')}\r\nhalf`);
+  if (isReset) setTimeout(() => socket?.resetAndDestroy(), RESET_MS);
+  else socket?.end(' and half');
+}
+
+/** Time in which the bytes before a reset arrive. */
+const RESET_MS = 20;
+
 const DEFAULT_PACE_MS = 2;
 
 async function stream(
