Pass an answer on that ends with its connection as one that does

Change: an answer without length or chunks reaches the caller without them, and is reset where the endpoint reset it. The test of such answers asks for it and failed before.

--- a/packages/direct/src/ask.ts
+++ b/packages/direct/src/ask.ts
@@ -25,12 +25,19 @@
   readonly signature: string;
 }
 
+/**
+ * What ends an answer: its length or last chunk, or the end of its connection.
+ * An answer that ends with its connection may lack its end, and only its
+ * reader can tell; it is passed on in the same way.
+ */
+export type Framing = 'marked' | 'connection';
+
 /** The caller's side of a request. */
 export interface CallerAnswer {
   readonly hasBegun: boolean;
   /** Aborts when the caller has left. */
   readonly gone: AbortSignal;
-  begin(status: number, headers: dialect.Headers): void;
+  begin(status: number, headers: dialect.Headers, framing: Framing): void;
   /** Resolves when the next piece may come. */
   write(piece: Buffer): Promise<void>;
   /** Ends the answer as whole. */
--- a/packages/direct/src/calleranswer.ts
+++ b/packages/direct/src/calleranswer.ts
@@ -7,6 +7,7 @@
 /** Answer over Node's response. */
 export class HttpCallerAnswer implements asks.CallerAnswer {
   private readonly leaving = new AbortController();
+  private framing: asks.Framing = 'marked';
 
   constructor(private readonly response: http.ServerResponse) {
     response.once('close', () => {
@@ -25,8 +26,17 @@
     return this.leaving.signal;
   }
 
-  begin(status: number, headers: dialects.Headers): void {
+  begin(
+    status: number,
+    headers: dialects.Headers,
+    framing: asks.Framing,
+  ): void {
     if (this.gone.aborted) return;
+    this.framing = framing;
+    // Without this header, Node ends the answer with its connection.
+    if (framing === 'connection') {
+      this.response.removeHeader('transfer-encoding');
+    }
     this.response.writeHead(status, headers);
     if (headers['content-length'] === undefined) this.response.flushHeaders();
   }
@@ -49,7 +59,9 @@
   }
 
   cut(): void {
-    this.response.destroy();
+    const {socket} = this.response;
+    if (this.framing === 'connection' && socket) socket.resetAndDestroy();
+    else this.response.destroy();
   }
 
   /** Answers with a failure, or cuts an answer that has begun. */
--- a/packages/direct/src/delivery.ts
+++ b/packages/direct/src/delivery.ts
@@ -27,6 +27,7 @@
 interface Kept {
   readonly status: number;
   readonly headers: dialects.Headers;
+  readonly framing: asks.Framing;
   readonly body: Buffer;
 }
 
@@ -100,19 +101,21 @@
     const body = await readWhole(open);
     if (!Buffer.isBuffer(body)) return this.explain(open, body);
     const headers = this.headers(response);
+    const framing = framingOf(response);
     const isFailure = status >= 500;
     if (isFailure && ask.mayRepeat(this.asked.route) && !isLast) {
-      this.kept = {status, headers, body};
+      this.kept = {status, headers, framing, body};
       return {type: 'failed_run', status};
     }
     if (this.answer.gone.aborted) return {type: 'caller_gone'};
-    this.sendWhole({status, headers, body});
+    this.sendWhole({status, headers, framing, body});
     return {type: 'delivered', status};
   }
 
-  private sendWhole({status, headers, body}: Kept): void {
-    const length = {'content-length': String(body.length)};
-    this.answer.begin(status, {...headers, ...length});
+  private sendWhole({status, headers, framing, body}: Kept): void {
+    const sent = {...headers};
+    if (framing === 'marked') sent['content-length'] = String(body.length);
+    this.answer.begin(status, sent, framing);
     if (body.length > 0) void this.answer.write(body);
     this.answer.end();
   }
@@ -120,7 +123,10 @@
   private async passStream(open: attempts.OpenAnswer): Promise<Delivered> {
     const {response, status} = open;
     this.splitter.reset();
-    if (!this.hasBegun) this.answer.begin(status, this.headers(response));
+    if (!this.hasBegun) {
+      const headers = this.headers(response);
+      this.answer.begin(status, headers, framingOf(response));
+    }
     try {
       for await (const piece of response) {
         open.heard();
@@ -173,6 +179,13 @@
 
 const CUT = new Error('the connection ended within the answer');
 
+function framingOf({headers}: http.IncomingMessage): asks.Framing {
+  const isMarked =
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined;
+  return isMarked ? 'marked' : 'connection';
+}
+
 function isSuccess(status: number): boolean {
   return status >= 200 && status < 300;
 }
--- a/packages/direct/src/run.ts
+++ b/packages/direct/src/run.ts
@@ -10,7 +10,10 @@
 const SERVE_SHARE = 0.45;
 
 /** Part of the grace time after which the process ends whatever is left. */
-const END_SHARE = 0.92;
+const END_SHARE = 0.85;
+
+/** How long services may take to stop, in ms; the process ends all the same. */
+const STOP_LIMIT_MS = 300;
 
 /** Pause between looks for the last request, in ms. */
 const LOOK_MS = 50;
@@ -46,5 +49,5 @@
     await clock.sleep(LOOK_MS);
   }
   log.info('stopping', {in_flight: life.inFlight()});
-  await kernel.stop();
+  await Promise.race([kernel.stop(), clock.sleep(STOP_LIMIT_MS)]);
 }
