Take changed settings up while a router runs

Cause: a settings file that changed was read and only logged. Ruled out: reading them anew at each use, since a file that is being replaced would be half read.

--- a/packages/direct/src/settings.ts
+++ b/packages/direct/src/settings.ts
@@ -115,7 +115,39 @@
   readonly seedAddresses: readonly string[];
 }
 
+/** Settings that a running router takes up; the others hold until its end. */
+const LIVE_NAMES = [
+  'seedAddresses',
+  'retryRatio',
+  'retrySlack',
+  'retryWindowS',
+  'graceS',
+  'addressKeepS',
+  'endpointsPaceMs',
+  'digestMs',
+] as const satisfies ReadonlyArray<keyof Settings>;
+
 /** Names the values as the services use them. */
 export function settle({seeds, peerListen, ...rest}: Loaded): Settings {
   return {...rest, peerPort: peerListen, seedAddresses: seeds};
 }
+
+/** What became of changed settings, by name. */
+export interface SettingsChange {
+  readonly applied: readonly string[];
+  /** These hold from the next start on. */
+  readonly deferred: readonly string[];
+}
+
+/** Puts changed settings in force in the settings that the services read. */
+export function update(own: Settings, next: Settings): SettingsChange {
+  const names = Object.keys(next) as Array<keyof Settings>;
+  const isChanged = (name: keyof Settings) =>
+    JSON.stringify(own[name]) !== JSON.stringify(next[name]);
+  const changed = names.filter(isChanged);
+  const isLive = (name: keyof Settings) =>
+    (LIVE_NAMES as readonly string[]).includes(name);
+  const applied = changed.filter(isLive);
+  for (const name of applied) Object.assign(own, {[name]: next[name]});
+  return {applied, deferred: changed.filter(name => !isLive(name))};
+}
--- a/packages/direct/src/tests/parts.test.ts
+++ b/packages/direct/src/tests/parts.test.ts
@@ -185,3 +185,52 @@
     );
   });
 });
+
+describe('the settings', () => {
+  const flags = {
+    name: 'r',
+    address: '127.0.0.1',
+    zone: 'z',
+    entryListen: '127.0.0.1:1',
+    readyListen: '127.0.0.1:2',
+    directoryListen: '127.0.0.1:3',
+    peerListen: '127.0.0.1:4',
+    gossipPort: '5,9',
+    seeds: '10.0.0.1:4,10.0.0.2:4',
+    storeAddress: '10.0.0.9:7',
+  };
+
+  function load(more: Record<string, string> = {}): direct.settings.Settings {
+    const loaded = core.loadSettings(direct.settings.SETTINGS, {
+      flags: {...flags, ...more},
+      environment: {},
+    });
+    if (!loaded.ok) throw new Error(loaded.problems.join('; '));
+    return direct.settings.settle(loaded.values);
+  }
+
+  it('read listeners, lists of ports and seeds', () => {
+    const own = load();
+    expect(own).to.include({entryListen: 1, peerPort: 4, gossipPort: 5});
+    expect(own.seedAddresses).to.deep.equal(['10.0.0.1', '10.0.0.2']);
+    expect(() => load({storeAddress: 'store'})).to.throw(/store-address/);
+  });
+
+  it('take up at run time what is no listener', () => {
+    const own = load();
+    const change = direct.settings.update(
+      own,
+      load({retrySlack: '99', seeds: '10.0.0.3:4', entryListen: '127.0.0.1:8'}),
+    );
+    expect(change).to.deep.equal({
+      applied: ['retrySlack', 'seedAddresses'],
+      deferred: ['entryListen'],
+    });
+    expect(own).to.include({retrySlack: 99, entryListen: 1});
+  });
+
+  it('are read from a file of variables', () => {
+    const text = '# comment\nA_B=1=2\n\n=x\nC=\n';
+    expect(core.parseVariables(text)).to.deep.equal({A_B: '1=2', C: ''});
+  });
+});
--- a/packages/router/src/direct.ts
+++ b/packages/router/src/direct.ts
@@ -1,7 +1,8 @@
 /**
  * The command `oleanderrock direct`: a router that sends straight to endpoints.
  * Settings come from flags, the environment and a settings file whose path is
- * in OLEANDERROCK_CONFIG; the file is read again when it changes.
+ * in OLEANDERROCK_CONFIG; the file is read again when it changes. The flags are
+ * read without the command line's framework, which would stay in memory.
  */
 import * as util from 'node:util';
 import * as core from '@oleanderrock/core';
@@ -10,7 +11,7 @@
 
 const FILE_VARIABLE = 'OLEANDERROCK_CONFIG';
 
-const {SETTINGS, settle} = direct.settings;
+const {SETTINGS, settle, update} = direct.settings;
 
 type Flags = Record<string, string | undefined>;
 
@@ -21,11 +22,11 @@
   const options = Object.fromEntries(
     names.map(name => [option(name), {type: 'string' as const}]),
   );
-  const {values} = util.parseArgs({args: words, options});
-  const given = values;
+  const given: Flags = util.parseArgs({args: words, options}).values;
   return Object.fromEntries(names.map(name => [name, given[option(name)]]));
 }
 
+/** Loads settings of flags, the environment and the file, in this order. */
 function load(flags: Flags, file: core.Variables) {
   const environment = {...file, ...process.env};
   return core.loadSettings(SETTINGS, {flags, environment});
@@ -33,6 +34,7 @@
 
 /** Runs the router until a signal ends it; resolves with the exit code. */
 export async function main(words: string[]): Promise<number> {
+  if (words.includes('--help')) return help();
   const path = process.env[FILE_VARIABLE];
   const file = path === undefined ? undefined : new core.SettingsFile(path);
   let flags: Flags;
@@ -45,22 +47,22 @@
   }
   const loaded = load(flags, variables);
   if (!loaded.ok) return complain(loaded.problems);
-  const own = settle(loaded.values);
+  return serve(settle(loaded.values), flags, file);
+}
+
+async function serve(
+  own: direct.settings.Settings,
+  flags: Flags,
+  file: core.SettingsFile | undefined,
+): Promise<number> {
   const kernel = wire.wireDirect(own);
   try {
     await direct.run.start(kernel);
   } catch (error) {
     return complain([core.reason(error)]);
   }
-  const reload = new Reload(kernel, variables, changed => load(flags, changed));
   const watching = new AbortController();
-  const clock = kernel.find(core.CLOCK);
-  const changed = (next: core.Variables) => reload.take(next);
-  void file?.watch(clock, watching.signal, changed);
-  process.on('SIGHUP', () => {
-    const told = file?.read() ?? Promise.resolve({});
-    told.then(changed, error => reload.failed(error));
-  });
+  if (file) watch(kernel, own, {flags, file, signal: watching.signal});
   await new Promise<void>(resolve => {
     process.once('SIGTERM', resolve);
     process.once('SIGINT', resolve);
@@ -72,34 +74,53 @@
   process.exit(0);
 }
 
-/** Says which settings changed; those of listeners hold from the next start. */
-class Reload {
-  constructor(
-    private readonly kernel: core.Kernel,
-    private variables: core.Variables,
-    private readonly check: (
-      variables: core.Variables,
-    ) => ReturnType<typeof load>,
-  ) {}
+interface WatchOptions {
+  readonly flags: Flags;
+  readonly file: core.SettingsFile;
+  readonly signal: AbortSignal;
+}
 
-  take(next: core.Variables): void {
-    const names = Object.keys({...this.variables, ...next});
-    const changed = names.filter(name => this.variables[name] !== next[name]);
-    const loaded = this.check(next);
-    const log = this.kernel.find(core.LOGGER);
+/** Takes changes of the settings file up, at a signal and without one. */
+function watch(
+  kernel: core.Kernel,
+  own: direct.settings.Settings,
+  {flags, file, signal}: WatchOptions,
+): void {
+  const log = kernel.find(core.LOGGER);
+  const take = (variables: core.Variables) => {
+    const loaded = load(flags, variables);
     if (!loaded.ok) {
       log.warn('settings_rejected', {detail: loaded.problems.join('; ')});
       return;
     }
-    this.variables = next;
-    const fields = {changed: changed.join(',') || 'none'};
-    log.info('settings_read', fields);
-  }
+    const {applied, deferred} = update(own, settle(loaded.values));
+    log.info('settings_read', {
+      applied: applied.join(',') || 'none',
+      deferred: deferred.join(',') || 'none',
+    });
+  };
+  const reread = async () => {
+    try {
+      take(await file.read());
+    } catch (error) {
+      log.warn('settings_rejected', {detail: core.reason(error)});
+    }
+  };
+  void file.watch(kernel.find(core.CLOCK), signal, take);
+  process.on('SIGHUP', () => void reread());
+}
 
-  failed(error: unknown): void {
-    const log = this.kernel.find(core.LOGGER);
-    log.warn('settings_rejected', {detail: core.reason(error)});
+/** Prints the settings. */
+function help(): number {
+  const lines = core.describeSettings(SETTINGS, {flags: {}, environment: {}});
+  process.stdout.write('oleanderrock direct [--SETTING VALUE ...]\n');
+  for (const {flag, variable, unit, fallback, meaning} of lines) {
+    const usual = fallback === '' ? 'required' : `default: ${fallback} ${unit}`;
+    process.stdout.write(
+      `${flag} ${variable}\n    ${meaning}; ${usual.trim()}\n`,
+    );
   }
+  return 0;
 }
 
 function complain(problems: readonly string[]): number {
--- a/packages/router/src/wiredirect.ts
+++ b/packages/router/src/wiredirect.ts
@@ -26,10 +26,17 @@
   kernel.register(direct.PLACEMENT, new decide.PrefixPlacement({random}));
   kernel.register(
     direct.REPEATS,
+    // Read at each use, since these settings may change.
     new decide.SlidingRepeatBudget({
-      ratio: own.retryRatio,
-      slack: own.retrySlack,
-      windowMs: own.retryWindowS * 1_000,
+      get ratio() {
+        return own.retryRatio;
+      },
+      get slack() {
+        return own.retrySlack;
+      },
+      get windowMs() {
+        return own.retryWindowS * 1_000;
+      },
     }),
   );
   kernel.register(
