Share what listeners do with responses

Logic that stood twice: waiting for a slow reader, ending an answer visibly cut, and serving metrics, in router and direct. Core has one copy now.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -18,6 +18,7 @@
 export * from './records.js';
 export * as relay from './relay.js';
 export * from './replies.js';
+export * as responses from './responses.js';
 export * from './secrets.js';
 export * from './settings.js';
 export * from './settingsfile.js';
--- a/packages/direct/src/calleranswer.ts
+++ b/packages/direct/src/calleranswer.ts
@@ -7,7 +7,6 @@
 /** Answer over Node's response. */
 export class HttpCallerAnswer implements asks.CallerAnswer {
   private readonly leaving = new AbortController();
-  private framing: asks.Framing = 'marked';
 
   constructor(private readonly response: http.ServerResponse) {
     response.once('close', () => {
@@ -32,7 +31,6 @@
     framing: asks.Framing,
   ): void {
     if (this.gone.aborted) return;
-    this.framing = framing;
     // Without this header, Node ends the answer with its connection.
     if (framing === 'connection') {
       this.response.removeHeader('transfer-encoding');
@@ -42,16 +40,9 @@
   }
 
   async write(piece: Buffer): Promise<void> {
-    if (this.gone.aborted || this.response.write(piece)) return;
-    await new Promise<void>(resolve => {
-      const end = () => {
-        this.response.removeListener('drain', end);
-        this.gone.removeEventListener('abort', end);
-        resolve();
-      };
-      this.response.once('drain', end);
-      this.gone.addEventListener('abort', end, {once: true});
-    });
+    if (!this.gone.aborted) {
+      await core.responses.writePiece(this.response, piece);
+    }
   }
 
   end(): void {
@@ -59,9 +50,7 @@
   }
 
   cut(): void {
-    const {socket} = this.response;
-    if (this.framing === 'connection' && socket) socket.resetAndDestroy();
-    else this.response.destroy();
+    core.responses.cut(this.response);
   }
 
   /** Answers with a failure, or cuts an answer that has begun. */
--- a/packages/direct/src/directory.ts
+++ b/packages/direct/src/directory.ts
@@ -124,7 +124,10 @@
 
   protected async serve(call: core.listener.Call): Promise<void> {
     const {request, response} = call;
-    if (request.url === '/metrics') return this.answerMetrics(call);
+    if (request.url === '/metrics') {
+      const metrics = this.kernel.find(core.METRICS);
+      return core.responses.sendMetrics(response, metrics);
+    }
     const dialect = this.kernel.find(dialects.DIALECT);
     if (!dialect.isReadyCall(request.url ?? '')) return this.missing(call);
     const phase = this.phase();
@@ -136,16 +139,6 @@
     const detail = `the router is ${phase}`;
     core.listener.sendProblem(response, {kind, detail}, '');
   }
-
-  private async answerMetrics({response}: core.listener.Call): Promise<void> {
-    const metrics = this.kernel.find(core.METRICS);
-    const text = await metrics.render();
-    response.writeHead(200, {
-      'content-type': metrics.registry().contentType,
-      'content-length': Buffer.byteLength(text),
-    });
-    response.end(text);
-  }
 }
 
 /** Hands this router's state to others. */
--- a/packages/router/src/entry.ts
+++ b/packages/router/src/entry.ts
@@ -52,7 +52,10 @@
       return core.listener.sendJson(call.response, 200, {});
     }
     if (path === '/ready') return this.answerReady(call);
-    if (path === '/metrics') return this.answerMetrics(call);
+    if (path === '/metrics') {
+      const metrics = this.kernel.find(core.METRICS);
+      return core.responses.sendMetrics(call.response, metrics);
+    }
     return this.serveRequest(call);
   }
 
@@ -93,16 +96,6 @@
     }
   }
 
-  private async answerMetrics({response}: core.listener.Call): Promise<void> {
-    const metrics = this.kernel.find(core.METRICS);
-    const text = await metrics.render();
-    response.writeHead(200, {
-      'content-type': metrics.registry().contentType,
-      'content-length': Buffer.byteLength(text),
-    });
-    response.end(text);
-  }
-
   private async serveRequest(call: core.listener.Call): Promise<void> {
     const {request, response} = call;
     const id = core.createId();
--- a/packages/router/src/httpanswer.ts
+++ b/packages/router/src/httpanswer.ts
@@ -47,17 +47,8 @@
     this.response.flushHeaders();
   }
 
-  async write(chunk: Buffer): Promise<void> {
-    if (this.response.destroyed || this.response.write(chunk)) return;
-    await new Promise<void>(resolve => {
-      const end = () => {
-        this.response.off('drain', end);
-        this.response.off('close', end);
-        resolve();
-      };
-      this.response.once('drain', end);
-      this.response.once('close', end);
-    });
+  write(chunk: Buffer): Promise<void> {
+    return core.responses.writePiece(this.response, chunk);
   }
 
   end(): void {
@@ -65,10 +56,7 @@
   }
 
   cut(): void {
-    const {socket} = this.response;
-    // Without chunks the end of the connection would look like the body's.
-    if (socket && !this.response.chunkedEncoding) socket.resetAndDestroy();
-    else this.response.destroy();
+    core.responses.cut(this.response);
   }
 
   refuse(failure: core.Failure): void {
