--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -46,7 +46,7 @@
 };
 
 export default tseslint.config(
-  {ignores: ['**/dist/**', '**/node_modules/**', 'out/**', '**/*.mjs']},
+  {ignores: ['**/dist/**', '**/node_modules/**', 'out/**', 'target/**', '**/*.mjs']},
   ...tseslint.configs.recommendedTypeChecked,
   {
     languageOptions: {
