--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -46,7 +46,15 @@
 };
 
 export default tseslint.config(
-  {ignores: ['**/dist/**', '**/node_modules/**', 'out/**', 'target/**', '**/*.mjs']},
+  {
+    ignores: [
+      '**/dist/**',
+      '**/node_modules/**',
+      'out/**',
+      'target/**',
+      '**/*.mjs',
+    ],
+  },
   ...tseslint.configs.recommendedTypeChecked,
   {
     languageOptions: {
