--- a/packages/direct/src/attempt.ts
+++ b/packages/direct/src/attempt.ts
@@ -68,8 +68,9 @@
     const run = new Run(this.kernel, options);
     const sent = await core.relay.send(this.relayOptions(options, run));
     if (sent.type === 'error') {
+      const result = await this.explain(options, run, sent.error);
       run.close();
-      return this.explain(options, run, sent.error);
+      return result;
     }
     const {response} = sent;
     const status = response.statusCode ?? 0;
--- a/packages/direct/src/entry.ts
+++ b/packages/direct/src/entry.ts
@@ -153,6 +153,9 @@
     tables: model.Tables | undefined,
   ): Matched {
     const book = this.kernel.find(tablesBook.TABLES_BOOK);
+    if (!this.kernel.find(lifecycle.LIFE).takesRequests()) {
+      return core.fail('draining', 'the router is ending', NOT_READY_RETRY_MS);
+    }
     if (!tables) {
       const detail = 'the tables have not been read yet';
       return core.fail('not_ready', detail, NOT_READY_RETRY_MS);
--- a/packages/direct/src/lifecycle.ts
+++ b/packages/direct/src/lifecycle.ts
@@ -9,6 +9,9 @@
   phase(): fleetBook.Phase;
   /** Begins the graceful stop. */
   leave(): void;
+  /** Takes no new requests from now on. */
+  close(): void;
+  takesRequests(): boolean;
   /** Counts a request; the returned function ends it. */
   enter(): () => void;
   inFlight(): number;
@@ -18,6 +21,8 @@
 export const LIFE = core.contract<Life>('life', [
   'phase',
   'leave',
+  'close',
+  'takesRequests',
   'enter',
   'inFlight',
 ]);
@@ -25,6 +30,7 @@
 /** Ready once tables and endpoints are known, until the stop begins. */
 export class RouterLife implements Life {
   private isLeaving = false;
+  private isClosed = false;
   private count = 0;
 
   constructor(private readonly kernel: core.Kernel) {}
@@ -41,6 +47,14 @@
     this.isLeaving = true;
   }
 
+  close(): void {
+    this.isClosed = true;
+  }
+
+  takesRequests(): boolean {
+    return !this.isClosed;
+  }
+
   enter(): () => void {
     this.count += 1;
     return () => {
--- a/packages/direct/src/run.ts
+++ b/packages/direct/src/run.ts
@@ -6,11 +6,14 @@
 import * as lifecycle from './lifecycle.js';
 import type * as settings from './settings.js';
 
-/** Part of the grace time for which callers' new requests are still served. */
-const SERVE_SHARE = 0.45;
+/**
+ * Part of the grace time for which callers' new requests are still served. One
+ * that begins later may not end within the grace time.
+ */
+const SERVE_SHARE = 0.35;
 
 /** Part of the grace time after which the process ends whatever is left. */
-const END_SHARE = 0.85;
+const END_SHARE = 0.93;
 
 /** How long services may take to stop, in ms; the process ends all the same. */
 const STOP_LIMIT_MS = 300;
@@ -45,6 +48,8 @@
   void kernel.find(followers.FOLLOWERS).withdraw();
   const graceMs = own.graceS * 1_000;
   await clock.sleep(graceMs * SERVE_SHARE);
+  life.close();
+  void kernel.find(entry.ENTRY).drain(graceMs);
   while (life.inFlight() > 0 && clock.nowMs() - beganMs < graceMs * END_SHARE) {
     await clock.sleep(LOOK_MS);
   }
--- a/packages/router/src/tests/direct.test.ts
+++ b/packages/router/src/tests/direct.test.ts
@@ -172,6 +172,28 @@
     await fleet.endpoints[0]!.start();
   });
 
+  it('quarantines a request under which endpoints crash, and no other', async () => {
+    const poison = {body: 'poison'};
+    for (const endpoint of fleet.endpoints) {
+      endpoint.usual = {type: 'crash'};
+    }
+    for (let crash = 1; crash <= 2; crash++) {
+      const got = await fleet.call('/book/a', poison);
+      expect(got.status).to.equal(502);
+      expect(fleet.runs()).to.have.length(crash);
+    }
+    for (const endpoint of fleet.endpoints) {
+      endpoint.usual = {type: 'answer'};
+      await endpoint.start();
+    }
+    const refused = await fleet.call('/book/a', poison);
+    expect(refused.status).to.equal(503);
+    expect(refused.body).to.include('quarantined');
+    expect(fleet.runs()).to.have.length(2);
+    const other = await fleet.call('/book/a', {body: 'other'});
+    expect(other.status).to.equal(200);
+  });
+
   it('sends the same prefix to the same endpoint', async () => {
     for (let count = 0; count < 6; count++) {
       const headers = {'prompt-prefix': `p:9,shared:5000,own${count}:10`};
--- a/packages/router/src/tests/directstore.test.ts
+++ b/packages/router/src/tests/directstore.test.ts
@@ -101,6 +101,29 @@
     expect(few).to.have.length(3);
   });
 
+  it('take no request that could not end before they do', async () => {
+    for (const each of fleet.endpoints) {
+      each.usual = {type: 'stream', events: 60, paceMs: 25};
+    }
+    const call = fleet.call('/chat/a', {}, 2);
+    await until.until('it runs', () => fleet.runs().length === 1);
+    const own = {graceS: 4} as direct.settings.Settings;
+    const beganMs = performance.now();
+    const stopped = direct.run.leaveAndStop(fleet.kernels[2]!, own);
+    await until.until('it takes no more', () =>
+      fleet.call('/none/a', {}, 2).then(
+        () => false,
+        () => true,
+      ),
+    );
+    expect(performance.now() - beganMs).to.be.below(own.graceS * 375);
+    const got = await call;
+    expect(got.body).to.equal(support.events(60));
+    expect(got.isWhole).to.equal(true);
+    await stopped;
+    fleet.kernels.pop();
+  });
+
   it('leave without cutting a request, unnamed at once', async () => {
     for (const each of fleet.endpoints) {
       each.usual = {type: 'stream', events: 40, paceMs: 25};
--- a/packages/router/src/tests/notrun.test.ts
+++ b/packages/router/src/tests/notrun.test.ts
@@ -130,6 +130,7 @@
   not_ready: 'inforce.test.ts',
   stale_config: 'inforce.test.ts',
   poison: 'poison.test.ts',
+  quarantined: 'direct.test.ts',
 };
 
 /** Kinds of the administration interface and of the peers' port. */
--- a/packages/standins/src/hostedendpoint.ts
+++ b/packages/standins/src/hostedendpoint.ts
@@ -14,6 +14,8 @@
   | {readonly type: 'shed'}
   /** The request runs, and its connection is reset without an answer. */
   | {readonly type: 'reset'}
+  /** The request runs, and the endpoint ends under it. */
+  | {readonly type: 'crash'}
   /** Another request's id stands in the answer. */
   | {readonly type: 'foreign'}
   /** The answer is shorter than its length says. */
@@ -148,6 +150,10 @@
         response.write('cut');
         setTimeout(() => response.destroy(), 10);
         break;
+      case 'crash':
+        run.hasLeft = true;
+        await this.stop();
+        break;
       case 'unframed':
         unframed(behaviour.isReset, response, headers);
         break;
