Say in each request's line why its endpoint was chosen

Change: a placement returns its reason with the load and the limit that decided it; the line of a request has them, the prefix's tokens and the version of the tables, and the line of a start the time that it took.

--- a/packages/decide/src/prefixplacement.ts
+++ b/packages/decide/src/prefixplacement.ts
@@ -27,10 +27,29 @@
   readonly zone: string;
 }
 
+/** Why an endpoint was chosen. */
+export type SpotReason =
+  /** It holds the prefix. */
+  | 'home'
+  /** Nobody holds the prefix; its rank is the first. */
+  | 'rank'
+  /** Those that hold the prefix are at their bound. */
+  | 'spill'
+  /** Least runs there. */
+  | 'least';
+
+/** An endpoint that was chosen, with what decided it. */
+export interface SpotChoice {
+  readonly spot: Spot;
+  readonly reason: SpotReason;
+  /** Load from which on an endpoint is passed by; absent: none was set. */
+  readonly limit?: number;
+}
+
 /** Strategy of placement. */
 export interface SpotPlacement {
   /** The endpoint to use, or undefined where there is none. */
-  choose(ask: PlacementAsk, spots: readonly Spot[]): Spot | undefined;
+  choose(ask: PlacementAsk, spots: readonly Spot[]): SpotChoice | undefined;
 }
 
 /** Load up to which an endpoint takes a prefix, against the pool's mean. */
@@ -63,7 +82,7 @@
 export class LeastLoadedPlacement implements SpotPlacement {
   constructor(private readonly random: core.Random) {}
 
-  choose({zone}: PlacementAsk, spots: readonly Spot[]): Spot | undefined {
+  choose({zone}: PlacementAsk, spots: readonly Spot[]): SpotChoice | undefined {
     let best: Spot[] = [];
     let lowest = Number.POSITIVE_INFINITY;
     for (const spot of spots) {
@@ -74,7 +93,8 @@
       lowest = cost;
       best.push(spot);
     }
-    return best[this.random.below(best.length)];
+    const spot = best[this.random.below(best.length)];
+    return spot && {spot, reason: 'least'};
   }
 }
 
@@ -94,7 +114,7 @@
     this.least = new LeastLoadedPlacement(random);
   }
 
-  choose(ask: PlacementAsk, spots: readonly Spot[]): Spot | undefined {
+  choose(ask: PlacementAsk, spots: readonly Spot[]): SpotChoice | undefined {
     const {prefix, prefixTokens = 0, homes = []} = ask;
     if (prefix === undefined) return this.least.choose(ask, spots);
     const bound = prefixTokens >= DEAR_TOKENS ? this.dear : this.cheap;
@@ -102,10 +122,15 @@
     const open = spots.filter(spot => spot.inFlight < limit);
     if (open.length === 0) return this.least.choose(ask, spots);
     const holding = open.filter(spot => homes.includes(spot.id));
-    if (holding.length > 0) return this.least.choose(ask, holding);
+    if (holding.length > 0) {
+      const chosen = this.least.choose(ask, holding);
+      return chosen && {...chosen, reason: 'home', limit};
+    }
     const ids = open.map(spot => spot.id);
-    const home = core.best(prefix, ids);
-    return open.find(spot => spot.id === home);
+    const first = core.best(prefix, ids);
+    const spot = open.find(item => item.id === first);
+    const isHeld = spots.some(item => homes.includes(item.id));
+    return spot && {spot, reason: isHeld ? 'spill' : 'rank', limit};
   }
 }
 
--- a/packages/decide/src/tests/direct.test.ts
+++ b/packages/decide/src/tests/direct.test.ts
@@ -28,7 +28,7 @@
           const placement = new decide.PrefixPlacement({random: random()});
           const all = spots(counts);
           const ask = {prefix, prefixTokens: size, homes: ['e0'], zone: 'z'};
-          const chosen = placement.choose(ask, all)!;
+          const {spot: chosen} = placement.choose(ask, all)!;
           const mean = counts.reduce((a, b) => a + b, 0) / counts.length;
           const {multiple, slack} = decide.DEAR_BOUND;
           const isLeast = chosen.inFlight === Math.min(...counts);
@@ -69,7 +69,7 @@
         );
         const known = homes.of(prefix, turn);
         const ask = {prefix, prefixTokens: 9_000, homes: known, zone: 'z'};
-        const endpoint = placement.choose(ask, all)!.id;
+        const endpoint = placement.choose(ask, all)!.spot.id;
         homes.placed({prefix, endpoint}, turn);
         if (!held.has(prefix + endpoint)) count += 1;
         held.add(prefix + endpoint);
@@ -87,7 +87,7 @@
       {id: 'near', zone: 'a', inFlight: 2},
       {id: 'busy', zone: 'a', inFlight: 3},
     ];
-    expect(placement.choose({zone: 'a'}, all)?.id).to.equal('near');
+    expect(placement.choose({zone: 'a'}, all)?.spot.id).to.equal('near');
   });
 });
 
--- a/packages/direct/src/ask.ts
+++ b/packages/direct/src/ask.ts
@@ -1,6 +1,7 @@
 /** A caller's request with the rows that it matched, and its answer. */
 import type * as http from 'node:http';
 import * as core from '@oleanderrock/core';
+import type * as decide from '@oleanderrock/decide';
 import type * as dialect from './dialect.js';
 import type * as model from './model.js';
 
@@ -46,19 +47,23 @@
   cut(): void;
 }
 
+/** What a request took. */
+export interface Sent {
+  readonly sends: number;
+  /** What decided the last choice of an endpoint; absent: none was chosen. */
+  readonly placed?: decide.SpotChoice;
+}
+
 /** How a request ended. */
-export type Outcome =
-  | {
-      readonly type: 'answered';
-      readonly status: number;
-      readonly endpoint: string;
-      readonly sends: number;
-    }
-  | {
-      readonly type: 'failed';
-      readonly failure: core.Failure;
-      readonly sends: number;
-    };
+export type Outcome = Sent &
+  (
+    | {
+        readonly type: 'answered';
+        readonly status: number;
+        readonly endpoint: string;
+      }
+    | {readonly type: 'failed'; readonly failure: core.Failure}
+  );
 
 /** Whether the request may run again after a run whose end is unknown. */
 export function mayRepeat({repeat, isResumable}: model.Route): boolean {
--- a/packages/direct/src/dispatcher.ts
+++ b/packages/direct/src/dispatcher.ts
@@ -47,6 +47,8 @@
   /** The event after which a stream goes on. */
   lastEventId?: string;
   last: core.Failure;
+  /** What decided the last choice of an endpoint. */
+  placed?: decide.SpotChoice;
 }
 
 /** Dispatcher over the kernel's services. */
@@ -66,7 +68,7 @@
       last: {kind: 'pool_empty', detail: `${asked.pool} has no endpoint`},
     };
     while (this.mayTry(asked, progress)) {
-      const endpoint = this.choose(asked, progress.tried);
+      const endpoint = this.choose(asked, progress);
       if (!endpoint || !this.mayRepeat(asked, progress)) break;
       const outcome = await this.attempt(asked, passage, endpoint, progress);
       if (outcome) return outcome;
@@ -103,7 +105,7 @@
     result: delivery.Delivered,
     progress: Progress,
   ): asks.Outcome | undefined {
-    const {sends} = progress;
+    const {sends, placed} = progress;
     return tsPattern
       .match(result)
       .with({type: 'delivered'}, ({status}) => ({
@@ -111,6 +113,7 @@
         status,
         endpoint: endpoint.id,
         sends,
+        placed,
       }))
       .with({type: 'caller_gone'}, () =>
         failed('caller_gone', 'the caller left', progress),
@@ -183,12 +186,12 @@
 
   private choose(
     asked: asks.Ask,
-    tried: ReadonlySet<string>,
+    progress: Progress,
   ): model.Endpoint | undefined {
     const nowMs = this.nowMs();
     const book = this.kernel.find(endpointBook.ENDPOINT_BOOK);
     const listed = book.ready(asked.pool);
-    const ids = listed.map(({id}) => id).filter(id => !tried.has(id));
+    const ids = listed.map(({id}) => id).filter(id => !progress.tried.has(id));
     const usable = this.usable(asked, ids, nowMs);
     const load = this.kernel.find(decisions.LOAD);
     const spots: decide.Spot[] = usable.map(id => ({
@@ -200,8 +203,10 @@
       .find(decisions.PLACEMENT)
       .choose(this.wish(asked, nowMs), spots);
     if (!chosen) return undefined;
-    this.remember(asked, chosen.id, nowMs);
-    return book.find(chosen.id);
+    const {id} = chosen.spot;
+    progress.placed = chosen;
+    this.remember(asked, id, nowMs);
+    return book.find(id);
   }
 
   private wish({head}: asks.Ask, nowMs: number): decide.PlacementAsk {
@@ -243,8 +248,8 @@
     }
     const status = passage.deliverKept();
     if (status !== undefined) {
-      const {sends} = progress;
-      return {type: 'answered', status, endpoint: 'kept', sends};
+      const {sends, placed} = progress;
+      return {type: 'answered', status, endpoint: 'kept', sends, placed};
     }
     const isNotRun = core.ANSWERS[progress.last.kind].ran === 'no';
     const hasRun = progress.runs > 0 && isNotRun;
@@ -256,6 +261,7 @@
       type: 'failed',
       failure: {...failure, retryAfterMs},
       sends: progress.sends,
+      placed: progress.placed,
     };
   }
 
@@ -289,7 +295,7 @@
 function failed(
   kind: core.Kind,
   detail: string,
-  {sends}: Progress,
+  {sends, placed}: Progress,
 ): asks.Outcome {
-  return {type: 'failed', failure: {kind, detail}, sends};
+  return {type: 'failed', failure: {kind, detail}, sends, placed};
 }
--- a/packages/direct/src/recorder.ts
+++ b/packages/direct/src/recorder.ts
@@ -6,6 +6,7 @@
 import * as prom from 'prom-client';
 import type * as asks from './ask.js';
 import type * as dialects from './dialect.js';
+import * as tablesBook from './tablesbook.js';
 
 /** Lines of requests that a router writes in a second, at most. */
 const MAX_LINES_PER_SECOND = 40;
@@ -76,6 +77,7 @@
     durationMs: number,
   ): void {
     const isAnswered = outcome.type === 'answered';
+    const {placed} = outcome;
     this.kernel.find(core.LOGGER).info('request', {
       request: head.requestId,
       route: ask?.route.name,
@@ -83,10 +85,15 @@
       pool: ask?.pool,
       customer: ask?.customer,
       prefix: head.sharedPrefix,
+      prefix_tokens: head.sharedPrefix && head.sharedTokens,
       result: resultOf(outcome),
       endpoint: isAnswered ? outcome.endpoint : undefined,
       detail: isAnswered ? undefined : outcome.failure.detail,
       sends: outcome.sends,
+      placed: placed?.reason,
+      load: placed?.spot.inFlight,
+      limit: placed?.limit && Math.round(placed.limit),
+      tables: this.kernel.find(tablesBook.TABLES_BOOK).version(),
       duration_ms: Math.round(durationMs),
       left_ms: ask ? Math.round(ask.deadlineMs - this.nowMs()) : undefined,
     });
--- a/packages/direct/src/run.ts
+++ b/packages/direct/src/run.ts
@@ -25,7 +25,10 @@
 export async function start(kernel: core.Kernel): Promise<void> {
   const log = kernel.find(core.LOGGER);
   await kernel.start();
-  log.info('started', {services: kernel.names().length});
+  log.info('started', {
+    services: kernel.names().length,
+    start_ms: Math.round(performance.now()),
+  });
 }
 
 /**
