--- /dev/null
+++ b/packages/router/src/tests/signals.test.ts
@@ -0,0 +1,52 @@
+/** Signals that come while a router starts. */
+import * as childProcess from 'node:child_process';
+import * as fs from 'node:fs/promises';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import * as url from 'node:url';
+import * as chai from 'chai';
+import * as until from './until.js';
+
+const {expect} = chai;
+
+const PROGRAM = url.fileURLToPath(new URL('../main.js', import.meta.url));
+
+/** Listeners on ports that the system chooses; a store that is not there. */
+const SETTINGS = [
+  'NAME=r1',
+  'ADDRESS=127.0.0.1',
+  'ZONE=z',
+  'ENTRY_LISTEN=127.0.0.1:0',
+  'READY_LISTEN=127.0.0.1:0',
+  'DIRECTORY_LISTEN=127.0.0.1:0',
+  'PEER_LISTEN=127.0.0.1:0',
+  'GOSSIP_PORT=0',
+  'STORE_ADDRESS=127.0.0.1:9',
+].map(line => `OLEANDER_${line}\n`);
+
+describe('a router that starts', () => {
+  it('is not ended by the signal that settings changed', async () => {
+    const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'signals-'));
+    const file = path.join(folder, 'settings');
+    // The start waits in its read of the settings until they are written.
+    childProcess.execFileSync('mkfifo', [file]);
+    const child = childProcess.spawn(process.execPath, [PROGRAM, 'direct'], {
+      env: {...process.env, OLEANDERROCK_CONFIG: file},
+      stdio: ['ignore', 'pipe', 'inherit'],
+    });
+    let output = '';
+    child.stdout.on('data', (piece: Buffer) => (output += piece.toString()));
+    const writer = await fs.open(file, 'w');
+    child.kill('SIGHUP');
+    await writer.write(SETTINGS.join(''));
+    await writer.close();
+    await until.until('it started or ended', () => {
+      return output.includes('event=started') || child.signalCode !== null;
+    });
+    expect(child.signalCode).to.equal(null);
+    const ended = new Promise(resolve => child.once('close', resolve));
+    child.kill('SIGKILL');
+    await ended;
+    await fs.rm(folder, {recursive: true});
+  });
+});
--- /dev/null
+++ b/packages/soak/src/proxy.ts
@@ -0,0 +1,104 @@
+/**
+ * A proxy on loopback between routers and what they connect to. It delays
+ * bytes, resets connections, cuts one direction, or leaves open connections
+ * silent for good while new ones work.
+ */
+import * as net from 'node:net';
+
+/** What the proxy does to connections. */
+export type LinkFault = 'delay' | 'reset' | 'one_way' | 'silent';
+
+const LOOPBACK = '127.0.0.1';
+
+/** How long a delayed piece is held, in ms. */
+const DELAY_MS = 150;
+
+/** A connection through the proxy. */
+interface Pair {
+  readonly near: net.Socket;
+  readonly far: net.Socket;
+  /** Silent for good: bytes are read and dropped. */
+  isSilent: boolean;
+}
+
+/** Proxy before one port. */
+export class FaultProxy {
+  port = 0;
+  private readonly server = net.createServer(near => this.accept(near));
+  private readonly pairs = new Set<Pair>();
+  private isDelayed = false;
+  private isCut = false;
+
+  constructor(private readonly targetPort: () => number) {}
+
+  async start(): Promise<void> {
+    await new Promise<void>(resolve =>
+      this.server.listen(0, LOOPBACK, resolve),
+    );
+    this.port = (this.server.address() as net.AddressInfo).port;
+  }
+
+  async stop(): Promise<void> {
+    const closed = new Promise(resolve => this.server.close(resolve));
+    this.resetAll();
+    await closed;
+  }
+
+  /** Begins a fault; the returned function ends it. */
+  begin(fault: LinkFault): () => void {
+    switch (fault) {
+      case 'delay':
+        this.isDelayed = true;
+        return () => (this.isDelayed = false);
+      case 'one_way':
+        this.isCut = true;
+        return () => (this.isCut = false);
+      case 'silent':
+        for (const pair of this.pairs) pair.isSilent = true;
+        return () => undefined;
+      case 'reset':
+        this.resetAll();
+        return () => undefined;
+    }
+  }
+
+  private resetAll(): void {
+    for (const {near, far} of this.pairs) {
+      near.resetAndDestroy();
+      far.resetAndDestroy();
+    }
+  }
+
+  private accept(near: net.Socket): void {
+    const far = net.connect({host: LOOPBACK, port: this.targetPort()});
+    const pair = {near, far, isSilent: false};
+    this.pairs.add(pair);
+    this.carry(pair, near, far);
+    this.carry(pair, far, near);
+  }
+
+  private carry(pair: Pair, from: net.Socket, to: net.Socket): void {
+    from.setNoDelay(true);
+    from.on('data', piece => this.pass(pair, to, piece));
+    from.on('end', () => this.later(() => !pair.isSilent && to.end()));
+    from.on('error', () => to.resetAndDestroy());
+    from.on('close', () => {
+      // A silent connection stays open at its other end, as a lost one does.
+      if (from.destroyed && to.destroyed) this.pairs.delete(pair);
+    });
+  }
+
+  private pass(pair: Pair, to: net.Socket, piece: Buffer): void {
+    const isBack = to === pair.near;
+    if (pair.isSilent || (this.isCut && isBack)) {
+      pair.isSilent = true;
+      return;
+    }
+    this.later(() => to.writable && to.write(piece));
+  }
+
+  private later(act: () => void): void {
+    if (this.isDelayed) setTimeout(act, DELAY_MS);
+    else act();
+  }
+}
--- /dev/null
+++ b/packages/soak/src/world.ts
@@ -0,0 +1,397 @@
+/**
+ * The world of a soak: real router processes, stand-ins of the store and of
+ * endpoints behind proxies, and the faults that are done to them from outside.
+ */
+import * as fs from 'node:fs/promises';
+import * as http from 'node:http';
+import * as net from 'node:net';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import * as url from 'node:url';
+import * as standins from '@oleanderrock/standins';
+import type * as plan from './plan.js';
+import * as proxies from './proxy.js';
+import * as tables from './tables.js';
+
+const LOOPBACK = '127.0.0.1';
+
+/** Routers have addresses of their own, so that all use the same ports. */
+const FIRST_ROUTER = 30;
+
+const READY_TIMEOUT_MS = 15_000;
+const LOOK_MS = 40;
+
+/** How long an endpoint that leaves serves on after its word, in ms. */
+const LINGER_MS = 2_600;
+
+/** Pause before a process that ended by itself is started again, in ms. */
+const RESTART_MS = 300;
+
+/** Grace time of the routers, in s; a stop takes a good third of it. */
+const GRACE_S = 4;
+
+const PROGRAM = url.fileURLToPath(
+  import.meta.resolve('@oleanderrock/router/dist/main.js'),
+);
+
+const PORT_NAMES = ['entry', 'ready', 'directory', 'peer', 'gossip'] as const;
+
+type Ports = Record<(typeof PORT_NAMES)[number], number>;
+
+/** A router process and what was done to it. */
+export interface RouterSlot {
+  readonly address: string;
+  child: standins.Child;
+  /** Counts its starts. */
+  life: number;
+}
+
+/** An endpoint with the proxy before it. */
+export interface EndpointSlot {
+  readonly endpoint: standins.HostedEndpoint;
+  readonly proxy: proxies.FaultProxy;
+  /** When it said that it leaves; undefined while it stays. */
+  drainedMs?: number;
+}
+
+/** A time during which something was wrong. */
+export interface Disturbance {
+  readonly what: string;
+  readonly fromMs: number;
+  untilMs: number;
+}
+
+/** All parts, and the faults. */
+export class World {
+  readonly routers: RouterSlot[] = [];
+  /** All endpoints that ever were; those that left included. */
+  readonly endpoints: EndpointSlot[] = [];
+  readonly disturbances: Disturbance[] = [];
+  /** Versions of the tables with the times at which the store took them. */
+  readonly versions: Array<{version: number; atMs: number}> = [];
+  readonly ports: Ports = {
+    entry: 0,
+    ready: 0,
+    directory: 0,
+    peer: 0,
+    gossip: 0,
+  };
+  private readonly store = new standins.TopicStore();
+  private storePort = 0;
+  /** One for each router, so that the store can be cut off from one alone. */
+  private readonly storeProxies: proxies.FaultProxy[] = [];
+  private readonly crashed = new Set<standins.HostedEndpoint>();
+  /** Processes that a fault ends. */
+  private readonly ending = new Set<standins.Child>();
+  private folder = '';
+  private isOver = false;
+
+  /** The endpoint that stands at a place now. */
+  private readonly places: EndpointSlot[] = [];
+
+  constructor(private readonly random: {next(): number}) {}
+
+  async start(routers: number, endpoints: number): Promise<void> {
+    this.folder = await fs.mkdtemp(path.join(os.tmpdir(), 'soak-'));
+    this.storePort = await this.store.start(LOOPBACK);
+    for (const name of PORT_NAMES) this.ports[name] = await freePort();
+    this.publish();
+    for (let at = 0; at < endpoints; at++) {
+      this.places.push(await this.addEndpoint());
+    }
+    for (let at = 0; at < routers; at++) await this.addRouter(at);
+    await this.allReady();
+  }
+
+  async stop(): Promise<void> {
+    this.isOver = true;
+    const ended = this.routers.map(({child}) => {
+      child.signal('SIGCONT');
+      child.signal('SIGKILL');
+      return child.exited;
+    });
+    await Promise.all(ended);
+    await Promise.all(
+      this.endpoints.map(async ({endpoint, proxy}) => {
+        await proxy.stop();
+        await endpoint.stop();
+      }),
+    );
+    await Promise.all(this.storeProxies.map(proxy => proxy.stop()));
+    await this.store.stop();
+    await fs.rm(this.folder, {recursive: true, force: true});
+  }
+
+  /** Resolves when every router is ready; throws where one is not in time. */
+  async allReady(): Promise<void> {
+    const untilMs = performance.now() + READY_TIMEOUT_MS;
+    for (const slot of this.routers) {
+      const leftMs = untilMs - performance.now();
+      if (await this.untilReady(slot, leftMs)) continue;
+      const {lines} = slot.child;
+      throw new Error(`never ready: ${slot.address}\n${lines.join('\n')}`);
+    }
+  }
+
+  /** Whether anything was wrong in the span. */
+  isDisturbed(fromMs: number, untilMs: number): boolean {
+    return this.disturbances.some(
+      item => item.fromMs < untilMs && item.untilMs > fromMs,
+    );
+  }
+
+  /** Does a fault; resolves when it is over. */
+  async apply(fault: plan.Fault): Promise<void> {
+    const untilMs = Number.POSITIVE_INFINITY;
+    const what = JSON.stringify(fault);
+    const noted = {what, fromMs: performance.now(), untilMs};
+    // New tables and settings are ordinary work, which excuses nothing.
+    const isWork = ['tables', 'settings', 'leave'].includes(fault.type);
+    if (!isWork) this.disturbances.push(noted);
+    await this.act(fault);
+    noted.untilMs = performance.now();
+  }
+
+  private async act(fault: plan.Fault): Promise<void> {
+    switch (fault.type) {
+      case 'kill':
+        return this.restart(fault.router, 'SIGKILL', fault.forMs);
+      case 'terminate':
+        return this.restart(fault.router, 'SIGTERM', 0);
+      case 'pause':
+        return this.pause(fault.router, fault.forMs);
+      case 'settings':
+        return this.changeSettings(fault.router);
+      case 'store':
+        this.store.mode = fault.mode;
+        await sleep(fault.forMs);
+        this.store.mode = 'up';
+        return;
+      case 'refuse':
+        return this.refuse(fault.router, fault.forMs);
+      case 'compact':
+        this.store.compact('keyed.servers');
+        return;
+      case 'crash':
+        return this.crash(fault.endpoint, fault.forMs);
+      case 'leave':
+        return this.replace(fault.endpoint);
+      case 'spoil':
+        return this.spoil(fault);
+      case 'link':
+        return this.harm(fault);
+      case 'tables':
+        this.publish();
+    }
+  }
+
+  private publish(): void {
+    const version = 1 + this.versions.length;
+    this.store.put('keyed.op', 'config', tables.config(version));
+    this.versions.push({version, atMs: performance.now()});
+  }
+
+  private async addEndpoint(): Promise<EndpointSlot> {
+    const id = `e${this.endpoints.length + 1}`;
+    const endpoint = new standins.HostedEndpoint(id, tables.POOL, LOOPBACK);
+    endpoint.choose = run => tables.serve(run);
+    await endpoint.start();
+    const proxy = new proxies.FaultProxy(() => endpoint.port);
+    await proxy.start();
+    const slot: EndpointSlot = {endpoint, proxy};
+    this.endpoints.push(slot);
+    this.list(slot, 'ready');
+    return slot;
+  }
+
+  private list({endpoint, proxy}: EndpointSlot, state: 'ready' | 'draining') {
+    const address = `${LOOPBACK}:${proxy.port}`;
+    const entry = {...endpoint.entry(state), address};
+    this.store.put('keyed.servers', endpoint.id, entry);
+  }
+
+  private async addRouter(at: number): Promise<void> {
+    const address = `127.0.0.${FIRST_ROUTER + at}`;
+    const proxy = new proxies.FaultProxy(() => this.storePort);
+    await proxy.start();
+    this.storeProxies.push(proxy);
+    await this.writeSettings(address, 400);
+    const slot = {address, child: this.spawn(address), life: 1};
+    this.routers.push(slot);
+    this.keepUp(slot);
+  }
+
+  /** Starts a router that ended by itself again, as the platform does. */
+  private keepUp(slot: RouterSlot): void {
+    const {child} = slot;
+    void child.exited.then(async () => {
+      if (this.isOver || this.ending.has(child)) return;
+      const atMs = performance.now();
+      const what = `${slot.address} ended by itself`;
+      this.disturbances.push({what, fromMs: atMs, untilMs: atMs});
+      await sleep(RESTART_MS);
+      if (!this.isOver && slot.child === child) this.revive(slot);
+    });
+  }
+
+  private revive(slot: RouterSlot): void {
+    slot.child = this.spawn(slot.address);
+    slot.life += 1;
+    this.keepUp(slot);
+  }
+
+  private spawn(address: string): standins.Child {
+    const file = this.settingsFile(address);
+    return new standins.Child(address, PROGRAM, ['direct'], {
+      OLEANDERROCK_CONFIG: file,
+    });
+  }
+
+  private settingsFile(address: string): string {
+    return path.join(this.folder, `${address}.env`);
+  }
+
+  private async writeSettings(address: string, digestMs: number) {
+    const {entry, ready, directory, peer, gossip} = this.ports;
+    const last = Number(address.split('.')[3]);
+    const store = this.storeProxies[last - FIRST_ROUTER]!;
+    const lines = [
+      `NAME=router-${last}`,
+      `ADDRESS=${address}`,
+      `ZONE=${last % 2 === 0 ? 'zone-a' : 'zone-b'}`,
+      `ENTRY_LISTEN=${address}:${entry}`,
+      `READY_LISTEN=${address}:${ready}`,
+      `DIRECTORY_LISTEN=${address}:${directory}`,
+      `PEER_LISTEN=${address}:${peer}`,
+      `GOSSIP_PORT=${gossip}`,
+      `SEEDS=127.0.0.${FIRST_ROUTER}:${peer}`,
+      `STORE_ADDRESS=${LOOPBACK}:${store.port}`,
+      `RETRY_SLACK=200`,
+      `GRACE_S=${GRACE_S}`,
+      `ADDRESS_KEEP_S=1`,
+      `DIGEST_MS=${digestMs}`,
+    ];
+    const text = lines.map(line => `OLEANDER_${line}\n`).join('');
+    await fs.writeFile(this.settingsFile(address), text);
+  }
+
+  private async restart(at: number, signal: NodeJS.Signals, downMs: number) {
+    const slot = this.routers[at]!;
+    const {child} = slot;
+    this.ending.add(child);
+    if (signal === 'SIGKILL') child.signal('SIGCONT');
+    child.signal(signal);
+    await child.exited;
+    await sleep(downMs);
+    // Another fault may have started it again meanwhile.
+    if (this.isOver || slot.child !== child) return;
+    this.revive(slot);
+    await this.untilReady(slot, READY_TIMEOUT_MS);
+  }
+
+  /** Whether the router became ready in time. */
+  private async untilReady(
+    {address}: RouterSlot,
+    timeoutMs: number,
+  ): Promise<boolean> {
+    const untilMs = performance.now() + timeoutMs;
+    while (!this.isOver && performance.now() < untilMs) {
+      if (await this.isReady(address)) return true;
+      await sleep(LOOK_MS);
+    }
+    return false;
+  }
+
+  private async pause(at: number, forMs: number): Promise<void> {
+    const {child} = this.routers[at]!;
+    child.signal('SIGSTOP');
+    await sleep(forMs);
+    child.signal('SIGCONT');
+  }
+
+  private async changeSettings(at: number): Promise<void> {
+    const {address, child} = this.routers[at]!;
+    const digestMs = 200 + Math.round(this.random.next() * 300);
+    await this.writeSettings(address, digestMs);
+    child.signal('SIGHUP');
+  }
+
+  private async refuse(at: number, forMs: number): Promise<void> {
+    const end = this.storeProxies[at]!.begin('one_way');
+    await sleep(forMs);
+    end();
+  }
+
+  private async crash(at: number, forMs: number): Promise<void> {
+    const {endpoint} = this.places[at]!;
+    if (this.crashed.has(endpoint)) return;
+    this.crashed.add(endpoint);
+    await endpoint.stop();
+    await sleep(forMs);
+    if (!this.isOver) await endpoint.start();
+    this.crashed.delete(endpoint);
+  }
+
+  private async replace(at: number): Promise<void> {
+    const leaving = this.places[at]!;
+    this.places[at] = await this.addEndpoint();
+    this.list(leaving, 'draining');
+    leaving.drainedMs = performance.now();
+    await sleep(LINGER_MS);
+    this.store.put('keyed.servers', leaving.endpoint.id);
+  }
+
+  private async spoil({
+    endpoint: at,
+    how,
+    share,
+    forMs,
+  }: Extract<plan.Fault, {type: 'spoil'}>): Promise<void> {
+    const {endpoint} = this.places[at]!;
+    endpoint.choose = run =>
+      this.random.next() < share ? tables.spoil(run, how) : tables.serve(run);
+    await sleep(forMs);
+    endpoint.choose = run => tables.serve(run);
+  }
+
+  private async harm({
+    endpoint,
+    how,
+    forMs,
+  }: Extract<plan.Fault, {type: 'link'}>): Promise<void> {
+    const harmed =
+      endpoint === undefined
+        ? this.storeProxies
+        : [this.places[endpoint]!.proxy];
+    const ends = harmed.map(proxy => proxy.begin(how));
+    await sleep(forMs);
+    for (const end of ends) end();
+  }
+
+  private isReady(address: string): Promise<boolean> {
+    return new Promise(resolve => {
+      const request = http.get(
+        {host: address, port: this.ports.ready, path: '/ready', timeout: 500},
+        response => {
+          response.resume();
+          resolve(response.statusCode === 200);
+        },
+      );
+      request.on('timeout', () => request.destroy());
+      request.on('error', () => resolve(false));
+    });
+  }
+}
+
+/** Resolves after a time. */
+export function sleep(forMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, forMs));
+}
+
+async function freePort(): Promise<number> {
+  const server = net.createServer();
+  await new Promise<void>(resolve => server.listen(0, '0.0.0.0', resolve));
+  const {port} = server.address() as net.AddressInfo;
+  await new Promise(resolve => server.close(resolve));
+  return port;
+}
--- a/packages/standins/src/hostedendpoint.ts
+++ b/packages/standins/src/hostedendpoint.ts
@@ -32,6 +32,8 @@
       /** Breaks off in the middle of this event. */
       readonly breakIn?: number;
       readonly paceMs?: number;
+      /** Stands in each event, so that streams differ. */
+      readonly label?: string;
     };
 
 /** A request that ran. */
@@ -40,6 +42,8 @@
   readonly path: string;
   readonly headers: http.IncomingHttpHeaders;
   readonly body: string;
+  /** Monotonic time at which it began. */
+  readonly atMs: number;
   /** Whether the caller left before the end. */
   hasLeft: boolean;
 }
@@ -50,6 +54,8 @@
   /** Answers of the next requests; afterwards `usual` holds. */
   readonly next: Behaviour[] = [];
   usual: Behaviour = {type: 'answer'};
+  /** Decides for each request instead, where it is set. */
+  choose?: (run: SeenRun) => Behaviour;
   port = 0;
   private server: http.Server;
 
@@ -108,18 +114,19 @@
       response.writeHead(421, {'instance-id': this.id}).end();
       return;
     }
-    const behaviour = this.next.shift() ?? this.usual;
-    if (behaviour.type === 'shed') {
-      response.writeHead(503, {'not-executed': '1'}).end();
-      return;
-    }
     const run: SeenRun = {
       method: request.method ?? '',
       path: request.url ?? '',
       headers: request.headers,
       body: Buffer.concat(pieces).toString(),
+      atMs: performance.now(),
       hasLeft: false,
     };
+    const behaviour = this.next.shift() ?? this.choose?.(run) ?? this.usual;
+    if (behaviour.type === 'shed') {
+      response.writeHead(503, {'not-executed': '1'}).end();
+      return;
+    }
     this.runs.push(run);
     response.once('close', () => (run.hasLeft = !response.writableFinished));
     await this.answer(behaviour, run, response);
@@ -185,13 +192,23 @@
   else socket?.end(' and half');
 }
 
+/** One event as the endpoint writes it. */
+export function eventText(number: number, label = 'event'): string {
+  return `id: ${number}\ndata: ${label} ${number}\n\n`;
+}
+
 /** Time in which the bytes before a reset arrive. */
 const RESET_MS = 20;
 
 const DEFAULT_PACE_MS = 2;
 
 async function stream(
-  {events, breakIn, paceMs = DEFAULT_PACE_MS}: Behaviour & {type: 'stream'},
+  {
+    events,
+    breakIn,
+    paceMs = DEFAULT_PACE_MS,
+    label = 'event',
+  }: Behaviour & {type: 'stream'},
   run: SeenRun,
   response: http.ServerResponse,
   headers: Record<string, string>,
@@ -199,7 +216,7 @@
   response.writeHead(200, {...headers, 'content-type': 'text/event-stream'});
   const first = Number(run.headers['last-event-id'] ?? 0) + 1;
   for (let number = first; number <= events; number++) {
-    const event = `id: ${number}\ndata: event ${number}\n\n`;
+    const event = eventText(number, label);
     if (number === breakIn) {
       response.write(event.slice(0, event.length / 2));
       setTimeout(() => response.destroy(), DEFAULT_PACE_MS);
--- a/packages/standins/src/processes.ts
+++ b/packages/standins/src/processes.ts
@@ -40,9 +40,10 @@
     readonly name: string,
     program: string,
     args: readonly string[],
+    variables: Readonly<Record<string, string>> = {},
   ) {
     this.child = childProcess.spawn(process.execPath, [program, ...args], {
-      env: environment(),
+      env: {...environment(), ...variables},
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     this.collect(this.child.stdout);
