Tell the own failure domain first, in smaller digests, and read the store less

At that size a router was told of each other one every 2.3 s and took it for gone after 1.8 s. Change: rounds of digests (NearFirstRounds): all in each round where they are few; else the own failure domain, and the others in turn; news goes to all and delays the next round, so the limit holds. Silence is judged by the pace. Endpoints have short names in digests, a placement that all know is told again after 25 s only, and only a router that reads of a leaver in the store tells all at once. Reads of endpoints up to 8 s apart (160 ms over the fleet), routers each 60 s, a read of the tables waits 28 s. Ruled out: a digest packed as binary, which would load one more library. The soak's proxy closes what has begun to end (a reset left the handle open), and the store's stand-in ends its waits when it stops.

--- a/packages/decide/src/index.ts
+++ b/packages/decide/src/index.ts
@@ -18,6 +18,7 @@
 export * from './queue.js';
 export * from './retry.js';
 export * from './roster.js';
+export * from './rounds.js';
 export * from './sharedretry.js';
 export * from './suspects.js';
 export * from './usage.js';
--- a/packages/decide/src/prefixhomes.ts
+++ b/packages/decide/src/prefixhomes.ts
@@ -27,29 +27,47 @@
 /** How long an endpoint is taken to hold a prefix after its last use, in ms. */
 const HELD_MS = 60_000;
 
+/**
+ * Pause before a placement that all know is told again, in ms: well within the
+ * time for which they remember it.
+ */
+const RETELL_MS = 25_000;
+
 /** Most prefixes that are remembered; the least recently used is dropped. */
 const MAX_PREFIXES = 20_000;
 
 /** Most placements that wait to be told. */
 const MAX_UNTOLD = 64;
 
+/** A prefix's use at an endpoint. */
+interface Use {
+  readonly usedMs: number;
+  /** When all routers last heard of it. */
+  readonly toldMs: number;
+}
+
 /** Homes by the placements of all routers. */
 export class ToldPrefixHomes implements PrefixHomes {
-  /** Last use by endpoint, by prefix; the least recently used prefix first. */
-  private readonly homes = new Map<string, Map<string, number>>();
+  /** Uses by endpoint, by prefix; the least recently used prefix first. */
+  private readonly homes = new Map<string, Map<string, Use>>();
   private readonly fresh = new Map<string, Placed>();
 
   placed(placed: Placed, nowMs: number): void {
-    this.learn(placed, nowMs);
     const {prefix, endpoint} = placed;
-    if (this.fresh.size < MAX_UNTOLD) {
-      this.fresh.set(`${prefix} ${endpoint}`, placed);
-    }
+    const known = this.homes.get(prefix)?.get(endpoint);
+    const isTold = known && nowMs - known.toldMs < RETELL_MS;
+    const isRoom = this.fresh.size < MAX_UNTOLD;
+    this.use(placed, {usedMs: nowMs, toldMs: isTold ? known.toldMs : nowMs});
+    if (!isTold && isRoom) this.fresh.set(`${prefix} ${endpoint}`, placed);
+  }
+
+  learn(placed: Placed, nowMs: number): void {
+    this.use(placed, {usedMs: nowMs, toldMs: nowMs});
   }
 
-  learn({prefix, endpoint}: Placed, nowMs: number): void {
-    const uses = this.homes.get(prefix) ?? new Map<string, number>();
-    uses.set(endpoint, nowMs);
+  private use({prefix, endpoint}: Placed, use: Use): void {
+    const uses = this.homes.get(prefix) ?? new Map<string, Use>();
+    uses.set(endpoint, use);
     this.homes.delete(prefix);
     this.homes.set(prefix, uses);
     if (this.homes.size <= MAX_PREFIXES) return;
@@ -60,7 +78,7 @@
   of(prefix: string, nowMs: number): readonly string[] {
     const uses = this.homes.get(prefix);
     if (!uses) return [];
-    for (const [endpoint, usedMs] of uses) {
+    for (const [endpoint, {usedMs}] of uses) {
       if (nowMs - usedMs > HELD_MS) uses.delete(endpoint);
     }
     return [...uses.keys()];
--- a/packages/decide/src/tests/direct.test.ts
+++ b/packages/decide/src/tests/direct.test.ts
@@ -99,8 +99,12 @@
     homes.learn({prefix: 'p', endpoint: 'e2'}, 1);
     expect(homes.untold()).to.deep.equal([{prefix: 'p', endpoint: 'e1'}]);
     expect(homes.untold()).to.deep.equal([]);
+    homes.placed({prefix: 'p', endpoint: 'e2'}, 2);
+    expect(homes.untold(), 'another router told it').to.deep.equal([]);
+    homes.placed({prefix: 'p', endpoint: 'e1'}, 30_000);
+    expect(homes.untold(), 'again after a while').to.have.length(1);
     homes.forget('e1');
-    expect(homes.of('p', 2)).to.deep.equal(['e2']);
+    expect(homes.of('p', 30_000)).to.deep.equal(['e2']);
     expect(homes.of('p', 10 * 60_000)).to.deep.equal([]);
   });
 });
--- a/packages/direct/src/decisions.ts
+++ b/packages/direct/src/decisions.ts
@@ -45,6 +45,11 @@
   'changes',
 ]);
 
+/** The contract under which the rounds of digests are registered. */
+export const ROUNDS = core.contract<decide.DigestRounds>('digest-rounds', [
+  'next',
+]);
+
 /** The contract under which the homes of prefixes are registered. */
 export const HOMES = core.contract<decide.PrefixHomes>('prefix-homes', [
   'placed',
--- a/packages/direct/src/digest.ts
+++ b/packages/direct/src/digest.ts
@@ -4,7 +4,7 @@
  */
 import * as v from 'valibot';
 import type * as decide from '@oleanderrock/decide';
-import type * as endpointBook from './endpointbook.js';
+import * as endpointBook from './endpointbook.js';
 import type * as fleetBook from './fleetbook.js';
 import * as model from './model.js';
 
@@ -24,7 +24,7 @@
   v: v.number(),
   /** How far it has read the endpoints' feed. */
   e: v.number(),
-  /** By endpoint: in flight, good and failed outcomes times 10. */
+  /** By short name: in flight, good and failed outcomes times 10. */
   l: v.record(v.string(), v.tuple([v.number(), v.number(), v.number()])),
   /** Endpoints that leave, with the offsets of their records. */
   d: v.array(v.tuple([v.string(), v.number()])),
@@ -54,7 +54,7 @@
   const load: Record<string, [number, number, number]> = {};
   for (const id of new Set([...inFlight.keys(), ...outcomes.keys()])) {
     const {good, failed} = outcomes.get(id) ?? {good: 0, failed: 0};
-    load[id] = [
+    load[endpointBook.shortName(id)] = [
       inFlight.get(id) ?? 0,
       Math.round(good * OUTCOME_PARTS),
       Math.round(failed * OUTCOME_PARTS),
@@ -73,14 +73,22 @@
   return Buffer.from(JSON.stringify(wire));
 }
 
-/** Reads a digest; undefined where the bytes are none. */
-export function decode(bytes: Buffer): Digest | undefined {
+/** Finds an endpoint by its short name. */
+export type Named = (short: string) => string | undefined;
+
+/**
+ * Reads a digest; undefined where the bytes are none. Loads of endpoints that
+ * are not known here are left out.
+ */
+export function decode(bytes: Buffer, named: Named): Digest | undefined {
   const parsed = v.safeParse(wireSchema, parseJson(bytes));
   if (!parsed.success) return undefined;
   const {r: router, p: phase, v: version, e, l, d, s, c} = parsed.output;
   const inFlight = new Map<string, number>();
   const outcomes = new Map<string, decide.Outcomes>();
-  for (const [id, [running, good, failed]] of Object.entries(l)) {
+  for (const [short, [running, good, failed]] of Object.entries(l)) {
+    const id = named(short);
+    if (id === undefined) continue;
     inFlight.set(id, running);
     outcomes.set(id, {
       good: good / OUTCOME_PARTS,
--- a/packages/direct/src/endpointbook.ts
+++ b/packages/direct/src/endpointbook.ts
@@ -33,12 +33,21 @@
   items(): readonly EndpointItem[];
   /** Keys that began to drain or left of late, with their offsets. */
   leavers(nowMs: number): ReadonlyArray<readonly [string, number]>;
-  /** Calls `left` when an endpoint begins to drain or is gone. */
+  /** Calls `left` when the feed says that an endpoint drains or is gone. */
   onLeave(left: () => void): void;
   /** Another router saw the endpoint drain or leave at the offset. */
   learnLeaver(id: string, offset: number, nowMs: number): void;
+  /** The endpoint with the short name; undefined where none is known. */
+  named(short: string): string | undefined;
 }
 
+/** Name of an endpoint in digests: most have longer ones. */
+export function shortName(id: string): string {
+  return core.hash32(id).toString(SHORT_RADIX);
+}
+
+const SHORT_RADIX = 36;
+
 /** The contract under which the book is registered. */
 export const ENDPOINT_BOOK = core.contract<EndpointBook>('endpoint-book', [
   'take',
@@ -51,6 +60,7 @@
   'leavers',
   'onLeave',
   'learnLeaver',
+  'named',
 ]);
 
 interface Leave {
@@ -63,18 +73,16 @@
   private readonly records = new Map<string, EndpointItem>();
   private readonly left = new Map<string, Leave>();
   private readonly removed: string[] = [];
+  private readonly shortNames = new Map<string, string>();
   private readonly listeners: Array<() => void> = [];
   private next = 0;
 
   constructor(private readonly kernel: core.Kernel) {}
 
   take(item: EndpointItem, nowMs: number): boolean {
-    const before = this.records.get(item.key);
-    if (before && before.offset >= item.offset) return false;
-    this.records.set(item.key, item);
-    if (item.value === undefined) this.keepRemoved(item.key);
-    this.note(before, item, nowMs);
-    return true;
+    const isLeaver = this.put(item, nowMs);
+    if (isLeaver) for (const left of this.listeners) left();
+    return isLeaver !== undefined;
   }
 
   ready(pool: string): readonly model.Endpoint[] {
@@ -124,21 +132,33 @@
     if (!known?.value || known.offset >= offset) return;
     // The feed's own record at this offset still counts when it is read.
     const value = {...known.value, isDraining: true};
-    this.take({key: id, offset: offset - 0.5, value}, nowMs);
+    this.put({key: id, offset: offset - 0.5, value}, nowMs);
+  }
+
+  named(short: string): string | undefined {
+    return this.shortNames.get(short);
+  }
+
+  /** Whether the endpoint left by this record; undefined: it is not newer. */
+  private put(item: EndpointItem, nowMs: number): boolean | undefined {
+    const before = this.records.get(item.key);
+    if (before && before.offset >= item.offset) return undefined;
+    this.records.set(item.key, item);
+    this.shortNames.set(shortName(item.key), item.key);
+    if (item.value === undefined) this.keepRemoved(item.key);
+    return this.note(before, item, nowMs);
   }
 
   private note(
     before: EndpointItem | undefined,
     {key, offset, value}: EndpointItem,
     nowMs: number,
-  ): void {
+  ): boolean {
     const was = stateOf(before?.value);
     const is = stateOf(value);
-    if (was === is && before?.value?.bornMs === value?.bornMs) return;
-    if (was === 'ready' && is !== 'ready') {
-      this.left.set(key, {offset, atMs: nowMs});
-      for (const left of this.listeners) left();
-    }
+    if (was === is && before?.value?.bornMs === value?.bornMs) return false;
+    const isLeaver = was === 'ready' && is !== 'ready';
+    if (isLeaver) this.left.set(key, {offset, atMs: nowMs});
     this.kernel.find(core.LOGGER).info('endpoint', {
       endpoint: key,
       pool: value?.pool ?? before?.value?.pool,
@@ -146,6 +166,7 @@
       is,
       offset,
     });
+    return isLeaver;
   }
 
   private keepRemoved(key: string): void {
@@ -154,6 +175,7 @@
     const oldest = this.removed.shift()!;
     if (this.records.get(oldest)?.value === undefined) {
       this.records.delete(oldest);
+      this.shortNames.delete(shortName(oldest));
     }
   }
 }
--- a/packages/direct/src/fleetbook.ts
+++ b/packages/direct/src/fleetbook.ts
@@ -25,12 +25,24 @@
   readonly heardMs: number;
 }
 
-/** How long a router that is not heard counts as live, in ms: four digests. */
-export const LIVE_MS = 1_800;
+/** Least time for which a router that is not heard counts as live, in ms. */
+const MIN_LIVE_MS = 1_800;
+
+/** Digests of a router in its failure domain that may be missed, and a part. */
+const NEAR_MISSED = 3.5;
+
+/** The same for routers of other failure domains, which tell less often. */
+const FAR_MISSED = 2.5;
 
 /** How long a router that was never heard is told of this one, in ms. */
 const INTRODUCE_MS = 10_000;
 
+/** How often routers tell each other of themselves, in ms. */
+export interface Paces {
+  readonly nearPaceMs: number;
+  readonly farPaceMs: number;
+}
+
 /** Book of the fleet's routers, without this one. */
 export interface FleetBook {
   self(): model.Router;
@@ -44,6 +56,8 @@
   peers(nowMs: number): readonly Member[];
   /** Routers that were heard of late. */
   live(nowMs: number): readonly Member[];
+  /** Notes the pace of digests, by which silence is judged. */
+  expect(paces: Paces): void;
 }
 
 /** The contract under which the book is registered. */
@@ -54,11 +68,13 @@
   'remove',
   'peers',
   'live',
+  'expect',
 ]);
 
 /** Book in memory. */
 export class HeardFleet implements FleetBook {
   private readonly members = new Map<string, Member>();
+  private paces: Paces = {nearPaceMs: 0, farPaceMs: 0};
 
   constructor(
     private readonly kernel: core.Kernel,
@@ -95,13 +111,27 @@
 
   peers(nowMs: number): readonly Member[] {
     const members = [...this.members.values()];
-    return members.filter(({heardMs}) => nowMs - heardMs < INTRODUCE_MS);
+    const {farPaceMs} = this.paces;
+    const knownMs = Math.max(INTRODUCE_MS, FAR_MISSED * farPaceMs);
+    return members.filter(({heardMs}) => nowMs - heardMs < knownMs);
   }
 
   live(nowMs: number): readonly Member[] {
     const members = [...this.members.values()];
     return members.filter(
-      ({standing, heardMs}) => standing && nowMs - heardMs < LIVE_MS,
+      ({router, standing, heardMs}) =>
+        standing && nowMs - heardMs < this.liveMs(router),
     );
   }
+
+  expect(paces: Paces): void {
+    this.paces = paces;
+  }
+
+  private liveMs({zone}: model.Router): number {
+    const {nearPaceMs, farPaceMs} = this.paces;
+    const isNear = zone === this.own.zone;
+    const missedMs = isNear ? NEAR_MISSED * nearPaceMs : FAR_MISSED * farPaceMs;
+    return Math.max(MIN_LIVE_MS, missedMs);
+  }
 }
--- a/packages/direct/src/followers.ts
+++ b/packages/direct/src/followers.ts
@@ -13,10 +13,10 @@
  * limit of 30 s. A connection that goes silent meanwhile is closed when the
  * next read of the endpoints fails on its own.
  */
-const TABLES_WAIT_MS = 20_000;
+const TABLES_WAIT_MS = 28_000;
 
 /** Pause between reads of the list of routers, in ms; digests tell sooner. */
-const ROUTERS_PACE_MS = 20_000;
+const ROUTERS_PACE_MS = 60_000;
 
 /**
  * Mean time between two reads of the endpoints by any router of the fleet, in
@@ -25,7 +25,7 @@
 const FLEET_PACE_MS = 160;
 
 /** Longest pause between this router's own reads of the endpoints, in ms. */
-const MAX_ENDPOINTS_PACE_MS = 3_000;
+const MAX_ENDPOINTS_PACE_MS = 8_000;
 
 /** Part of a pause that is random, so that routers do not read together. */
 const PACE_JITTER = 0.4;
--- a/packages/direct/src/gossip.ts
+++ b/packages/direct/src/gossip.ts
@@ -1,6 +1,7 @@
 /**
- * Digests between routers: one task sends them to every peer at a pace that the
- * size of the fleet slows down; each that arrives is taken in at once.
+ * Digests between routers: one task sends them in rounds, whose size and pace
+ * follow the size of the fleet; each that arrives is taken in at once. News that
+ * cannot wait goes to every router.
  */
 import * as dgram from 'node:dgram';
 import * as core from '@oleanderrock/core';
@@ -10,12 +11,10 @@
 import * as endpointBook from './endpointbook.js';
 import * as fleetBook from './fleetbook.js';
 import * as lifecycle from './lifecycle.js';
+import type * as model from './model.js';
 import type * as settings from './settings.js';
 import * as tablesBook from './tablesbook.js';
 
-/** Datagrams a second that a router sends at most, for the control budget. */
-const MAX_SENT_PER_SECOND = 60;
-
 /** How many digests tell of a change at once, since a datagram may be lost. */
 const URGENT_REPEATS = 2;
 
@@ -59,7 +58,7 @@
   }
 
   async stop(): Promise<void> {
-    this.send();
+    this.tellAll();
     await this.tasks.stop();
     this.socket.close();
   }
@@ -73,35 +72,59 @@
     const clock = this.kernel.find(core.CLOCK);
     signal.addEventListener('abort', () => this.wake.abort());
     while (!signal.aborted) {
-      const sent = this.send();
       if (this.urgent > 0) {
         this.urgent -= 1;
+        this.tellAll();
         await clock.sleep(URGENT_DELAY_MS, signal);
         continue;
       }
+      const paceMs = this.tellRound();
       this.wake = new AbortController();
-      await clock.sleep(this.paceMs(sent), this.wake.signal);
+      await clock.sleep(paceMs, this.wake.signal);
     }
   }
 
-  private paceMs(peers: number): number {
-    return Math.max(this.own.digestMs, (peers * 1_000) / MAX_SENT_PER_SECOND);
+  /** Tells those whose turn it is; returns the time until the next round. */
+  private tellRound(): number {
+    const nowMs = this.kernel.find(core.CLOCK).nowMs();
+    const fleet = this.kernel.find(fleetBook.FLEET_BOOK);
+    const digest = this.digest(nowMs);
+    const {zone} = fleet.self();
+    const routers = fleet.peers(nowMs).map(({router}) => router);
+    const round = this.kernel.find(decisions.ROUNDS).next(
+      routers.map(({name, zone: its}) => ({name, isNear: its === zone})),
+      this.own.digestMs,
+      hasNews(digest),
+    );
+    fleet.expect(round);
+    const isTold = new Set(round.names);
+    this.send(
+      digest,
+      routers.filter(({name}) => isTold.has(name)),
+    );
+    return round.paceMs;
   }
 
-  /** Sends one digest to each peer; returns their number. */
-  private send(): number {
+  private tellAll(): void {
     const nowMs = this.kernel.find(core.CLOCK).nowMs();
-    const fleet = this.kernel.find(fleetBook.FLEET_BOOK);
-    const peers = fleet.peers(nowMs).map(({router}) => router.address);
-    const targets = peers.length > 0 ? peers : this.own.seedAddresses;
-    const bytes = digests.encode(this.digest(nowMs));
+    const peers = this.kernel.find(fleetBook.FLEET_BOOK).peers(nowMs);
+    this.send(
+      this.digest(nowMs),
+      peers.map(({router}) => router),
+    );
+  }
+
+  /** Sends a digest; a router that knows no others yet tells the seeds. */
+  private send(digest: digests.Digest, routers: readonly model.Router[]): void {
+    const known = routers.map(({address}) => address);
+    const targets = known.length > 0 ? known : this.own.seedAddresses;
+    const bytes = digests.encode(digest);
     for (const address of targets) {
       if (address === this.own.address) continue;
       this.socket.send(bytes, this.own.gossipPort, address, error => {
         if (error) this.report(error);
       });
     }
-    return targets.length;
   }
 
   private digest(nowMs: number): digests.Digest {
@@ -122,7 +145,8 @@
   }
 
   private take(bytes: Buffer): void {
-    const digest = digests.decode(bytes);
+    const endpoints = this.kernel.find(endpointBook.ENDPOINT_BOOK);
+    const digest = digests.decode(bytes, short => endpoints.named(short));
     if (!digest) {
       this.kernel.find(core.LOGGER).warn('digest_unreadable', {
         bytes: bytes.length,
@@ -138,7 +162,6 @@
     load.learn(router.name, digest.inFlight, nowMs);
     const health = this.kernel.find(decisions.HEALTH);
     health.learn(router.name, digest.outcomes, nowMs);
-    const endpoints = this.kernel.find(endpointBook.ENDPOINT_BOOK);
     for (const [id, offset] of digest.leavers) {
       endpoints.learnLeaver(id, offset, nowMs);
     }
@@ -155,3 +178,8 @@
     });
   }
 }
+
+/** Whether the digest tells what every router has to know soon. */
+function hasNews({suspects, placed}: digests.Digest): boolean {
+  return suspects.length > 0 || placed.length > 0;
+}
--- a/packages/direct/src/tests/parts.test.ts
+++ b/packages/direct/src/tests/parts.test.ts
@@ -175,11 +175,16 @@
       suspects: [{signature: 's', state: 'suspect', validMs: 10}],
       placed: [{prefix: 'p', endpoint: 'e'}],
     };
-    expect(digests.decode(digests.encode(digest))).to.deep.equal(digest);
-    expect(digests.decode(Buffer.from('{}'))).to.equal(undefined);
+    const named = (short: string) =>
+      ['e', 'f'].find(id => direct.shortName(id) === short);
+    const bytes = digests.encode(digest);
+    expect(digests.decode(bytes, named)).to.deep.equal(digest);
+    const unknown = digests.decode(bytes, () => undefined);
+    expect(unknown?.inFlight.size).to.equal(0);
+    expect(digests.decode(Buffer.from('{}'), named)).to.equal(undefined);
     fc.assert(
-      fc.property(fc.uint8Array(), bytes => {
-        expect(digests.decode(Buffer.from(bytes))).to.equal(undefined);
+      fc.property(fc.uint8Array(), noise => {
+        expect(digests.decode(Buffer.from(noise), named)).to.equal(undefined);
       }),
       RUNS,
     );
--- a/packages/router/src/wiredirect.ts
+++ b/packages/router/src/wiredirect.ts
@@ -10,6 +10,9 @@
 /** How long a request that ran at a crash stays a suspect, in ms. */
 const SUSPECT_MS = 20_000;
 
+/** Digests that a router sends in a second at most, for the control budget. */
+const MAX_DIGESTS_PER_SECOND = 60;
+
 const MAX_SEED = 2 ** 31;
 
 /** Where log lines go. */
@@ -23,6 +26,10 @@
   kernel.register(direct.HEALTH, new decide.DecayingHealth());
   kernel.register(direct.LOAD, new decide.ToldFleetLoad());
   kernel.register(direct.HOMES, new decide.ToldPrefixHomes());
+  kernel.register(
+    direct.ROUNDS,
+    new decide.NearFirstRounds({maxPerSecond: MAX_DIGESTS_PER_SECOND}),
+  );
   kernel.register(direct.PLACEMENT, new decide.PrefixPlacement({random}));
   kernel.register(
     direct.REPEATS,
--- a/packages/soak/src/proxy.ts
+++ b/packages/soak/src/proxy.ts
@@ -64,8 +64,8 @@
 
   private resetAll(): void {
     for (const {near, far} of this.pairs) {
-      near.resetAndDestroy();
-      far.resetAndDestroy();
+      reset(near);
+      reset(far);
     }
   }
 
@@ -81,7 +81,7 @@
     from.setNoDelay(true);
     from.on('data', piece => this.pass(pair, to, piece));
     from.on('end', () => this.later(() => !pair.isSilent && to.end()));
-    from.on('error', () => to.resetAndDestroy());
+    from.on('error', () => reset(to));
     from.on('close', () => {
       // A silent connection stays open at its other end, as a lost one does.
       if (from.destroyed && to.destroyed) this.pairs.delete(pair);
@@ -102,3 +102,10 @@
     else act();
   }
 }
+
+/** Resets a connection; one that has begun to end is closed instead. */
+function reset(socket: net.Socket): void {
+  // A reset after the end would leave the handle open for good.
+  if (socket.writableEnded) socket.destroy();
+  else socket.resetAndDestroy();
+}
--- a/packages/soak/src/traffic.ts
+++ b/packages/soak/src/traffic.ts
@@ -129,7 +129,13 @@
     const path = `/resolve?name=${tables.HOST}&region=r&zone=zone-a`;
     return new Promise(done => {
       const request = http.get(
-        {host, port: this.world.ports.directory, path, timeout: 1_000},
+        {
+          host,
+          port: this.world.ports.directory,
+          path,
+          timeout: 1_000,
+          agent: false,
+        },
         response => {
           let text = '';
           response.setEncoding('utf8');
--- a/packages/soak/src/world.ts
+++ b/packages/soak/src/world.ts
@@ -371,7 +371,13 @@
   private isReady(address: string): Promise<boolean> {
     return new Promise(resolve => {
       const request = http.get(
-        {host: address, port: this.ports.ready, path: '/ready', timeout: 500},
+        {
+          host: address,
+          port: this.ports.ready,
+          path: '/ready',
+          timeout: 500,
+          agent: false,
+        },
         response => {
           response.resume();
           resolve(response.statusCode === 200);
--- a/packages/standins/src/topicstore.ts
+++ b/packages/standins/src/topicstore.ts
@@ -26,10 +26,15 @@
 
   append(record: StoredRecord): number {
     this.records.push(record);
+    this.wake();
+    return this.records.length - 1;
+  }
+
+  /** Ends all waits. */
+  wake(): void {
     const woken = this.waiting;
     this.waiting = [];
     for (const wake of woken) wake();
-    return this.records.length - 1;
   }
 
   /** Resolves at the next append, or after the wait. */
@@ -84,6 +89,7 @@
   async stop(): Promise<void> {
     const closed = new Promise(resolve => this.server.close(resolve));
     this.server.closeAllConnections();
+    for (const topic of this.topics.values()) topic.wake();
     await closed;
   }
 
