--- a/packages/direct/src/feed.ts
+++ b/packages/direct/src/feed.ts
@@ -54,13 +54,7 @@
   /** Lists this router; resolves with false where that is not known to hold. */
   announce(router: model.Router, signal: AbortSignal): Promise<boolean>;
   withdraw(router: model.Router, signal: AbortSignal): Promise<boolean>;
-  /** Closes kept connections, which may have gone silent. */
-  reconnect(): void;
 }
 
 /** The contract under which the feeds are registered. */
-export const FEEDS = core.contract<Feeds>('feeds', [
-  'announce',
-  'withdraw',
-  'reconnect',
-]);
+export const FEEDS = core.contract<Feeds>('feeds', ['announce', 'withdraw']);
