Share what the platform's callers and operators write between tests and soak

Routes, configurations, callers' headers and free ports stood in the fleet of the tests and in the soak; they are hostedplatform.ts of the stand-ins now, so the soak knows no name of the platform. Its faults stand apart from its world.

--- a/packages/router/src/tests/directfleet.ts
+++ b/packages/router/src/tests/directfleet.ts
@@ -1,6 +1,5 @@
 /** Support: a fleet that sends straight to endpoints, on the users' platform. */
 import * as http from 'node:http';
-import * as net from 'node:net';
 import * as core from '@oleanderrock/core';
 import * as direct from '@oleanderrock/direct';
 import * as standins from '@oleanderrock/standins';
@@ -14,62 +13,34 @@
 /** Key of the customer `acme`. */
 export const KEY = 'key-of-acme';
 
+/** How long callers wait. */
+const WAIT_MS = 3_000;
+
 /** Host of all routes. */
 export const HOST = 'chat.example';
 
 /** A route as operators write it. */
 export function route(
   pathPrefix: string,
-  kind: 'idempotent' | 'non_idempotent' | 'streaming',
-  more: Record<string, unknown> = {},
-): Record<string, unknown> {
-  return {
-    name: `r${pathPrefix.replaceAll('/', '-')}`,
-    host: HOST,
-    pathPrefix,
-    kind,
-    service: 'pool',
-    timeoutMs: 2_000,
-    goalMs: 100,
-    priority: 1,
-    maxAttempts: kind === 'non_idempotent' ? 1 : 2,
-    public: false,
-    resumable: kind === 'streaming',
-    ...more,
-  };
+  kind: standins.HostedKind,
+  more: standins.HostedFields = {},
+): standins.HostedFields {
+  return standins.hostedRoute(HOST, pathPrefix, kind, more);
 }
 
 /** A configuration as operators write it. */
 export function config(
   version: number,
-  more: Record<string, unknown> = {},
-): Record<string, unknown> {
-  return {
-    version,
-    routes: [
-      route('/read/', 'idempotent'),
-      route('/book/', 'non_idempotent'),
-      route('/chat/', 'streaming'),
-      route('/once/', 'streaming', {resumable: false, maxAttempts: 1}),
-    ],
-    services: [],
-    limits: {
-      headerBytes: 16_384,
-      bodyBytes: 1_048_576,
-      headerMs: 3_000,
-      idleMs: 15_000,
-    },
-    tenants: [{name: 'acme', keys: [KEY]}],
-    ...more,
-  };
-}
-
-async function freePort(): Promise<number> {
-  const server = net.createServer();
-  await new Promise<void>(resolve => server.listen(0, '0.0.0.0', resolve));
-  const {port} = server.address() as net.AddressInfo;
-  await new Promise(resolve => server.close(resolve));
-  return port;
+  more: standins.HostedFields = {},
+): standins.HostedFields {
+  const routes = [
+    route('/read/', 'idempotent'),
+    route('/book/', 'non_idempotent'),
+    route('/chat/', 'streaming'),
+    route('/once/', 'streaming', {resumable: false, maxAttempts: 1}),
+  ];
+  const customer = {name: 'acme', key: KEY};
+  return {...standins.hostedConfig(version, routes, customer), ...more};
 }
 
 /** What a caller got. */
@@ -103,11 +74,11 @@
   async start(endpoints = 2, routers = 1): Promise<void> {
     this.storePort = await this.store.start(STORE_ADDRESS);
     this.ports = {
-      entry: await freePort(),
-      ready: await freePort(),
-      directory: await freePort(),
-      peer: await freePort(),
-      gossip: await freePort(),
+      entry: await standins.freePort(),
+      ready: await standins.freePort(),
+      directory: await standins.freePort(),
+      peer: await standins.freePort(),
+      gossip: await standins.freePort(),
     };
     this.store.put('keyed.op', 'config', config(1));
     for (let count = 0; count < endpoints; count++) await this.addEndpoint();
@@ -160,10 +131,12 @@
     const {method = 'POST', body = '', headers = {}, signal} = options;
     callCount += 1;
     const all = {
-      host: HOST,
-      'attempt-id': `attempt-${callCount}`,
-      'deadline-ms': '3000',
-      'x-api-key': KEY,
+      ...standins.callerHeaders({
+        host: HOST,
+        id: `attempt-${callCount}`,
+        key: KEY,
+        waitMs: WAIT_MS,
+      }),
       ...headers,
     };
     return this.send(this.ports.entry, router, {
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,4 +1,5 @@
 /** The soak: real routers under random faults, and checks of what they promise. */
+export * from './faults.js';
 export * from './plan.js';
 export * from './promises.js';
 export * from './proxy.js';
--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -38,8 +38,9 @@
 >;
 
 /** A request that ran, with the endpoint. */
-interface Run extends standins.SeenRun {
-  readonly id: string;
+interface Run extends standins.RanFor {
+  readonly path: string;
+  readonly atMs: number;
   readonly slot: worlds.EndpointSlot;
 }
 
@@ -47,8 +48,9 @@
 export function check(seen: Seen): string[] {
   const runs = seen.world.endpoints.flatMap(slot =>
     slot.endpoint.runs.map(run => ({
-      ...run,
-      id: String(run.headers['attempt-id']),
+      ...standins.ranFor(run),
+      path: run.path,
+      atMs: run.atMs,
       slot,
     })),
   );
@@ -71,8 +73,7 @@
     const {headers, body, isWhole} = answer;
     const whole = tables.expected(path, standins.eventText);
     const isOwn =
-      headers['attempt-id'] === id &&
-      String(headers['response-seal']).endsWith(`.${id}`) &&
+      standins.isAnswerTo(id, headers) &&
       (isWhole ? body === whole : whole.startsWith(body));
     if (!isOwn) breaches.push(`${id} ${path}: not its answer: ${body}`);
   }
@@ -103,10 +104,8 @@
 /** Endpoints run only what was asked, for the customer, without its key. */
 function asked(calls: readonly traffic.Call[], runs: readonly Run[]): string[] {
   const paths = new Map(calls.map(({id, path}) => [id, path]));
-  const isAsked = ({id, path, headers}: Run) =>
-    paths.get(id) === path &&
-    headers.tenant === tables.CUSTOMER &&
-    headers['x-api-key'] === undefined;
+  const isAsked = ({id, path, customer, key}: Run) =>
+    paths.get(id) === path && customer === tables.CUSTOMER && key === undefined;
   return runs
     .filter(run => !isAsked(run))
     .map(({id, path}) => `${id} ${path}: ran, and was not asked so`);
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -1,5 +1,6 @@
 /** One soak: a world, its traffic, the faults of a seed, and the checks. */
 import * as core from '@oleanderrock/core';
+import * as faults from './faults.js';
 import * as plan from './plan.js';
 import * as promises from './promises.js';
 import * as tables from './tables.js';
@@ -41,14 +42,16 @@
 /** Runs a soak. */
 export async function soak(options: SoakOptions): Promise<Report> {
   const random = new core.SeededRandom(options.seed);
-  const world = new worlds.World(random);
+  const world = new worlds.World();
+  const doer = new faults.Faults(world, random);
   const load = new traffic.Traffic(world, random);
   const steps = plan.plan(options);
   const breaches: string[] = [];
   try {
     await world.start(options.routers, options.endpoints);
     load.start(options.callers);
-    await play(world, load, steps, options.lengthMs);
+    const {lengthMs} = options;
+    await play({world, load, doer, steps, lengthMs});
     breaches.push(...(await recover(world, load)));
     await load.stop();
     breaches.push(...promises.check({calls: load.calls, world}));
@@ -68,24 +71,33 @@
   };
 }
 
+interface PlayOptions {
+  readonly world: worlds.World;
+  readonly load: traffic.Traffic;
+  readonly doer: faults.Faults;
+  readonly steps: readonly plan.Step[];
+  readonly lengthMs: number;
+}
+
 /** Does the faults at their times; they overlap. */
-async function play(
-  world: worlds.World,
-  load: traffic.Traffic,
-  steps: readonly plan.Step[],
-  lengthMs: number,
-): Promise<void> {
+async function play({
+  world,
+  load,
+  doer,
+  steps,
+  lengthMs,
+}: PlayOptions): Promise<void> {
   const beganMs = performance.now();
   const sinceMs = () => performance.now() - beganMs;
-  const faults: Array<Promise<void>> = [];
+  const running: Array<Promise<void>> = [];
   const over = new AbortController();
   const probes = probe(world, load, over.signal);
   for (const {atMs, fault} of steps) {
     await worlds.sleep(Math.max(0, atMs - sinceMs()));
-    faults.push(world.apply(fault));
+    running.push(doer.apply(fault));
   }
   await worlds.sleep(Math.max(0, lengthMs - sinceMs()));
-  await Promise.all(faults);
+  await Promise.all(running);
   over.abort();
   await probes;
 }
--- a/packages/soak/src/tables.ts
+++ b/packages/soak/src/tables.ts
@@ -1,5 +1,5 @@
 /** Routes of the soak, and what its endpoints answer on them. */
-import type * as standins from '@oleanderrock/standins';
+import * as standins from '@oleanderrock/standins';
 import type * as plan from './plan.js';
 
 /** Host of all routes. */
@@ -37,44 +37,23 @@
 }
 
 /** The configuration of a version; each adds a route of its own. */
-export function config(version: number): Record<string, unknown> {
-  const routes = Object.entries(KINDS).map(([name, {kind, ...more}]) =>
-    route(`/${name}/`, kind, more.isResumable, more.attempts),
+export function config(version: number): standins.HostedFields {
+  const kinds = Object.entries(KINDS);
+  const routes = kinds.map(([name, {kind, isResumable, attempts}]) =>
+    route(`/${name}/`, kind, {resumable: isResumable, maxAttempts: attempts}),
   );
-  const added = route(versionPath(version), 'idempotent', false, 2);
-  return {
-    version,
-    routes: [...routes, added],
-    services: [],
-    limits: {
-      headerBytes: 16_384,
-      bodyBytes: 1_048_576,
-      headerMs: 3_000,
-      idleMs: 15_000,
-    },
-    tenants: [{name: CUSTOMER, keys: [KEY]}],
-  };
+  const added = route(versionPath(version), 'idempotent');
+  const customer = {name: CUSTOMER, key: KEY};
+  return standins.hostedConfig(version, [...routes, added], customer);
 }
 
 function route(
   pathPrefix: string,
-  kind: string,
-  resumable: boolean,
-  maxAttempts: number,
-): Record<string, unknown> {
-  return {
-    name: `r${pathPrefix.replaceAll('/', '-')}`,
-    host: HOST,
-    pathPrefix,
-    kind,
-    service: POOL,
-    timeoutMs: TIMEOUT_MS,
-    goalMs: 200,
-    priority: 1,
-    maxAttempts,
-    public: false,
-    resumable,
-  };
+  kind: standins.HostedKind,
+  more: standins.HostedFields = {},
+): standins.HostedFields {
+  const fields = {service: POOL, timeoutMs: TIMEOUT_MS, goalMs: 200, ...more};
+  return standins.hostedRoute(HOST, pathPrefix, kind, fields);
 }
 
 /** Whether a path is answered by a stream. */
--- a/packages/soak/src/traffic.ts
+++ b/packages/soak/src/traffic.ts
@@ -4,6 +4,7 @@
  */
 import * as http from 'node:http';
 import * as core from '@oleanderrock/core';
+import * as standins from '@oleanderrock/standins';
 import * as v from 'valibot';
 import * as tables from './tables.js';
 import type * as worlds from './world.js';
@@ -155,12 +156,12 @@
         port: this.world.ports.entry,
         method: call.path.startsWith('/read/') ? 'GET' : 'POST',
         path: call.path,
-        headers: {
+        headers: standins.callerHeaders({
           host: tables.HOST,
-          'attempt-id': call.id,
-          'deadline-ms': String(DEADLINE_MS),
-          'x-api-key': tables.KEY,
-        },
+          id: call.id,
+          key: tables.KEY,
+          waitMs: DEADLINE_MS,
+        }),
         agent,
       });
       const end = setTimeout(() => {
--- a/packages/soak/src/world.ts
+++ b/packages/soak/src/world.ts
@@ -1,15 +1,13 @@
 /**
- * The world of a soak: real router processes, stand-ins of the store and of
- * endpoints behind proxies, and the faults that are done to them from outside.
+ * The world of a soak: real router processes, and stand-ins of the store and of
+ * endpoints behind proxies.
  */
 import * as fs from 'node:fs/promises';
 import * as http from 'node:http';
-import * as net from 'node:net';
 import * as os from 'node:os';
 import * as path from 'node:path';
 import * as url from 'node:url';
 import * as standins from '@oleanderrock/standins';
-import type * as plan from './plan.js';
 import * as proxies from './proxy.js';
 import * as tables from './tables.js';
 
@@ -18,12 +16,10 @@
 /** Routers have addresses of their own, so that all use the same ports. */
 const FIRST_ROUTER = 30;
 
-const READY_TIMEOUT_MS = 15_000;
+/** How long a router may take to become ready, in ms: beside load, too. */
+export const READY_TIMEOUT_MS = 15_000;
 const LOOK_MS = 40;
 
-/** How long an endpoint that leaves serves on after its word, in ms. */
-const LINGER_MS = 2_600;
-
 /** Pause before a process that ended by itself is started again, in ms. */
 const RESTART_MS = 300;
 
@@ -61,7 +57,7 @@
   untilMs: number;
 }
 
-/** All parts, and the faults. */
+/** All parts. */
 export class World {
   readonly routers: RouterSlot[] = [];
   /** All endpoints that ever were; those that left included. */
@@ -76,25 +72,22 @@
     peer: 0,
     gossip: 0,
   };
-  private readonly store = new standins.TopicStore();
+  readonly store = new standins.TopicStore();
   private storePort = 0;
   /** One for each router, so that the store can be cut off from one alone. */
-  private readonly storeProxies: proxies.FaultProxy[] = [];
-  private readonly crashed = new Set<standins.HostedEndpoint>();
+  readonly storeProxies: proxies.FaultProxy[] = [];
   /** Processes that a fault ends. */
-  private readonly ending = new Set<standins.Child>();
+  readonly ending = new Set<standins.Child>();
   private folder = '';
-  private isOver = false;
+  isOver = false;
 
   /** The endpoint that stands at a place now. */
-  private readonly places: EndpointSlot[] = [];
-
-  constructor(private readonly random: {next(): number}) {}
+  readonly places: EndpointSlot[] = [];
 
   async start(routers: number, endpoints: number): Promise<void> {
     this.folder = await fs.mkdtemp(path.join(os.tmpdir(), 'soak-'));
     this.storePort = await this.store.start(LOOPBACK);
-    for (const name of PORT_NAMES) this.ports[name] = await freePort();
+    for (const name of PORT_NAMES) this.ports[name] = await standins.freePort();
     this.publish();
     for (let at = 0; at < endpoints; at++) {
       this.places.push(await this.addEndpoint());
@@ -140,58 +133,15 @@
     );
   }
 
-  /** Does a fault; resolves when it is over. */
-  async apply(fault: plan.Fault): Promise<void> {
-    const untilMs = Number.POSITIVE_INFINITY;
-    const what = JSON.stringify(fault);
-    const noted = {what, fromMs: performance.now(), untilMs};
-    // New tables and settings are ordinary work, which excuses nothing.
-    const isWork = ['tables', 'settings', 'leave'].includes(fault.type);
-    if (!isWork) this.disturbances.push(noted);
-    await this.act(fault);
-    noted.untilMs = performance.now();
-  }
-
-  private async act(fault: plan.Fault): Promise<void> {
-    switch (fault.type) {
-      case 'kill':
-        return this.restart(fault.router, 'SIGKILL', fault.forMs);
-      case 'terminate':
-        return this.restart(fault.router, 'SIGTERM', 0);
-      case 'pause':
-        return this.pause(fault.router, fault.forMs);
-      case 'settings':
-        return this.changeSettings(fault.router);
-      case 'store':
-        this.store.mode = fault.mode;
-        await sleep(fault.forMs);
-        this.store.mode = 'up';
-        return;
-      case 'refuse':
-        return this.refuse(fault.router, fault.forMs);
-      case 'compact':
-        this.store.compact('keyed.servers');
-        return;
-      case 'crash':
-        return this.crash(fault.endpoint, fault.forMs);
-      case 'leave':
-        return this.replace(fault.endpoint);
-      case 'spoil':
-        return this.spoil(fault);
-      case 'link':
-        return this.harm(fault);
-      case 'tables':
-        this.publish();
-    }
-  }
-
-  private publish(): void {
+  /** Puts a new version of the tables in the store. */
+  publish(): void {
     const version = 1 + this.versions.length;
-    this.store.put('keyed.op', 'config', tables.config(version));
+    this.store.publish(tables.config(version));
     this.versions.push({version, atMs: performance.now()});
   }
 
-  private async addEndpoint(): Promise<EndpointSlot> {
+  /** Starts an endpoint and lists it. */
+  async addEndpoint(): Promise<EndpointSlot> {
     const id = `e${this.endpoints.length + 1}`;
     const endpoint = new standins.HostedEndpoint(id, tables.POOL, LOOPBACK);
     endpoint.choose = run => tables.serve(run);
@@ -204,10 +154,11 @@
     return slot;
   }
 
-  private list({endpoint, proxy}: EndpointSlot, state: 'ready' | 'draining') {
+  /** Writes an endpoint's entry; it is reached through its proxy. */
+  list({endpoint, proxy}: EndpointSlot, state: 'ready' | 'draining') {
     const address = `${LOOPBACK}:${proxy.port}`;
     const entry = {...endpoint.entry(state), address};
-    this.store.put('keyed.servers', endpoint.id, entry);
+    this.store.list(endpoint.id, entry);
   }
 
   private async addRouter(at: number): Promise<void> {
@@ -234,7 +185,8 @@
     });
   }
 
-  private revive(slot: RouterSlot): void {
+  /** Starts the router again. */
+  revive(slot: RouterSlot): void {
     slot.child = this.spawn(slot.address);
     slot.life += 1;
     this.keepUp(slot);
@@ -251,7 +203,8 @@
     return path.join(this.folder, `${address}.env`);
   }
 
-  private async writeSettings(address: string, digestMs: number) {
+  /** Writes the settings file of a router. */
+  async writeSettings(address: string, digestMs: number) {
     const {entry, ready, directory, peer, gossip} = this.ports;
     const last = Number(address.split('.')[3]);
     const store = this.storeProxies[last - FIRST_ROUTER]!;
@@ -275,25 +228,8 @@
     await fs.writeFile(this.settingsFile(address), text);
   }
 
-  private async restart(at: number, signal: NodeJS.Signals, downMs: number) {
-    const slot = this.routers[at]!;
-    const {child} = slot;
-    this.ending.add(child);
-    if (signal === 'SIGKILL') child.signal('SIGCONT');
-    child.signal(signal);
-    await child.exited;
-    await sleep(downMs);
-    // Another fault may have started it again meanwhile.
-    if (this.isOver || slot.child !== child) return;
-    this.revive(slot);
-    await this.untilReady(slot, READY_TIMEOUT_MS);
-  }
-
   /** Whether the router became ready in time. */
-  private async untilReady(
-    {address}: RouterSlot,
-    timeoutMs: number,
-  ): Promise<boolean> {
+  async untilReady({address}: RouterSlot, timeoutMs: number): Promise<boolean> {
     const untilMs = performance.now() + timeoutMs;
     while (!this.isOver && performance.now() < untilMs) {
       if (await this.isReady(address)) return true;
@@ -302,72 +238,6 @@
     return false;
   }
 
-  private async pause(at: number, forMs: number): Promise<void> {
-    const {child} = this.routers[at]!;
-    child.signal('SIGSTOP');
-    await sleep(forMs);
-    child.signal('SIGCONT');
-  }
-
-  private async changeSettings(at: number): Promise<void> {
-    const {address, child} = this.routers[at]!;
-    const digestMs = 200 + Math.round(this.random.next() * 300);
-    await this.writeSettings(address, digestMs);
-    child.signal('SIGHUP');
-  }
-
-  private async refuse(at: number, forMs: number): Promise<void> {
-    const end = this.storeProxies[at]!.begin('one_way');
-    await sleep(forMs);
-    end();
-  }
-
-  private async crash(at: number, forMs: number): Promise<void> {
-    const {endpoint} = this.places[at]!;
-    if (this.crashed.has(endpoint)) return;
-    this.crashed.add(endpoint);
-    await endpoint.stop();
-    await sleep(forMs);
-    if (!this.isOver) await endpoint.start();
-    this.crashed.delete(endpoint);
-  }
-
-  private async replace(at: number): Promise<void> {
-    const leaving = this.places[at]!;
-    this.places[at] = await this.addEndpoint();
-    this.list(leaving, 'draining');
-    leaving.drainedMs = performance.now();
-    await sleep(LINGER_MS);
-    this.store.put('keyed.servers', leaving.endpoint.id);
-  }
-
-  private async spoil({
-    endpoint: at,
-    how,
-    share,
-    forMs,
-  }: Extract<plan.Fault, {type: 'spoil'}>): Promise<void> {
-    const {endpoint} = this.places[at]!;
-    endpoint.choose = run =>
-      this.random.next() < share ? tables.spoil(run, how) : tables.serve(run);
-    await sleep(forMs);
-    endpoint.choose = run => tables.serve(run);
-  }
-
-  private async harm({
-    endpoint,
-    how,
-    forMs,
-  }: Extract<plan.Fault, {type: 'link'}>): Promise<void> {
-    const harmed =
-      endpoint === undefined
-        ? this.storeProxies
-        : [this.places[endpoint]!.proxy];
-    const ends = harmed.map(proxy => proxy.begin(how));
-    await sleep(forMs);
-    for (const end of ends) end();
-  }
-
   private isReady(address: string): Promise<boolean> {
     return new Promise(resolve => {
       const request = http.get(
@@ -393,11 +263,3 @@
 export function sleep(forMs: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, forMs));
 }
-
-async function freePort(): Promise<number> {
-  const server = net.createServer();
-  await new Promise<void>(resolve => server.listen(0, '0.0.0.0', resolve));
-  const {port} = server.address() as net.AddressInfo;
-  await new Promise(resolve => server.close(resolve));
-  return port;
-}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -6,6 +6,7 @@
 export * from './engine.js';
 export * from './fleet.js';
 export * from './hostedendpoint.js';
+export * from './hostedplatform.js';
 export * from './log.js';
 export * from './onecall.js';
 export * from './platform.js';
--- a/packages/standins/src/topicstore.ts
+++ b/packages/standins/src/topicstore.ts
@@ -14,6 +14,9 @@
   readonly value: Buffer;
 }
 
+const CONFIG_TOPIC = 'keyed.op';
+const ENDPOINT_TOPIC = 'keyed.servers';
+
 const OFFSET_BYTES = 8;
 const LENGTH_BYTES = 4;
 
@@ -99,6 +102,21 @@
     return this.topic(topic).append({key, value: Buffer.from(text)});
   }
 
+  /** Writes the operators' configuration. */
+  publish(config: Record<string, unknown>): number {
+    return this.put(CONFIG_TOPIC, 'config', config);
+  }
+
+  /** Writes an endpoint's entry; without one, drops it. */
+  list(id: string, entry?: Record<string, unknown>): number {
+    return this.put(ENDPOINT_TOPIC, id, entry);
+  }
+
+  /** Drops the history of the endpoints' entries. */
+  compactEndpoints(): void {
+    this.compact(ENDPOINT_TOPIC);
+  }
+
   /** Writes bytes that may be no JSON. */
   putRaw(topic: string, key: string, value: Buffer): number {
     return this.topic(topic).append({key, value});
