Ask a silent store again soon at a start, and call callers back when it may answer

Ruled out: a lost history, and tables that a peer could have handed out, since all routers had lost power. Change: a read of the newest records waits 300 ms, then 600 and 1,200; a router that starts for longer than 250 ms tells callers to come back in 2 s.

--- a/packages/direct/src/entry.ts
+++ b/packages/direct/src/entry.ts
@@ -24,9 +24,15 @@
 /** Time that an idle connection is kept beyond what callers rely on, in ms. */
 const IDLE_MARGIN_MS = 1_000;
 
-/** When a caller of a router that is not ready should come back, in ms. */
+/** When a caller of a router that starts or ends should come back, in ms. */
 const NOT_READY_RETRY_MS = 300;
 
+/** Time after which a start without tables means that the store is away, in ms. */
+const USUAL_START_MS = 250;
+
+/** When a caller should come back while the store is away, in ms. */
+const STORE_AWAY_RETRY_MS = 2_000;
+
 /** The listener for callers. */
 export interface Entry {
   /** Asks callers to leave their connections. */
@@ -47,11 +53,13 @@
 /** Listener over HTTP. */
 export class HttpEntry implements Entry, core.Lifecycle {
   private readonly listener: core.listener.Listener;
+  private readonly startedMs: number;
 
   constructor(
     private readonly kernel: core.Kernel,
     own: settings.Settings,
   ) {
+    this.startedMs = kernel.find(core.CLOCK).nowMs();
     this.listener = new core.listener.Listener({
       name: 'entry',
       host: own.address,
@@ -158,7 +166,7 @@
     }
     if (!tables) {
       const detail = 'the tables have not been read yet';
-      return core.fail('not_ready', detail, NOT_READY_RETRY_MS);
+      return core.fail('not_ready', detail, this.notReadyRetryMs());
     }
     const route = book.route(head.host, path);
     if (!route) return core.fail('no_route', 'no route matches the request');
@@ -168,6 +176,12 @@
     return core.succeed({route, holder});
   }
 
+  private notReadyRetryMs(): number {
+    const nowMs = this.kernel.find(core.CLOCK).nowMs();
+    const isUsual = nowMs - this.startedMs < USUAL_START_MS;
+    return isUsual ? NOT_READY_RETRY_MS : STORE_AWAY_RETRY_MS;
+  }
+
   private sign(
     method: string,
     path: string,
--- a/packages/direct/src/feed.ts
+++ b/packages/direct/src/feed.ts
@@ -39,10 +39,17 @@
   readonly signal: AbortSignal;
 }
 
+/** What a read of the newest records asks for. */
+export interface NewestOptions {
+  /** How long each answer may take. */
+  readonly answerMs: number;
+  readonly signal: AbortSignal;
+}
+
 /** A feed of one kind of record. */
 export interface Feed<T> {
   /** The newest record of each key; pages are joined, and are no snapshot. */
-  newest(signal: AbortSignal): Promise<FeedResult<T>>;
+  newest(options: NewestOptions): Promise<FeedResult<T>>;
   read(options: ReadOptions): Promise<FeedResult<T>>;
 }
 
--- a/packages/direct/src/follower.ts
+++ b/packages/direct/src/follower.ts
@@ -12,6 +12,14 @@
 /** Longest wait after a failed read, in ms: the store's return is met soon. */
 const MAX_BACKOFF_MS = 1_200;
 
+/**
+ * How long the first try at the newest records waits for an answer, in ms, and
+ * the longest that a later one does. A store that falls silent at a start is
+ * asked again soon; one that is only slow is met by the later tries.
+ */
+const FIRST_ANSWER_MS = 300;
+const MAX_ANSWER_MS = 1_200;
+
 /** Failed reads in a row after which the feed counts as lost. */
 const FAILURES_TO_LOSE = 2;
 
@@ -64,7 +72,9 @@
   }
 
   private async load(signal: AbortSignal): Promise<number | undefined> {
-    const result = await this.options.feed.newest(signal);
+    const longestMs = FIRST_ANSWER_MS * 2 ** this.failures;
+    const answerMs = Math.min(MAX_ANSWER_MS, longestMs);
+    const result = await this.options.feed.newest({answerMs, signal});
     if (signal.aborted) return undefined;
     if (!result.ok) {
       await this.failed(result.error, signal);
--- a/packages/direct/src/gossip.ts
+++ b/packages/direct/src/gossip.ts
@@ -52,7 +52,8 @@
     this.socket.on('error', error => this.report(error));
     this.socket.on('message', bytes => this.take(bytes));
     const book = this.kernel.find(tablesBook.TABLES_BOOK);
-    book.onChange(() => this.hasten());
+    // All follow the tables themselves; this is for those that cannot.
+    book.onChange(() => this.wake.abort());
     this.kernel.find(endpointBook.ENDPOINT_BOOK).onLeave(() => this.hasten());
     this.tasks.spawn('gossip', signal => this.run(signal));
   }
--- a/packages/router/src/tests/directstore.test.ts
+++ b/packages/router/src/tests/directstore.test.ts
@@ -157,6 +157,12 @@
       );
     });
     expect((await fleet.ready()).status).to.equal(503);
+    // Callers that come back at once would only be refused again.
+    await until.until('it tells callers to wait for the store', async () => {
+      const {status, headers} = await fleet.call('/read/a');
+      expect(status).to.equal(503);
+      return Number(headers['retry-after']) >= 1;
+    });
     fleet.store.mode = 'up';
     await started;
     await fleet.stop();
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -4,6 +4,7 @@
  */
 import * as fs from 'node:fs/promises';
 import * as util from 'node:util';
+import * as core from '@oleanderrock/core';
 import * as soaks from './soak.js';
 
 const FOLDER = 'out/soak';
@@ -17,15 +18,17 @@
   },
 });
 
-const first = Number(values.from);
-const last = first + Number(values.seeds) - 1;
+const first = count('from');
+const last = first + count('seeds') - 1;
+const lengthMs = count('seconds') * 1_000;
+const routers = count('routers');
 let broken = 0;
 for (let seed = first; seed <= last; seed++) {
   const report = await soaks.soak({
     ...soaks.USUAL,
     seed,
-    lengthMs: Number(values.seconds) * 1_000,
-    routers: Number(values.routers),
+    lengthMs,
+    routers,
   });
   const {calls, served, breaches, steps} = report;
   process.stdout.write(
@@ -38,6 +41,14 @@
 }
 process.exitCode = broken > 0 ? 1 : 0;
 
+/** The value of a flag; ends the program where it is no count. */
+function count(name: keyof typeof values): number {
+  const value = Number(values[name]);
+  if (Number.isInteger(value) && value > 0) return value;
+  process.stderr.write(`soak: --${name} must be a whole number from 1 on\n`);
+  process.exit(core.EXIT_USAGE);
+}
+
 /** Writes the plan, the breaches and the routers' lines of a broken seed. */
 async function keep({seed, steps, breaches, logs}: soaks.Report) {
   await fs.mkdir(FOLDER, {recursive: true});
