Drop what the last read found twice or unused

An endpoint's short name was hashed again at each of its heartbeats; the soak had a second pause, a second way to harm links, a count of starts that nothing read, and a parameter that was always the same. Behaviour is as before; no assertion changed.

--- a/packages/direct/src/endpointbook.ts
+++ b/packages/direct/src/endpointbook.ts
@@ -144,7 +144,7 @@
     const before = this.records.get(item.key);
     if (before && before.offset >= item.offset) return undefined;
     this.records.set(item.key, item);
-    this.shortNames.set(shortName(item.key), item.key);
+    if (!before) this.shortNames.set(shortName(item.key), item.key);
     if (item.value === undefined) this.keepRemoved(item.key);
     return this.note(before, item, nowMs);
   }
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -2,6 +2,7 @@
 import type * as core from '@oleanderrock/core';
 import type * as standins from '@oleanderrock/standins';
 import type * as plan from './plan.js';
+import type * as proxies from './proxy.js';
 import * as tables from './tables.js';
 import * as worlds from './world.js';
 
@@ -46,7 +47,11 @@
         this.world.store.mode = 'up';
         return;
       case 'refuse':
-        return this.refuse(fault.router, fault.forMs);
+        return this.harm(
+          [this.world.storeProxies[fault.router]!],
+          'one_way',
+          fault.forMs,
+        );
       case 'compact':
         this.world.store.compactEndpoints();
         return;
@@ -57,7 +62,7 @@
       case 'spoil':
         return this.spoil(fault);
       case 'link':
-        return this.harm(fault);
+        return this.harm(this.linksOf(fault), fault.how, fault.forMs);
       case 'tables':
         this.world.publish();
     }
@@ -91,12 +96,6 @@
     child.signal('SIGHUP');
   }
 
-  private async refuse(at: number, forMs: number): Promise<void> {
-    const end = this.world.storeProxies[at]!.begin('one_way');
-    await worlds.sleep(forMs);
-    end();
-  }
-
   private async crash(at: number, forMs: number): Promise<void> {
     const {endpoint} = this.world.places[at]!;
     if (this.crashed.has(endpoint)) return;
@@ -129,16 +128,19 @@
     endpoint.choose = run => tables.serve(run);
   }
 
-  private async harm({
+  private linksOf({
     endpoint,
-    how,
-    forMs,
-  }: Extract<plan.Fault, {type: 'link'}>): Promise<void> {
-    const harmed =
-      endpoint === undefined
-        ? this.world.storeProxies
-        : [this.world.places[endpoint]!.proxy];
-    const ends = harmed.map(proxy => proxy.begin(how));
+  }: Extract<plan.Fault, {type: 'link'}>): readonly proxies.FaultProxy[] {
+    if (endpoint === undefined) return this.world.storeProxies;
+    return [this.world.places[endpoint]!.proxy];
+  }
+
+  private async harm(
+    links: readonly proxies.FaultProxy[],
+    how: proxies.LinkFault,
+    forMs: number,
+  ): Promise<void> {
+    const ends = links.map(link => link.begin(how));
     await worlds.sleep(forMs);
     for (const end of ends) end();
   }
--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -71,7 +71,7 @@
   for (const {id, path, answer} of calls) {
     if (!answer || answer.status >= 300) continue;
     const {headers, body, isWhole} = answer;
-    const whole = tables.expected(path, standins.eventText);
+    const whole = tables.expected(path);
     const isOwn =
       standins.isAnswerTo(id, headers) &&
       (isWhole ? body === whole : whole.startsWith(body));
--- a/packages/soak/src/tables.ts
+++ b/packages/soak/src/tables.ts
@@ -67,14 +67,12 @@
 }
 
 /** What endpoints answer on a path, whole. */
-export function expected(path: string, eventText: EventText): string {
+export function expected(path: string): string {
   if (!isStream(path)) return `answer to ${path}`;
   const numbers = [...Array(EVENTS).keys()];
-  return numbers.map(at => eventText(at + 1, path)).join('');
+  return numbers.map(at => standins.eventText(at + 1, path)).join('');
 }
 
-type EventText = typeof standins.eventText;
-
 /** A sound endpoint's behaviour. */
 export function serve({path}: standins.SeenRun): standins.Behaviour {
   if (!isStream(path)) return {type: 'answer', body: `answer to ${path}`};
--- a/packages/soak/src/tests/promises.test.ts
+++ b/packages/soak/src/tests/promises.test.ts
@@ -28,7 +28,7 @@
   return {
     status: 200,
     headers: {'attempt-id': 'c1', 'response-seal': 'e1.c1'},
-    body: tables.expected(PATH, standins.eventText),
+    body: tables.expected(PATH),
     isWhole: true,
     ...more,
   };
--- a/packages/soak/src/traffic.ts
+++ b/packages/soak/src/traffic.ts
@@ -7,7 +7,7 @@
 import * as standins from '@oleanderrock/standins';
 import * as v from 'valibot';
 import * as tables from './tables.js';
-import type * as worlds from './world.js';
+import * as worlds from './world.js';
 
 /** How long a caller waits for an answer, in ms. */
 const DEADLINE_MS = 3_000;
@@ -106,7 +106,7 @@
         untilMs = performance.now() + (known?.keepMs ?? LOST_PAUSE_MS);
       }
       const router = this.pick(addresses);
-      if (router === undefined) await pause(LOST_PAUSE_MS);
+      if (router === undefined) await worlds.sleep(LOST_PAUSE_MS);
       else await this.ask(router, agent);
     }
     agent.destroy();
@@ -116,7 +116,7 @@
     const kind = this.pick(MIX)!;
     const path = `/${kind}/${this.random.below(1_000_000)}`;
     await this.call(router, path, agent);
-    await pause(PAUSE_MS * this.random.next() * 2);
+    await worlds.sleep(PAUSE_MS * this.random.next() * 2);
   }
 
   private pick<T>(items: readonly T[]): T | undefined {
@@ -214,7 +214,3 @@
     return undefined;
   }
 }
-
-function pause(forMs: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, forMs));
-}
--- a/packages/soak/src/world.ts
+++ b/packages/soak/src/world.ts
@@ -38,8 +38,6 @@
 export interface RouterSlot {
   readonly address: string;
   child: standins.Child;
-  /** Counts its starts. */
-  life: number;
 }
 
 /** An endpoint with the proxy before it. */
@@ -167,7 +165,7 @@
     await proxy.start();
     this.storeProxies.push(proxy);
     await this.writeSettings(address, 400);
-    const slot = {address, child: this.spawn(address), life: 1};
+    const slot = {address, child: this.spawn(address)};
     this.routers.push(slot);
     this.keepUp(slot);
   }
@@ -188,7 +186,6 @@
   /** Starts the router again. */
   revive(slot: RouterSlot): void {
     slot.child = this.spawn(slot.address);
-    slot.life += 1;
     this.keepUp(slot);
   }
 
