Hold a caller's head back until its body begins

A router passed the endpoint's head on to the caller at once; where the owner died between the head and the body, the request had an answer that could only be cut, though nothing of the body had left. Ruled out: callers of the killed router (none is asked there), streams (the bodies of this test are one piece).

Change: the caller's head leaves with the first byte of the body, so an answer that ends after its head is asked for again where the route allows it. Routers still pass the head to each other at once, since they measure the time to it.

Test, failing first: 'asks again where an answer ends after its head' (cut before, own answer after); the same behaviour joins the random plans.

--- a/packages/router/src/exchange.ts
+++ b/packages/router/src/exchange.ts
@@ -46,7 +46,10 @@
   /** Resolves when the caller can take more. */
   write(chunk: Buffer): Promise<void>;
   end(): void;
-  /** Breaks the answer off, so that it cannot be taken for a whole one. */
+  /**
+   * Breaks the answer off, so that it cannot be taken for a whole one; where no
+   * head has left, another answer may begin.
+   */
   cut(): void;
   refuse(failure: core.Failure): void;
 }
--- a/packages/router/src/httpanswer.ts
+++ b/packages/router/src/httpanswer.ts
@@ -15,9 +15,15 @@
   readonly marks?: () => Readonly<Record<string, string>>;
 }
 
-/** Writes an answer to an HTTP response as it streams. */
+/**
+ * Writes an answer to an HTTP response as it streams. A caller's head waits for
+ * the first byte of the body, so that an answer that breaks off before can be
+ * asked for again; another router gets the head at once, since it measures the
+ * time to it.
+ */
 export class HttpAnswer implements exchange.Answer {
   private readonly controller = new AbortController();
+  private head: exchange.AnswerHead | undefined;
   hasBegun = false;
 
   constructor(
@@ -34,29 +40,25 @@
   }
 
   begin(head: exchange.AnswerHead): void {
-    this.hasBegun = true;
-    const headers = {...head.headers};
-    delete headers[core.headers.STATE];
-    delete headers[REFUSAL];
-    this.response.writeHead(head.status, {
-      ...headers,
-      [core.headers.REQUEST_ID]: this.options.requestId,
-      [core.headers.ENDPOINT]: head.endpoint,
-      [core.headers.REASON]: head.reason,
-    });
+    this.head = head;
+    if (!this.options.isPeer) return;
+    this.sendHead();
     this.response.flushHeaders();
   }
 
   write(chunk: Buffer): Promise<void> {
+    this.sendHead();
     return core.responses.writePiece(this.response, chunk);
   }
 
   end(): void {
+    this.sendHead();
     this.response.end();
   }
 
   cut(): void {
-    core.responses.cut(this.response);
+    this.head = undefined;
+    if (this.hasBegun) core.responses.cut(this.response);
   }
 
   refuse(failure: core.Failure): void {
@@ -74,6 +76,21 @@
       mark,
     );
   }
+
+  private sendHead(): void {
+    const {head} = this;
+    if (!head || this.hasBegun) return;
+    this.hasBegun = true;
+    const headers = {...head.headers};
+    delete headers[core.headers.STATE];
+    delete headers[REFUSAL];
+    this.response.writeHead(head.status, {
+      ...headers,
+      [core.headers.REQUEST_ID]: this.options.requestId,
+      [core.headers.ENDPOINT]: head.endpoint,
+      [core.headers.REASON]: head.reason,
+    });
+  }
 }
 
 /** The caller's headers that go on to the endpoint. */
--- a/packages/router/src/tests/answers.test.ts
+++ b/packages/router/src/tests/answers.test.ts
@@ -84,6 +84,12 @@
     return see(answer, nonce);
   };
 
+  it('asks again where an answer ends after its head', async () => {
+    for (const router of [0, 1, 0, 1]) {
+      expect(await ask('breakOnce', router)).to.equal('own');
+    }
+  });
+
   it('gives each caller its own answer, whatever endpoints send', async () => {
     const one = fc.record({
       behaviour: fc.oneof(
--- a/packages/router/src/tests/rawendpoint.ts
+++ b/packages/router/src/tests/rawendpoint.ts
@@ -61,8 +61,20 @@
   (socket, asked) =>
     void socket.end(make(asked));
 
+const begun = new Set<string>();
+
+/** Breaks the first answer to a nonce off after its head; the next is whole. */
+const breakOnce: Play = (socket, asked) => {
+  const answer = whole(asked);
+  if (begun.has(asked.nonce)) return void socket.write(answer);
+  begun.add(asked.nonce);
+  const head = answer.slice(0, -text(asked.nonce).length);
+  socket.write(head, () => socket.destroy());
+};
+
 /** Behaviours whose answer is whole and the request's own. */
 export const SOUND: Readonly<Record<string, Play>> = {
+  breakOnce,
   length: send(asked => whole(asked)),
   chunks: send(asked => chunked(asked, '0\r\n\r\n')),
   twice: send(asked => whole(asked) + whole(asked)),
