Copy a prompt's context from an endpoint that holds it

Ruled out: wrong homes (the lines say 'spill' and 'rank' where they should).

Change: where the chosen endpoint does not hold the prefix and another does, the request names that one, and the endpoint copies from it, if the pool's link copies a token in less than a third of the time in which it would be read. One that drains may still be copied from. The choice of endpoints moves out of the dispatcher into a chooser. An endpoint that starts again under its old id is no home any more.

Tests: copies against the naive version, the adapter's header and pool, a home that drains over the stand-ins (all new).

--- a/packages/decide/src/index.ts
+++ b/packages/decide/src/index.ts
@@ -3,6 +3,7 @@
 export * from './budget.js';
 export * from './claims.js';
 export * from './config.js';
+export * from './contextcopies.js';
 export * from './edits.js';
 export * from './ejection.js';
 export * from './fleetload.js';
--- a/packages/decide/src/outcomehealth.ts
+++ b/packages/decide/src/outcomehealth.ts
@@ -29,6 +29,8 @@
    * the router suspects its own view and keeps away only what it cannot reach.
    */
   usable(pool: readonly string[], nowMs: number): readonly string[];
+  /** Whether connections to the endpoint could be made of late. */
+  isReachable(endpoint: string, nowMs: number): boolean;
   /** Drops an endpoint that is gone. */
   forget(endpoint: string): void;
 }
@@ -112,7 +114,7 @@
   }
 
   usable(pool: readonly string[], nowMs: number): readonly string[] {
-    const reachable = pool.filter(id => !this.isAway(id, nowMs));
+    const reachable = pool.filter(id => this.isReachable(id, nowMs));
     if (reachable.length === 0) return pool;
     const sums = reachable.map(id => ({id, outcomes: this.sum(id, nowMs)}));
     const limit = failureLimit(sums.map(({outcomes}) => outcomes));
@@ -122,12 +124,12 @@
     return kept.length * 2 >= reachable.length ? kept : reachable;
   }
 
-  forget(endpoint: string): void {
-    this.seen.delete(endpoint);
+  isReachable(endpoint: string, nowMs: number): boolean {
+    return (this.seen.get(endpoint)?.awayUntilMs ?? 0) <= nowMs;
   }
 
-  private isAway(endpoint: string, nowMs: number): boolean {
-    return (this.seen.get(endpoint)?.awayUntilMs ?? 0) > nowMs;
+  forget(endpoint: string): void {
+    this.seen.delete(endpoint);
   }
 
   private sum(endpoint: string, nowMs: number): Outcomes {
@@ -189,5 +191,9 @@
     return pool;
   }
 
+  isReachable(): boolean {
+    return true;
+  }
+
   forget(): void {}
 }
--- a/packages/decide/src/prefixhomes.ts
+++ b/packages/decide/src/prefixhomes.ts
@@ -16,7 +16,7 @@
   placed(placed: Placed, nowMs: number): void;
   /** Another router has placed the prefix. */
   learn(placed: Placed, nowMs: number): void;
-  /** Endpoints that hold the prefix, as far as is known. */
+  /** Endpoints that hold the prefix, as far as is known; the last used first. */
   of(prefix: string, nowMs: number): readonly string[];
   /** Own placements since the last call, for the other routers. */
   untold(): readonly Placed[];
@@ -81,7 +81,8 @@
     for (const [endpoint, {usedMs}] of uses) {
       if (nowMs - usedMs > HELD_MS) uses.delete(endpoint);
     }
-    return [...uses.keys()];
+    const byUse = [...uses].sort(([, a], [, b]) => b.usedMs - a.usedMs);
+    return byUse.map(([endpoint]) => endpoint);
   }
 
   untold(): readonly Placed[] {
--- a/packages/decide/src/tests/direct.test.ts
+++ b/packages/decide/src/tests/direct.test.ts
@@ -208,3 +208,49 @@
     expect(health.usable(pool, 10)).to.deep.equal(pool);
   });
 });
+
+describe('copies of context', () => {
+  const ask = {target: 'e2', homes: ['e1', 'e0'], prefixTokens: 9_000};
+
+  it('come from the home that was used last, where that is quick', () => {
+    const copies = new decide.QuickCopies();
+    const source = (more: Partial<decide.CopyAsk>) =>
+      copies.source({...ask, copyUsPerToken: 1.75, ...more});
+    expect(source({})).to.equal('e1');
+    expect(source({homes: []})).to.equal(undefined);
+    expect(source({target: 'e1'})).to.equal(undefined);
+    expect(source({prefixTokens: 20})).to.equal(undefined);
+    expect(source({copyUsPerToken: 250})).to.equal(undefined);
+    expect(source({copyUsPerToken: undefined})).to.equal(undefined);
+  });
+
+  it('save reads against the naive version when homes change', () => {
+    const reads = (copies: decide.ContextCopies): number => {
+      let count = 0;
+      for (let turn = 0; turn < 50; turn++) {
+        const target = `e${turn % 5}`;
+        const homes = turn === 0 ? [] : [`e${(turn - 1) % 5}`];
+        const source = copies.source({
+          ...ask,
+          target,
+          homes,
+          copyUsPerToken: 1,
+        });
+        if (source === undefined) count += 1;
+      }
+      return count;
+    };
+    expect(reads(new decide.QuickCopies())).to.equal(1);
+    expect(reads(new decide.NoCopies())).to.equal(50);
+  });
+});
+
+describe('homes of prefixes', () => {
+  it('come with the last used first', () => {
+    const homes = new decide.ToldPrefixHomes();
+    homes.placed({prefix: 'p', endpoint: 'e1'}, 0);
+    homes.learn({prefix: 'p', endpoint: 'e2'}, 1);
+    homes.placed({prefix: 'p', endpoint: 'e1'}, 2);
+    expect(homes.of('p', 3)).to.deep.equal(['e1', 'e2']);
+  });
+});
--- a/packages/direct/src/ask.ts
+++ b/packages/direct/src/ask.ts
@@ -47,11 +47,17 @@
   cut(): void;
 }
 
+/** What decided the choice of an endpoint. */
+export interface Placed extends decide.SpotChoice {
+  /** The endpoint from which context was to be copied. */
+  readonly source?: string;
+}
+
 /** What a request took. */
 export interface Sent {
   readonly sends: number;
   /** What decided the last choice of an endpoint; absent: none was chosen. */
-  readonly placed?: decide.SpotChoice;
+  readonly placed?: Placed;
 }
 
 /** How a request ended. */
--- a/packages/direct/src/attempt.ts
+++ b/packages/direct/src/attempt.ts
@@ -21,6 +21,8 @@
   /** The event after which a stream goes on. */
   readonly lastEventId?: string;
   readonly gone: AbortSignal;
+  /** Holds context that the endpoint copies before it reads the prompt. */
+  readonly source?: model.Endpoint;
 }
 
 /** Why an attempt may have run and yet has no answer. */
@@ -89,7 +91,7 @@
   }
 
   private relayOptions(
-    {ask, endpoint, leftMs, lastEventId}: AttemptOptions,
+    {ask, endpoint, leftMs, lastEventId, source}: AttemptOptions,
     run: Run,
   ): core.relay.RelayOptions {
     const {route, customer, priority} = ask;
@@ -99,6 +101,7 @@
       customer,
       priority,
       lastEventId,
+      contextFrom: source && `${source.address}:${source.port}`,
     };
     // A call that may run once gets a connection that is known to be clean.
     const agent =
--- a/packages/direct/src/decisions.ts
+++ b/packages/direct/src/decisions.ts
@@ -10,6 +10,7 @@
   'learn',
   'own',
   'usable',
+  'isReachable',
   'forget',
 ]);
 
@@ -28,6 +29,11 @@
   'choose',
 ]);
 
+/** The contract under which the copies of context are registered. */
+export const COPIES = core.contract<decide.ContextCopies>('context-copies', [
+  'source',
+]);
+
 /** The contract under which the budget of repeats is registered. */
 export const REPEATS = core.contract<decide.RepeatBudget>('repeat-budget', [
   'sent',
--- a/packages/direct/src/dialect.ts
+++ b/packages/direct/src/dialect.ts
@@ -32,6 +32,8 @@
   readonly priority: number;
   /** The last event that the caller has; the endpoint goes on after it. */
   readonly lastEventId?: string;
+  /** Where the endpoint copies context from that it lacks, as `ip:port`. */
+  readonly contextFrom?: string;
 }
 
 /** What the head of an endpoint's answer says. */
--- a/packages/direct/src/dispatcher.ts
+++ b/packages/direct/src/dispatcher.ts
@@ -4,14 +4,13 @@
  * and by the budget of repeats that all routers share.
  */
 import * as core from '@oleanderrock/core';
-import type * as decide from '@oleanderrock/decide';
 import * as tsPattern from 'ts-pattern';
 import type * as asks from './ask.js';
 import * as ask from './ask.js';
 import * as attempts from './attempt.js';
+import * as chooser from './chooser.js';
 import * as decisions from './decisions.js';
 import * as delivery from './delivery.js';
-import * as endpointBook from './endpointbook.js';
 import * as fleetBook from './fleetbook.js';
 import type * as model from './model.js';
 
@@ -48,7 +47,7 @@
   lastEventId?: string;
   last: core.Failure;
   /** What decided the last choice of an endpoint. */
-  placed?: decide.SpotChoice;
+  placed?: asks.Placed;
 }
 
 /** Dispatcher over the kernel's services. */
@@ -68,9 +67,11 @@
       last: {kind: 'pool_empty', detail: `${asked.pool} has no endpoint`},
     };
     while (this.mayTry(asked, progress)) {
-      const endpoint = this.choose(asked, progress);
-      if (!endpoint || !this.mayRepeat(asked, progress)) break;
-      const outcome = await this.attempt(asked, passage, endpoint, progress);
+      const chosen = this.kernel
+        .find(chooser.CHOOSER)
+        .choose(asked, progress.tried);
+      if (!chosen || !this.mayRepeat(asked, progress)) break;
+      const outcome = await this.attempt(asked, passage, chosen, progress);
       if (outcome) return outcome;
     }
     return this.giveUp(asked, passage, progress);
@@ -80,9 +81,10 @@
   private async attempt(
     asked: asks.Ask,
     passage: delivery.Delivery,
-    endpoint: model.Endpoint,
+    {endpoint, placed, source}: chooser.Chosen,
     progress: Progress,
   ): Promise<asks.Outcome | undefined> {
+    progress.placed = {...placed, source: source?.id};
     progress.sends += 1;
     progress.tried.add(endpoint.id);
     const result = await this.kernel.find(attempts.ATTEMPTS).send({
@@ -91,6 +93,7 @@
       leftMs: this.limitMs(asked, progress),
       lastEventId: passage.lastEventId,
       gone: passage.gone,
+      source,
     });
     const delivered =
       result.type === 'answer'
@@ -184,59 +187,6 @@
     return sends >= MAX_SENDS || runs + 1 >= MAX_SENDS;
   }
 
-  private choose(
-    asked: asks.Ask,
-    progress: Progress,
-  ): model.Endpoint | undefined {
-    const nowMs = this.nowMs();
-    const book = this.kernel.find(endpointBook.ENDPOINT_BOOK);
-    const listed = book.ready(asked.pool);
-    const ids = listed.map(({id}) => id).filter(id => !progress.tried.has(id));
-    const usable = this.usable(asked, ids, nowMs);
-    const load = this.kernel.find(decisions.LOAD);
-    const spots: decide.Spot[] = usable.map(id => ({
-      id,
-      zone: book.find(id)?.zone ?? '',
-      inFlight: load.inFlight(id, nowMs),
-    }));
-    const chosen = this.kernel
-      .find(decisions.PLACEMENT)
-      .choose(this.wish(asked, nowMs), spots);
-    if (!chosen) return undefined;
-    const {id} = chosen.spot;
-    progress.placed = chosen;
-    this.remember(asked, id, nowMs);
-    return book.find(id);
-  }
-
-  private wish({head}: asks.Ask, nowMs: number): decide.PlacementAsk {
-    const {zone} = this.kernel.find(fleetBook.FLEET_BOOK).self();
-    const {sharedPrefix: prefix, sharedTokens: prefixTokens} = head;
-    if (prefix === undefined) return {zone};
-    const homes = this.kernel.find(decisions.HOMES).of(prefix, nowMs);
-    return {zone, prefix, prefixTokens, homes};
-  }
-
-  private remember({head}: asks.Ask, endpoint: string, nowMs: number): void {
-    const {sharedPrefix: prefix} = head;
-    if (prefix === undefined) return;
-    this.kernel.find(decisions.HOMES).placed({prefix, endpoint}, nowMs);
-  }
-
-  /** Healthy endpoints; a suspect request keeps away from other suspects. */
-  private usable(
-    {signature}: asks.Ask,
-    ids: readonly string[],
-    nowMs: number,
-  ): readonly string[] {
-    const healthy = this.kernel.find(decisions.HEALTH).usable(ids, nowMs);
-    const suspects = this.kernel.find(decisions.SUSPECTS);
-    const apart = healthy.filter(
-      id => suspects.check(signature, id, nowMs) === 'free',
-    );
-    return apart.length > 0 ? apart : healthy;
-  }
-
   private giveUp(
     asked: asks.Ask,
     passage: delivery.Delivery,
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -2,6 +2,7 @@
 export * from './ask.js';
 export * from './attempt.js';
 export * from './catchup.js';
+export * from './chooser.js';
 export * from './connections.js';
 export * from './decisions.js';
 export * from './dialect.js';
--- a/packages/direct/src/keepers.ts
+++ b/packages/direct/src/keepers.ts
@@ -84,11 +84,14 @@
   }
 
   private take(item: feeds.Item<model.Endpoint>): void {
+    const {key, value} = item;
+    const before = this.book.find(key);
     this.book.take(item, this.nowMs());
-    if (item.value) return;
-    this.kernel.find(decisions.HEALTH).forget(item.key);
-    this.kernel.find(decisions.HOMES).forget(item.key);
-    this.kernel.find(connections.CONNECTIONS).forget(item.key);
+    // One that starts again under its id holds nothing of before.
+    if (before && value?.bornMs === before.bornMs) return;
+    this.kernel.find(decisions.HEALTH).forget(key);
+    this.kernel.find(decisions.HOMES).forget(key);
+    this.kernel.find(connections.CONNECTIONS).forget(key);
   }
 
   private nowMs(): number {
--- a/packages/direct/src/model.ts
+++ b/packages/direct/src/model.ts
@@ -51,6 +51,16 @@
 /** A customer. */
 export type Customer = v.InferOutput<typeof customerSchema>;
 
+/** Schema of a pool whose endpoints can copy context from each other. */
+export const poolSchema = v.object({
+  name: v.string(),
+  /** Time in which the context of one token is copied, in us. */
+  copyUsPerToken: v.number(),
+});
+
+/** A pool. */
+export type Pool = v.InferOutput<typeof poolSchema>;
+
 /** Schema of what callers may send. */
 export const limitsSchema = v.object({
   maxBodyBytes: v.number(),
@@ -63,6 +73,8 @@
   /** Later versions are greater; steps are uneven. */
   version: v.number(),
   routes: v.array(routeSchema),
+  /** Pools that have more to them than a name. */
+  pools: v.array(poolSchema),
   /** Absent: callers need no keys. */
   customers: v.optional(v.array(customerSchema)),
   limits: limitsSchema,
--- a/packages/direct/src/recorder.ts
+++ b/packages/direct/src/recorder.ts
@@ -92,6 +92,7 @@
       sends: outcome.sends,
       placed: placed?.reason,
       load: placed?.spot.inFlight,
+      context_from: placed?.source,
       limit: placed?.limit && Math.round(placed.limit),
       tables: this.kernel.find(tablesBook.TABLES_BOOK).version(),
       duration_ms: Math.round(durationMs),
--- a/packages/direct/src/tablesbook.ts
+++ b/packages/direct/src/tablesbook.ts
@@ -20,6 +20,8 @@
   take(tables: model.Tables, source: string): boolean;
   route(host: string, path: string): model.Route | undefined;
   holder(apiKey: string): KeyHolder | undefined;
+  /** How long the pool takes to copy a token's context; undefined: it cannot. */
+  copyUsPerToken(pool: string): number | undefined;
   /** Calls `changed` after each version that comes into force. */
   onChange(changed: (tables: model.Tables) => void): void;
 }
@@ -31,6 +33,7 @@
   'take',
   'route',
   'holder',
+  'copyUsPerToken',
   'onChange',
 ]);
 
@@ -78,6 +81,11 @@
     return this.holders.get(apiKey);
   }
 
+  copyUsPerToken(pool: string): number | undefined {
+    const found = this.tables?.pools.find(({name}) => name === pool);
+    return found?.copyUsPerToken;
+  }
+
   onChange(changed: (tables: model.Tables) => void): void {
     this.listeners.push(changed);
   }
--- a/packages/direct/src/tests/parts.test.ts
+++ b/packages/direct/src/tests/parts.test.ts
@@ -33,6 +33,7 @@
       {...route, name: 'short', pathPrefix: '/a/'},
       {...route, name: 'long', pathPrefix: '/a/b/'},
     ],
+    pools: [],
     customers: [{name: 'acme', keys: ['k1', 'k2']}],
     limits: {maxBodyBytes: 1, idleMs: 1},
   };
--- a/packages/router/src/tests/direct.test.ts
+++ b/packages/router/src/tests/direct.test.ts
@@ -38,16 +38,46 @@
       'pin-ms': '100',
       'kv-from': '1.2.3.4:5/h',
       'kv-backup': '1.2.3.4:5',
+      'kv-fetch': '1.2.3.4:5',
       'expect-instance': 'e9',
     };
     await fleet.call('/read/a', {headers: forged});
     const headers = fleet.runs()[0]!.headers;
     expect(headers.tenant).to.equal('acme');
-    for (const name of ['hold', 'pin-ms', 'kv-from', 'kv-backup']) {
+    for (const name of ['hold', 'pin-ms', 'kv-from', 'kv-backup', 'kv-fetch']) {
       expect(headers).not.to.have.property(name);
     }
   });
 
+  /** Serves one prefix, then once more after its endpoint began to drain. */
+  async function moveHome(version: number, linkMbps: number) {
+    const engine = {kvTokenBytes: 327_680, linkMbps};
+    const services = [{name: 'pool', healthPath: '/health', engine}];
+    fleet.store.put('keyed.op', 'config', support.config(version, {services}));
+    await until.until('tables', () => fleet.version(0) === version);
+    const headers = {'prompt-prefix': `p${version}:9000,own:10`};
+    await fleet.call('/read/a', {headers});
+    const home = fleet.endpoints.find(({runs}) => runs.length === 1)!;
+    fleet.store.put('keyed.servers', home.id, home.entry('draining'));
+    const other = fleet.endpoints.find(each => each !== home)!;
+    await until.until('the other serves', async () => {
+      await fleet.call('/read/a', {headers});
+      return other.runs.length > 0;
+    });
+    return {home, run: other.runs[0]!};
+  }
+
+  it('has an endpoint copy context from a home that drains', async () => {
+    const {home, run} = await moveHome(2, 1_500_000);
+    const address = `127.0.0.1:${home.port}`;
+    expect(run.headers['kv-fetch']).to.equal(address);
+  });
+
+  it('has nothing copied where reading is quicker', async () => {
+    const {run} = await moveHome(2, 10_000);
+    expect(run.headers).not.to.have.property('kv-fetch');
+  });
+
   it('refuses unknown keys and paths without asking an endpoint', async () => {
     const noKey = await fleet.call('/read/a', {headers: {'x-api-key': 'no'}});
     const noRoute = await fleet.call('/none/a');
--- a/packages/router/src/wiredirect.ts
+++ b/packages/router/src/wiredirect.ts
@@ -31,6 +31,7 @@
     new decide.NearFirstRounds({maxPerSecond: MAX_DIGESTS_PER_SECOND}),
   );
   kernel.register(direct.PLACEMENT, new decide.PrefixPlacement({random}));
+  kernel.register(direct.COPIES, new decide.QuickCopies());
   kernel.register(
     direct.REPEATS,
     // Read at each use, since these settings may change.
@@ -86,6 +87,7 @@
   kernel.register(direct.LIVENESS, new direct.ConnectLiveness(kernel));
   kernel.register(direct.WATCH, new direct.SilenceWatch(kernel));
   kernel.register(direct.ATTEMPTS, new direct.HttpAttempts(kernel));
+  kernel.register(direct.CHOOSER, new direct.EndpointChooser(kernel));
   kernel.register(direct.DISPATCHER, new direct.EndpointDispatcher(kernel));
   kernel.register(direct.RECORDER, new direct.MetricsRecorder(kernel));
   kernel.register(direct.FOLLOWERS, new direct.FeedFollowers(kernel, own));
