Recover homes of prefixes after a start, and log the time to the first byte

Cause: a router that started knew no homes for up to 25 s, and after a kill of all nobody did. Ruled out: spills (they are copied now) and wrong ranks.

Change: a router that starts takes the homes from one that has run for longer; where there is none and the fleet did not start for the first time, each endpoint that holds context is asked for its list by the router that ranks first for it, which tells the others. Digests say how long the router has run. What fetches JSON from routers and endpoints is one function now. The line of a request has 'first_ms', and a histogram of it, since a late first byte could not be told from a long stream.

Tests: homes.test.ts (a newcomer asks an elder; a fleet that starts anew asks each endpoint once).

--- a/packages/decide/src/prefixhomes.ts
+++ b/packages/decide/src/prefixhomes.ts
@@ -12,13 +12,15 @@
 
 /** Homes of prefixes. */
 export interface PrefixHomes {
-  /** A request with the prefix goes to the endpoint, by this router. */
+  /** The endpoint holds the prefix, as this router knows first-hand. */
   placed(placed: Placed, nowMs: number): void;
   /** Another router has placed the prefix. */
   learn(placed: Placed, nowMs: number): void;
   /** Endpoints that hold the prefix, as far as is known; the last used first. */
   of(prefix: string, nowMs: number): readonly string[];
-  /** Own placements since the last call, for the other routers. */
+  /** All that is known, for a router that starts. */
+  all(): readonly Placed[];
+  /** Own placements that were not told yet, for the other routers. */
   untold(): readonly Placed[];
   /** An endpoint lost what it held. */
   forget(endpoint: string): void;
@@ -37,7 +39,10 @@
 const MAX_PREFIXES = 20_000;
 
 /** Most placements that wait to be told. */
-const MAX_UNTOLD = 64;
+const MAX_UNTOLD = 1_024;
+
+/** Most placements in one digest, so that it fits a datagram. */
+const MAX_TOLD = 64;
 
 /** A prefix's use at an endpoint. */
 interface Use {
@@ -85,10 +90,16 @@
     return byUse.map(([endpoint]) => endpoint);
   }
 
+  all(): readonly Placed[] {
+    return [...this.homes].flatMap(([prefix, uses]) =>
+      [...uses.keys()].map(endpoint => ({prefix, endpoint})),
+    );
+  }
+
   untold(): readonly Placed[] {
-    const told = [...this.fresh.values()];
-    this.fresh.clear();
-    return told;
+    const told = [...this.fresh].slice(0, MAX_TOLD);
+    for (const [key] of told) this.fresh.delete(key);
+    return told.map(([, placed]) => placed);
   }
 
   forget(endpoint: string): void {
@@ -106,6 +117,10 @@
     return [];
   }
 
+  all(): readonly Placed[] {
+    return [];
+  }
+
   untold(): readonly Placed[] {
     return [];
   }
--- a/packages/direct/src/calleranswer.ts
+++ b/packages/direct/src/calleranswer.ts
@@ -7,8 +7,13 @@
 /** Answer over Node's response. */
 export class HttpCallerAnswer implements asks.CallerAnswer {
   private readonly leaving = new AbortController();
+  /** Monotonic time at which an endpoint's answer began; absent: none did. */
+  beganMs: number | undefined;
 
-  constructor(private readonly response: http.ServerResponse) {
+  constructor(
+    private readonly response: http.ServerResponse,
+    private readonly clock: core.Clock,
+  ) {
     response.once('close', () => {
       if (!response.writableFinished) this.leaving.abort();
     });
@@ -31,6 +36,7 @@
     framing: asks.Framing,
   ): void {
     if (this.gone.aborted) return;
+    this.beganMs = this.clock.nowMs();
     // Without this header, Node ends the answer with its connection.
     if (framing === 'connection') {
       this.response.removeHeader('transfer-encoding');
--- a/packages/direct/src/catchup.ts
+++ b/packages/direct/src/catchup.ts
@@ -8,6 +8,7 @@
 import * as endpointBook from './endpointbook.js';
 import type * as fleetBook from './fleetbook.js';
 import * as followers from './followers.js';
+import * as jsonFetch from './jsonfetch.js';
 import * as lifecycle from './lifecycle.js';
 import type * as model from './model.js';
 import type * as settings from './settings.js';
@@ -29,12 +30,6 @@
 /** Pause between rounds over the seeds at the start, in ms. */
 const SEEDS_PACE_MS = 700;
 
-/** How long a router may take to connect, and to hand its state out, in ms. */
-const CONNECT_TIMEOUT_MS = 300;
-const FETCH_TIMEOUT_MS = 1_000;
-
-const MAX_STATE_BYTES = 16 * 1_024 * 1_024;
-
 /** Catching up. */
 export interface CatchUp {
   /** A router told where it stands. */
@@ -119,29 +114,16 @@
   }
 
   private async fetch(address: string, signal: AbortSignal): Promise<void> {
-    const sent = await core.relay.send({
-      address,
-      port: this.own.peerPort,
-      method: 'GET',
-      path: STATE_PATH,
-      headers: {},
-      body: Buffer.alloc(0),
-      connectTimeoutMs: CONNECT_TIMEOUT_MS,
-      firstByteTimeoutMs: FETCH_TIMEOUT_MS,
-      signal,
-    });
-    if (sent.type === 'error') {
-      this.report(address, sent.error.detail);
+    const port = this.own.peerPort;
+    const request = {address, port, path: STATE_PATH, signal};
+    const fetched = await jsonFetch.fetchJson(request);
+    if (fetched.type === 'failed') {
+      this.report(address, fetched.detail);
       return;
     }
-    const raw = await core.relay.collect(
-      sent.response,
-      MAX_STATE_BYTES,
-      FETCH_TIMEOUT_MS,
-    );
-    const state = raw && readState(raw);
-    if (state) states.absorb(this.kernel, state, address);
-    else this.report(address, 'the state was cut or cannot be read');
+    const state = v.safeParse(states.stateSchema, fetched.value);
+    if (state.success) states.absorb(this.kernel, state.output, address);
+    else this.report(address, 'the state cannot be read');
   }
 
   private report(address: string, detail: string): void {
@@ -172,15 +154,3 @@
     return this.clock.nowMs();
   }
 }
-
-function readState(raw: Buffer): states.State | undefined {
-  try {
-    const parsed = v.safeParse(
-      states.stateSchema,
-      JSON.parse(raw.toString('utf8')),
-    );
-    return parsed.success ? parsed.output : undefined;
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/direct/src/decisions.ts
+++ b/packages/direct/src/decisions.ts
@@ -61,6 +61,7 @@
   'placed',
   'learn',
   'of',
+  'all',
   'untold',
   'forget',
 ]);
--- a/packages/direct/src/dialect.ts
+++ b/packages/direct/src/dialect.ts
@@ -47,6 +47,13 @@
   readonly isElsewhere: boolean;
 }
 
+/** A part of prompts whose context an endpoint holds. */
+export interface HeldContext {
+  /** Names the prompt up to the end of the part. */
+  readonly prefix: string;
+  readonly tokens: number;
+}
+
 /** Headers to send, single or repeated. */
 export type Headers = Record<string, string | string[]>;
 
@@ -70,6 +77,10 @@
     entryPort: number,
     keepMs: number,
   ): unknown;
+  /** Path at which an endpoint lists the context that it holds. */
+  contextsPath(): string;
+  /** The parts of prompts in such a list; undefined where it is none. */
+  readContexts(list: unknown): readonly HeldContext[] | undefined;
   /** Whether the platform asks if the router takes requests. */
   isReadyCall(url: string): boolean;
 }
@@ -83,5 +94,7 @@
   'failureHeaders',
   'readAddressCall',
   'writeAddresses',
+  'contextsPath',
+  'readContexts',
   'isReadyCall',
 ]);
--- a/packages/direct/src/digest.ts
+++ b/packages/direct/src/digest.ts
@@ -28,6 +28,8 @@
   v.number(),
   /** How far it has read the endpoints' feed. */
   v.number(),
+  /** How long it has run, in s. */
+  countSchema,
   /** Endpoint, requests in flight, good and failed outcomes; zeros left out. */
   v.array(
     v.union([
@@ -70,6 +72,7 @@
     standing.phase,
     standing.version,
     standing.endpointsOffset,
+    standing.upS,
     [...ids].map(id => loadOf(id, inFlight.get(id) ?? 0, outcomes.get(id))),
     digest.leavers.map(([id, offset]) => [id, offset]),
     suspects.map(({signature, state, validMs}) => [signature, state, validMs]),
@@ -98,11 +101,11 @@
 ): Digest | undefined {
   const parsed = v.safeParse(wireSchema, unpack(bytes));
   if (!parsed.success) return undefined;
-  const [, name, zone, phase, version, endpointsOffset] = parsed.output;
-  const [, , , , , , loads, leavers, suspects, placed] = parsed.output;
+  const [, name, zone, phase, version, endpointsOffset, upS] = parsed.output;
+  const [, , , , , , , loads, leavers, suspects, placed] = parsed.output;
   return {
     router: {name, address: from, zone},
-    standing: {phase, version, endpointsOffset},
+    standing: {phase, version, endpointsOffset, upS},
     ...readLoads(loads, named),
     leavers,
     suspects: suspects.map(([signature, state, validMs]) => {
@@ -118,7 +121,7 @@
   id: string,
   inFlight: number,
   {good, failed}: decide.Outcomes = {good: 0, failed: 0},
-): Wire[6][number] {
+): Wire[7][number] {
   const hash = endpointBook.hashOf(id);
   const goodParts = Math.round(good * OUTCOME_PARTS);
   const failedParts = Math.round(failed * OUTCOME_PARTS);
@@ -127,7 +130,7 @@
 }
 
 function readLoads(
-  loads: Wire[6],
+  loads: Wire[7],
   named: Named,
 ): Pick<Digest, 'inFlight' | 'outcomes'> {
   const inFlight = new Map<string, number>();
@@ -144,7 +147,7 @@
   return {inFlight, outcomes};
 }
 
-function byEndpoint(placed: readonly decide.Placed[]): Wire[9] {
+function byEndpoint(placed: readonly decide.Placed[]): Wire[10] {
   const prefixes = new Map<string, string[]>();
   for (const {prefix, endpoint} of placed) {
     const known = prefixes.get(endpoint);
--- a/packages/direct/src/directory.ts
+++ b/packages/direct/src/directory.ts
@@ -4,8 +4,10 @@
  */
 import * as core from '@oleanderrock/core';
 import * as catchUp from './catchup.js';
+import * as decisions from './decisions.js';
 import * as dialects from './dialect.js';
 import * as fleetBook from './fleetbook.js';
+import * as homeRecovery from './homerecovery.js';
 import * as lifecycle from './lifecycle.js';
 import type * as model from './model.js';
 import type * as settings from './settings.js';
@@ -148,8 +150,13 @@
   }
 
   protected serve(call: core.listener.Call): Promise<void> {
-    if (call.request.url === catchUp.STATE_PATH) {
-      core.listener.sendJson(call.response, 200, states.collect(this.kernel));
+    const {request, response} = call;
+    if (request.url === catchUp.STATE_PATH) {
+      core.listener.sendJson(response, 200, states.collect(this.kernel));
+    } else if (request.url === homeRecovery.HOMES_PATH) {
+      const homes = this.kernel.find(decisions.HOMES).all();
+      const rows = homes.map(({prefix, endpoint}) => [prefix, endpoint]);
+      core.listener.sendJson(response, 200, rows);
     } else {
       this.missing(call);
     }
--- a/packages/direct/src/entry.ts
+++ b/packages/direct/src/entry.ts
@@ -92,11 +92,12 @@
 
   private async serve(call: core.listener.Call): Promise<void> {
     const leave = this.kernel.find(lifecycle.LIFE).enter();
-    const arrivedMs = this.kernel.find(core.CLOCK).nowMs();
+    const clock = this.kernel.find(core.CLOCK);
+    const arrivedMs = clock.nowMs();
     const {request, response} = call;
     const dialect = this.kernel.find(dialects.DIALECT);
     const head = dialect.readCaller(request.headers);
-    const answer = new callerAnswer.HttpCallerAnswer(response);
+    const answer = new callerAnswer.HttpCallerAnswer(response, clock);
     try {
       const made = await this.read(request, head, arrivedMs);
       const outcome: asks.Outcome = made.ok
@@ -106,9 +107,11 @@
         : {type: 'failed', failure: made.failure, sends: 0};
       this.finish(outcome, head, answer);
       const known = made.ok ? made.value : undefined;
+      const {beganMs} = answer;
+      const path = request.url ?? '';
       this.kernel
         .find(recorder.RECORDER)
-        .ended({head, path: request.url ?? '', arrivedMs, ask: known}, outcome);
+        .ended({head, path, arrivedMs, beganMs, ask: known}, outcome);
     } finally {
       leave();
     }
--- a/packages/direct/src/fleetbook.ts
+++ b/packages/direct/src/fleetbook.ts
@@ -14,6 +14,8 @@
   readonly version: number;
   /** How far it has read the endpoints' feed. */
   readonly endpointsOffset: number;
+  /** How long it has run, in s. */
+  readonly upS: number;
 }
 
 /** A router with what is known of it. */
--- a/packages/direct/src/gossip.ts
+++ b/packages/direct/src/gossip.ts
@@ -136,6 +136,7 @@
         phase: this.kernel.find(lifecycle.LIFE).phase(),
         version: this.kernel.find(tablesBook.TABLES_BOOK).version(),
         endpointsOffset: endpoints.nextOffset(),
+        upS: this.kernel.find(lifecycle.LIFE).upS(),
       },
       inFlight: this.kernel.find(decisions.LOAD).own(),
       outcomes: this.kernel.find(decisions.HEALTH).own(nowMs),
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -16,6 +16,7 @@
 export * from './follower.js';
 export * from './followers.js';
 export * from './gossip.js';
+export * from './homerecovery.js';
 export * from './keepers.js';
 export * from './lifecycle.js';
 export * from './liveness.js';
--- a/packages/direct/src/lifecycle.ts
+++ b/packages/direct/src/lifecycle.ts
@@ -15,6 +15,8 @@
   /** Counts a request; the returned function ends it. */
   enter(): () => void;
   inFlight(): number;
+  /** How long this router has run, in whole s. */
+  upS(): number;
 }
 
 /** The contract under which the phase is registered. */
@@ -25,6 +27,7 @@
   'takesRequests',
   'enter',
   'inFlight',
+  'upS',
 ]);
 
 /** Ready once tables and endpoints are known, until the stop begins. */
@@ -33,7 +36,11 @@
   private isClosed = false;
   private count = 0;
 
-  constructor(private readonly kernel: core.Kernel) {}
+  private readonly startedMs: number;
+
+  constructor(private readonly kernel: core.Kernel) {
+    this.startedMs = kernel.find(core.CLOCK).nowMs();
+  }
 
   phase(): fleetBook.Phase {
     if (this.isLeaving) return 'leaving';
@@ -65,4 +72,9 @@
   inFlight(): number {
     return this.count;
   }
+
+  upS(): number {
+    const upMs = this.kernel.find(core.CLOCK).nowMs() - this.startedMs;
+    return Math.floor(upMs / 1_000);
+  }
 }
--- a/packages/direct/src/model.ts
+++ b/packages/direct/src/model.ts
@@ -51,11 +51,11 @@
 /** A customer. */
 export type Customer = v.InferOutput<typeof customerSchema>;
 
-/** Schema of a pool whose endpoints can copy context from each other. */
+/** Schema of a pool whose endpoints hold the context of prompts. */
 export const poolSchema = v.object({
   name: v.string(),
-  /** Time in which the context of one token is copied, in us. */
-  copyUsPerToken: v.number(),
+  /** Time in which a token's context is copied, in us; absent: it cannot be. */
+  copyUsPerToken: v.optional(v.number()),
 });
 
 /** A pool. */
@@ -73,7 +73,7 @@
   /** Later versions are greater; steps are uneven. */
   version: v.number(),
   routes: v.array(routeSchema),
-  /** Pools that have more to them than a name. */
+  /** Pools whose endpoints hold context. */
   pools: v.array(poolSchema),
   /** Absent: callers need no keys. */
   customers: v.optional(v.array(customerSchema)),
--- a/packages/direct/src/recorder.ts
+++ b/packages/direct/src/recorder.ts
@@ -18,6 +18,8 @@
   readonly head: dialects.CallerHead;
   readonly path: string;
   readonly arrivedMs: number;
+  /** When the answer began to leave; absent where no endpoint's did. */
+  readonly beganMs?: number;
   /** Absent where the request was refused before it was matched. */
   readonly ask?: asks.Ask;
 }
@@ -35,6 +37,7 @@
   private readonly requests: prom.Counter<'route' | 'result'>;
   private readonly sends: prom.Counter<'route'>;
   private readonly duration: prom.Histogram<'route'>;
+  private readonly first: prom.Histogram<'route'>;
   private secondMs = 0;
   private lines = 0;
   private skipped = 0;
@@ -60,6 +63,13 @@
       buckets: BUCKETS_S,
       registers,
     });
+    this.first = new prom.Histogram({
+      name: 'oleander_first_byte_seconds',
+      help: 'Time from the arrival of a request to the beginning of its answer.',
+      labelNames: ['route'],
+      buckets: BUCKETS_S,
+      registers,
+    });
   }
 
   ended(request: Ended, outcome: asks.Outcome): void {
@@ -68,14 +78,18 @@
     this.requests.inc({route, result: resultOf(outcome)});
     this.sends.inc({route}, outcome.sends);
     this.duration.observe({route}, durationMs / 1_000);
+    const firstMs = firstMsOf(request);
+    if (firstMs !== undefined) this.first.observe({route}, firstMs / 1_000);
     if (this.mayWrite()) this.write(request, outcome, durationMs);
   }
 
   private write(
-    {head, ask, path}: Ended,
+    request: Ended,
     outcome: asks.Outcome,
     durationMs: number,
   ): void {
+    const {head, ask, path} = request;
+    const firstMs = firstMsOf(request);
     const isAnswered = outcome.type === 'answered';
     const {placed} = outcome;
     this.kernel.find(core.LOGGER).info('request', {
@@ -95,6 +109,7 @@
       context_from: placed?.source,
       limit: placed?.limit && Math.round(placed.limit),
       tables: this.kernel.find(tablesBook.TABLES_BOOK).version(),
+      first_ms: firstMs && Math.round(firstMs),
       duration_ms: Math.round(durationMs),
       left_ms: ask ? Math.round(ask.deadlineMs - this.nowMs()) : undefined,
     });
@@ -122,6 +137,10 @@
   }
 }
 
+function firstMsOf({arrivedMs, beganMs}: Ended): number | undefined {
+  return beganMs === undefined ? undefined : beganMs - arrivedMs;
+}
+
 function resultOf(outcome: asks.Outcome): string {
   if (outcome.type === 'answered') return String(outcome.status);
   return outcome.failure.kind;
--- a/packages/direct/src/settings.ts
+++ b/packages/direct/src/settings.ts
@@ -76,6 +76,11 @@
     unit: 's',
     meaning: 'window of the budget of repeated sends',
   },
+  isFirstStart: {
+    schema: core.word(['true', 'false']),
+    fallback: 'false',
+    meaning: 'whether the whole fleet starts for the first time',
+  },
   graceS: {
     schema: decimalSchema,
     fallback: '8',
@@ -110,7 +115,11 @@
 type Loaded = core.Values<typeof SETTINGS>;
 
 /** Checked settings. */
-export interface Settings extends Omit<Loaded, 'seeds' | 'peerListen'> {
+export interface Settings extends Omit<
+  Loaded,
+  'seeds' | 'peerListen' | 'isFirstStart'
+> {
+  readonly isFirstStart: boolean;
   readonly peerPort: number;
   readonly seedAddresses: readonly string[];
 }
@@ -128,8 +137,14 @@
 ] as const satisfies ReadonlyArray<keyof Settings>;
 
 /** Names the values as the services use them. */
-export function settle({seeds, peerListen, ...rest}: Loaded): Settings {
-  return {...rest, peerPort: peerListen, seedAddresses: seeds};
+export function settle(loaded: Loaded): Settings {
+  const {seeds, peerListen, isFirstStart, ...rest} = loaded;
+  return {
+    ...rest,
+    peerPort: peerListen,
+    seedAddresses: seeds,
+    isFirstStart: isFirstStart === 'true',
+  };
 }
 
 /** What became of changed settings, by name. */
--- a/packages/direct/src/tests/parts.test.ts
+++ b/packages/direct/src/tests/parts.test.ts
@@ -169,7 +169,7 @@
   it('reads back what it wrote, and nothing else', () => {
     const digest: digests.Digest = {
       router: {name: 'r', address: '127.0.0.1', zone: 'z'},
-      standing: {phase: 'ready', version: 3, endpointsOffset: 9},
+      standing: {phase: 'ready', version: 3, endpointsOffset: 9, upS: 7},
       inFlight: new Map([['e', 2]]),
       outcomes: new Map([['e', {good: 1.5, failed: 0.5}]]),
       leavers: [['f', 8]],
--- /dev/null
+++ b/packages/router/src/tests/homes.test.ts
@@ -0,0 +1,58 @@
+/** Homes of prefixes after routers have started anew. */
+import * as chai from 'chai';
+import * as core from '@oleanderrock/core';
+import * as direct from '@oleanderrock/direct';
+import * as support from './directfleet.js';
+import * as until from './until.js';
+
+const {expect} = chai;
+
+const PREFIX = 'p1';
+const PROMPT = {'prompt-prefix': `${PREFIX}:9000,own:10`};
+const ENGINES = {
+  services: [{name: 'pool', healthPath: '/health', engine: {}}],
+};
+
+function homes(kernel: core.Kernel): readonly string[] {
+  const nowMs = kernel.find(core.CLOCK).nowMs();
+  return kernel.find(direct.HOMES).of(PREFIX, nowMs);
+}
+
+describe('homes of prefixes', () => {
+  let fleet: support.DirectFleet;
+
+  beforeEach(() => {
+    fleet = new support.DirectFleet();
+  });
+
+  afterEach(() => fleet.stop());
+
+  it('are taken from a router that has run for longer', async () => {
+    await fleet.start(3, 1);
+    await fleet.call('/read/a', {headers: PROMPT});
+    const [elder] = fleet.kernels;
+    const upS = () => elder!.find(direct.LIFE).upS();
+    await until.until('it has run for a while', () => upS() > 4);
+    const newcomer = await fleet.addRouter();
+    await until.until('it knows', () => homes(newcomer).length > 0);
+    expect(homes(newcomer)).to.deep.equal(homes(elder!));
+    for (const {listings} of fleet.endpoints) expect(listings).to.equal(0);
+  });
+
+  it('come from the endpoints where the whole fleet starts anew', async () => {
+    await fleet.start(3, 0);
+    fleet.store.put('keyed.op', 'config', support.config(2, ENGINES));
+    const [holder] = fleet.endpoints;
+    holder!.held.set(PREFIX, 9_000).set('short', 20);
+    await Promise.all([0, 1, 2].map(() => fleet.addRouter()));
+    for (const kernel of fleet.kernels) {
+      await until.until('it knows', () => homes(kernel).length > 0);
+      expect(homes(kernel)).to.deep.equal([holder!.id]);
+      const all = kernel.find(direct.HOMES).all();
+      expect(all.map(({prefix}) => prefix)).to.deep.equal([PREFIX]);
+    }
+    for (const {listings} of fleet.endpoints) expect(listings).to.equal(1);
+    await fleet.call('/read/a', {headers: PROMPT}, 2);
+    expect(holder!.runs).to.have.length(1);
+  });
+});
--- a/packages/router/src/wiredirect.ts
+++ b/packages/router/src/wiredirect.ts
@@ -93,6 +93,7 @@
   kernel.register(direct.FOLLOWERS, new direct.FeedFollowers(kernel, own));
   kernel.register(direct.CATCH_UP, new direct.StateCatchUp(kernel, own));
   kernel.register(direct.GOSSIP, new direct.UdpGossip(kernel, own));
+  kernel.register(direct.HOME_RECOVERY, new direct.HomeRecovery(kernel, own));
   kernel.register(direct.PEER_STATE, new direct.PeerState(kernel, own));
   kernel.register(direct.entry.ENTRY, new direct.entry.HttpEntry(kernel, own));
   kernel.register(direct.DIRECTORY, new direct.Directory(kernel, own));
--- a/packages/standins/src/hostedendpoint.ts
+++ b/packages/standins/src/hostedendpoint.ts
@@ -51,6 +51,10 @@
 /** The endpoint. */
 export class HostedEndpoint {
   readonly runs: SeenRun[] = [];
+  /** Tokens of the parts of prompts that it holds, by part. */
+  readonly held = new Map<string, number>();
+  /** How often it was asked for that list. */
+  listings = 0;
   /** Answers of the next requests; afterwards `usual` holds. */
   readonly next: Behaviour[] = [];
   usual: Behaviour = {type: 'answer'};
@@ -110,6 +114,10 @@
   ): Promise<void> {
     const pieces: Buffer[] = [];
     for await (const piece of request) pieces.push(piece as Buffer);
+    if (request.url === '/kv-list') {
+      this.list(response);
+      return;
+    }
     if (request.headers['expect-instance'] !== this.id) {
       response.writeHead(421, {'instance-id': this.id}).end();
       return;
@@ -132,6 +140,14 @@
     await this.answer(behaviour, run, response);
   }
 
+  private list(response: http.ServerResponse): void {
+    this.listings += 1;
+    const held = [...this.held].map(([id, tokens]) => ['', id, tokens, 'm']);
+    const body = {epoch: 1, next: 0, held};
+    response.writeHead(200, {'content-type': 'application/json'});
+    response.end(JSON.stringify(body));
+  }
+
   private async answer(
     behaviour: Behaviour,
     run: SeenRun,
