End no request of a silent endpoint that nobody else may serve

By reading: after 400 ms without a byte the watch opens a connection to the endpoint, and 300 ms without an answer counted as its death, which ends the request. The link was slow, not the endpoint.

Change: a check says 'refused' (nothing listens: a crash) or 'silent' (nothing came back within 300 ms and, once more, 700 ms). A refused one ends all requests there; a silent one only those that another endpoint may serve, since the others lose nothing by waiting for their time.

--- a/packages/direct/src/attempt.ts
+++ b/packages/direct/src/attempt.ts
@@ -5,7 +5,7 @@
  */
 import type * as http from 'node:http';
 import * as core from '@oleanderrock/core';
-import type * as asks from './ask.js';
+import * as asks from './ask.js';
 import * as connections from './connections.js';
 import * as decisions from './decisions.js';
 import * as dialects from './dialect.js';
@@ -194,7 +194,8 @@
     kernel.find(decisions.SUSPECTS).began(ask.signature, endpoint.id);
     this.watched = kernel.find(watches.WATCH).add({
       endpoint,
-      mayMove: ask.route.repeat === 'stream' && ask.route.isResumable,
+      isStream: ask.route.repeat === 'stream',
+      mayMove: asks.mayRepeat(ask.route),
       end: cause => this.end(cause),
     });
     this.timer = setTimeout(() => this.end('timeout'), leftMs);
--- a/packages/direct/src/delivery.ts
+++ b/packages/direct/src/delivery.ts
@@ -156,8 +156,8 @@
     endpoint: model.Endpoint,
   ): Promise<Delivered> {
     if (result.type !== 'broken' || result.cause !== 'broken') return result;
-    const check = this.kernel.find(liveness.LIVENESS).check(endpoint);
-    return (await check) ? result : {...result, cause: 'dead'};
+    const sign = await this.kernel.find(liveness.LIVENESS).check(endpoint);
+    return sign === 'alive' ? result : {...result, cause: 'dead'};
   }
 
   /** The request ended without a crash. */
--- a/packages/direct/src/liveness.ts
+++ b/packages/direct/src/liveness.ts
@@ -1,6 +1,7 @@
 /**
- * Liveness of endpoints by a new connection: it tells an endpoint that is dead
- * or cut off from one that is only slow. Checks of one endpoint are shared.
+ * Liveness of endpoints by a new connection: it tells an endpoint that crashed
+ * or cannot be reached from one that is only slow. Checks of one endpoint are
+ * shared.
  */
 import * as net from 'node:net';
 import * as core from '@oleanderrock/core';
@@ -10,20 +11,34 @@
 /** How long a connection within a region may take, in ms. */
 export const CONNECT_TIMEOUT_MS = 300;
 
+/**
+ * How long a second connection may take before the endpoint counts as silent,
+ * in ms: this router's own link may be what is slow.
+ */
+const SECOND_TIMEOUT_MS = 700;
+
 /** How long a finding holds, in ms. */
 const FINDING_VALID_MS = 400;
 
+/** What a new connection shows. */
+export type Sign =
+  | 'alive'
+  /** Nothing listens there: the endpoint crashed. */
+  | 'refused'
+  /** Nothing comes back: it is dark or cut off, or this router is. */
+  | 'silent';
+
 /** Checks whether endpoints are alive. */
 export interface Liveness {
-  /** Whether a new connection to the endpoint can be made now. */
-  check(endpoint: model.Endpoint): Promise<boolean>;
+  /** What a new connection to the endpoint shows now. */
+  check(endpoint: model.Endpoint): Promise<Sign>;
 }
 
 /** The contract under which the check is registered. */
 export const LIVENESS = core.contract<Liveness>('liveness', ['check']);
 
 interface Finding {
-  readonly isAlive: Promise<boolean>;
+  readonly sign: Promise<Sign>;
   readonly atMs: number;
 }
 
@@ -33,19 +48,21 @@
 
   constructor(private readonly kernel: core.Kernel) {}
 
-  check(endpoint: model.Endpoint): Promise<boolean> {
+  check(endpoint: model.Endpoint): Promise<Sign> {
     const nowMs = this.kernel.find(core.CLOCK).nowMs();
     const known = this.findings.get(endpoint.id);
-    if (known && nowMs - known.atMs < FINDING_VALID_MS) return known.isAlive;
-    const isAlive = this.find(endpoint);
-    this.findings.set(endpoint.id, {isAlive, atMs: nowMs});
-    void isAlive.then(() => this.sweep());
-    return isAlive;
+    if (known && nowMs - known.atMs < FINDING_VALID_MS) return known.sign;
+    const sign = this.find(endpoint);
+    this.findings.set(endpoint.id, {sign, atMs: nowMs});
+    void sign.then(() => this.sweep());
+    return sign;
   }
 
-  private async find(endpoint: model.Endpoint): Promise<boolean> {
-    const isAlive = await canConnect(endpoint.address, endpoint.port);
-    if (isAlive) return true;
+  private async find(endpoint: model.Endpoint): Promise<Sign> {
+    const first = await connect(endpoint, CONNECT_TIMEOUT_MS);
+    const sign =
+      first === 'silent' ? await connect(endpoint, SECOND_TIMEOUT_MS) : first;
+    if (sign === 'alive') return sign;
     const nowMs = this.kernel.find(core.CLOCK).nowMs();
     this.kernel.find(decisions.HEALTH).unreachable(endpoint.id, nowMs);
     this.kernel.find(decisions.SUSPECTS).crashed(endpoint.id, nowMs);
@@ -53,8 +70,9 @@
     this.kernel.find(core.LOGGER).warn('endpoint_unreachable', {
       endpoint: endpoint.id,
       address: `${endpoint.address}:${endpoint.port}`,
+      sign,
     });
-    return false;
+    return sign;
   }
 
   private sweep(): void {
@@ -65,16 +83,21 @@
   }
 }
 
-function canConnect(address: string, port: number): Promise<boolean> {
+function connect(
+  {address, port}: model.Endpoint,
+  timeoutMs: number,
+): Promise<Sign> {
   return new Promise(resolve => {
     const socket = net.connect({host: address, port});
-    const end = (isAlive: boolean) => {
+    const end = (sign: Sign) => {
       clearTimeout(timer);
       socket.destroy();
-      resolve(isAlive);
+      resolve(sign);
     };
-    const timer = setTimeout(() => end(false), CONNECT_TIMEOUT_MS);
-    socket.once('connect', () => end(true));
-    socket.once('error', () => end(false));
+    const timer = setTimeout(() => end('silent'), timeoutMs);
+    socket.once('connect', () => end('alive'));
+    socket.once('error', (error: NodeJS.ErrnoException) =>
+      end(error.code === 'ECONNREFUSED' ? 'refused' : 'silent'),
+    );
   });
 }
--- a/packages/direct/src/watch.ts
+++ b/packages/direct/src/watch.ts
@@ -1,7 +1,9 @@
 /**
  * The watch over requests at endpoints: one task looks for those that have
- * heard nothing for a while. Where the endpoint proves dead, its requests end
- * at once instead of at their deadlines.
+ * heard nothing for a while. Where the endpoint crashed, its requests end at
+ * once instead of at their deadlines. Where it is only silent, those end that
+ * another endpoint may serve; the others lose nothing by waiting, since this
+ * router's own link may be what is slow.
  */
 import * as core from '@oleanderrock/core';
 import * as liveness from './liveness.js';
@@ -25,6 +27,8 @@
 /** A request at an endpoint. */
 export interface Watched {
   readonly endpoint: model.Endpoint;
+  /** Whether events come; a plain answer may take long to begin. */
+  readonly isStream: boolean;
   /** Whether it may be sent to another endpoint. */
   readonly mayMove: boolean;
   /** Ends the request early. */
@@ -93,7 +97,7 @@
     const {watched} = entry;
     const silentMs = nowMs - entry.heardMs;
     if (silentMs < CHECK_AFTER_MS) return;
-    if (silentMs >= MOVE_AFTER_MS && watched.mayMove) {
+    if (silentMs >= MOVE_AFTER_MS && watched.isStream && watched.mayMove) {
       this.entries.delete(entry);
       watched.end('silent');
       return;
@@ -104,10 +108,10 @@
   }
 
   private async check(entry: Entry): Promise<void> {
-    const {endpoint} = entry.watched;
-    const isAlive = await this.kernel.find(liveness.LIVENESS).check(endpoint);
-    if (isAlive || !this.entries.delete(entry)) return;
-    entry.watched.end('dead');
+    const {endpoint, mayMove} = entry.watched;
+    const sign = await this.kernel.find(liveness.LIVENESS).check(endpoint);
+    const mayEnd = sign === 'silent' ? mayMove : sign === 'refused';
+    if (mayEnd && this.entries.delete(entry)) entry.watched.end('dead');
   }
 
   private nowMs(): number {
