Share a check of an endpoint while it runs, and keep new requests away at once

Cause, by reading: a check of a silent endpoint takes up to 1 s now, and its finding was shared for 400 ms from its beginning only, so a second check could start beside it; and new requests were kept away after 1 s where it was 300 ms before. Change: a finding holds from its end on, and the first silence keeps new requests away.

--- a/packages/direct/src/liveness.ts
+++ b/packages/direct/src/liveness.ts
@@ -39,7 +39,8 @@
 
 interface Finding {
   readonly sign: Promise<Sign>;
-  readonly atMs: number;
+  /** When the check ended; infinite while it runs. */
+  atMs: number;
 }
 
 /** Checks by TCP connections that carry nothing. */
@@ -49,22 +50,27 @@
   constructor(private readonly kernel: core.Kernel) {}
 
   check(endpoint: model.Endpoint): Promise<Sign> {
-    const nowMs = this.kernel.find(core.CLOCK).nowMs();
+    const nowMs = this.nowMs();
     const known = this.findings.get(endpoint.id);
     if (known && nowMs - known.atMs < FINDING_VALID_MS) return known.sign;
     const sign = this.find(endpoint);
-    this.findings.set(endpoint.id, {sign, atMs: nowMs});
-    void sign.then(() => this.sweep());
+    const finding = {sign, atMs: Number.POSITIVE_INFINITY};
+    this.findings.set(endpoint.id, finding);
+    void sign.then(() => this.ended(finding));
     return sign;
   }
 
   private async find(endpoint: model.Endpoint): Promise<Sign> {
     const first = await connect(endpoint, CONNECT_TIMEOUT_MS);
+    if (first === 'alive') return first;
+    // New requests keep away already while it is tried once more.
+    const health = this.kernel.find(decisions.HEALTH);
+    health.unreachable(endpoint.id, this.nowMs());
     const sign =
       first === 'silent' ? await connect(endpoint, SECOND_TIMEOUT_MS) : first;
     if (sign === 'alive') return sign;
-    const nowMs = this.kernel.find(core.CLOCK).nowMs();
-    this.kernel.find(decisions.HEALTH).unreachable(endpoint.id, nowMs);
+    const nowMs = this.nowMs();
+    health.unreachable(endpoint.id, nowMs);
     this.kernel.find(decisions.SUSPECTS).crashed(endpoint.id, nowMs);
     this.kernel.find(decisions.HOMES).forget(endpoint.id);
     this.kernel.find(core.LOGGER).warn('endpoint_unreachable', {
@@ -75,12 +81,18 @@
     return sign;
   }
 
-  private sweep(): void {
-    const nowMs = this.kernel.find(core.CLOCK).nowMs();
+  /** A finding holds from the end of its check on; old ones go. */
+  private ended(finding: Finding): void {
+    const nowMs = this.nowMs();
+    finding.atMs = nowMs;
     for (const [id, {atMs}] of this.findings) {
       if (nowMs - atMs > FINDING_VALID_MS) this.findings.delete(id);
     }
   }
+
+  private nowMs(): number {
+    return this.kernel.find(core.CLOCK).nowMs();
+  }
 }
 
 function connect(
