--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -24,3 +24,4 @@
 export * from './settingsfile.js';
 export * from './tables.js';
 export * from './tasks.js';
+export * from './taskservice.js';
--- /dev/null
+++ b/packages/core/src/taskservice.ts
@@ -0,0 +1,28 @@
+/** A service whose work is one task, which runs from its start to its stop. */
+import type * as kernels from './kernel.js';
+import * as loggers from './logger.js';
+import * as tasks from './tasks.js';
+
+/** Base of such services. */
+export abstract class TaskService implements kernels.Lifecycle {
+  private readonly tasks: tasks.TaskGroup;
+
+  constructor(
+    protected readonly kernel: kernels.Kernel,
+    private readonly taskName: string,
+  ) {
+    this.tasks = new tasks.TaskGroup(kernel.find(loggers.LOGGER));
+  }
+
+  start(): Promise<void> {
+    this.tasks.spawn(this.taskName, signal => this.run(signal));
+    return Promise.resolve();
+  }
+
+  stop(): Promise<void> {
+    return this.tasks.stop();
+  }
+
+  /** The task; it returns soon after `signal` aborts. */
+  protected abstract run(signal: AbortSignal): Promise<void>;
+}
--- a/packages/direct/src/catchup.ts
+++ b/packages/direct/src/catchup.ts
@@ -54,25 +54,15 @@
 }
 
 /** Fetches state over HTTP. */
-export class StateCatchUp implements CatchUp, core.Lifecycle {
-  private readonly tasks: core.TaskGroup;
+export class StateCatchUp extends core.TaskService implements CatchUp {
   private ahead: Ahead | undefined;
   private fetchedMs = 0;
 
   constructor(
-    private readonly kernel: core.Kernel,
+    kernel: core.Kernel,
     private readonly own: settings.Settings,
   ) {
-    this.tasks = new core.TaskGroup(kernel.find(core.LOGGER));
-  }
-
-  start(): Promise<void> {
-    this.tasks.spawn('catch_up', signal => this.run(signal));
-    return Promise.resolve();
-  }
-
-  stop(): Promise<void> {
-    return this.tasks.stop();
+    super(kernel, 'catch_up');
   }
 
   heard({address}: model.Router, standing: fleetBook.Standing): void {
@@ -89,7 +79,7 @@
     this.ahead = {address, version, endpointsOffset, sinceMs, ownVersion};
   }
 
-  private async run(signal: AbortSignal): Promise<void> {
+  protected async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const isStarting = this.phase() === 'starting';
       await this.clock.sleep(isStarting ? SEEDS_PACE_MS : LOOK_MS, signal);
--- a/packages/direct/src/homerecovery.ts
+++ b/packages/direct/src/homerecovery.ts
@@ -46,26 +46,15 @@
 ]);
 
 /** Recovers homes once, at the start. */
-export class HomeRecovery implements core.Lifecycle {
-  private readonly tasks: core.TaskGroup;
-
+export class HomeRecovery extends core.TaskService {
   constructor(
-    private readonly kernel: core.Kernel,
+    kernel: core.Kernel,
     private readonly own: settings.Settings,
   ) {
-    this.tasks = new core.TaskGroup(kernel.find(core.LOGGER));
-  }
-
-  start(): Promise<void> {
-    this.tasks.spawn('home_recovery', signal => this.run(signal));
-    return Promise.resolve();
-  }
-
-  stop(): Promise<void> {
-    return this.tasks.stop();
+    super(kernel, 'home_recovery');
   }
 
-  private async run(signal: AbortSignal): Promise<void> {
+  protected async run(signal: AbortSignal): Promise<void> {
     const clock = this.kernel.find(core.CLOCK);
     const life = this.kernel.find(lifecycle.LIFE);
     while (life.phase() === 'starting') {
--- a/packages/direct/src/watch.ts
+++ b/packages/direct/src/watch.ts
@@ -57,21 +57,11 @@
 }
 
 /** Watch by one periodic task. */
-export class SilenceWatch implements Watch, core.Lifecycle {
+export class SilenceWatch extends core.TaskService implements Watch {
   private readonly entries = new Set<Entry>();
-  private readonly tasks: core.TaskGroup;
 
-  constructor(private readonly kernel: core.Kernel) {
-    this.tasks = new core.TaskGroup(kernel.find(core.LOGGER));
-  }
-
-  start(): Promise<void> {
-    this.tasks.spawn('watch', signal => this.run(signal));
-    return Promise.resolve();
-  }
-
-  stop(): Promise<void> {
-    return this.tasks.stop();
+  constructor(kernel: core.Kernel) {
+    super(kernel, 'watch');
   }
 
   add(watched: Watched): Handle {
@@ -85,7 +75,7 @@
     };
   }
 
-  private async run(signal: AbortSignal): Promise<void> {
+  protected async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.kernel.find(core.CLOCK).sleep(LOOK_MS, signal);
       const nowMs = this.nowMs();
--- a/packages/router/src/fleet.ts
+++ b/packages/router/src/fleet.ts
@@ -105,8 +105,7 @@
 }
 
 /** The fleet by the platform's list. */
-export class ListedFleet implements Fleet, core.Lifecycle {
-  private readonly tasks: core.TaskGroup;
+export class ListedFleet extends core.TaskService implements Fleet {
   private version = -1;
   private instances: readonly core.Instance[] = [];
   private byName = new Map<string, core.Instance>();
@@ -119,19 +118,10 @@
   private readonly known = new Set<string>();
 
   constructor(
-    private readonly kernel: core.Kernel,
+    kernel: core.Kernel,
     private readonly own: settings.Settings,
   ) {
-    this.tasks = new core.TaskGroup(kernel.find(core.LOGGER));
-  }
-
-  start(): Promise<void> {
-    this.tasks.spawn('list', signal => this.follow(signal));
-    return Promise.resolve();
-  }
-
-  stop(): Promise<void> {
-    return this.tasks.stop();
+    super(kernel, 'list');
   }
 
   self(): string {
@@ -254,7 +244,7 @@
     this.tableKey = key;
   }
 
-  private async follow(signal: AbortSignal): Promise<void> {
+  protected async run(signal: AbortSignal): Promise<void> {
     const source = this.kernel.find(platform.INSTANCE_SOURCE);
     const clock = this.kernel.find(core.CLOCK);
     const log = this.kernel.find(core.LOGGER);
--- a/packages/router/src/handover.ts
+++ b/packages/router/src/handover.ts
@@ -34,22 +34,12 @@
 export const HAND_OVER = core.contract<HandOver>('hand-over', ['handAllOver']);
 
 /** Hand-over to the owners of the chats' homes. */
-export class OwnerHandOver implements HandOver, core.Lifecycle {
-  private readonly tasks: core.TaskGroup;
+export class OwnerHandOver extends core.TaskService implements HandOver {
   private homes = new Map<string, readonly string[]>();
   private key = '';
 
-  constructor(private readonly kernel: core.Kernel) {
-    this.tasks = new core.TaskGroup(kernel.find(core.LOGGER));
-  }
-
-  start(): Promise<void> {
-    this.tasks.spawn('hand-over', signal => this.follow(signal));
-    return Promise.resolve();
-  }
-
-  stop(): Promise<void> {
-    return this.tasks.stop();
+  constructor(kernel: core.Kernel) {
+    super(kernel, 'hand-over');
   }
 
   async handAllOver(): Promise<void> {
@@ -58,7 +48,7 @@
   }
 
   /** Looks for entries to hand over each time the homes have changed. */
-  private async follow(signal: AbortSignal): Promise<void> {
+  protected async run(signal: AbortSignal): Promise<void> {
     const clock = this.kernel.find(core.CLOCK);
     while (!signal.aborted) {
       await clock.sleep(TICK_MS, signal);
