--- a/packages/direct/src/delivery.ts
+++ b/packages/direct/src/delivery.ts
@@ -1,7 +1,8 @@
 /**
  * Delivery of an endpoint's answer to the caller. Plain answers are read whole
- * first, so that one that is cut can be asked for again; streams are passed on
- * event by event, and may go on with a second endpoint's answer.
+ * first, so that one that is cut can be asked for again, unless they are long;
+ * streams are passed on event by event, and may go on with a second endpoint's
+ * answer.
  */
 import type * as http from 'node:http';
 import * as core from '@oleanderrock/core';
@@ -98,10 +99,13 @@
       response.resume();
       return {type: 'failed_run', status};
     }
-    const body = await readWhole(open);
-    if (!Buffer.isBuffer(body)) return this.explain(open, body);
+    const pieces = response[Symbol.asyncIterator]() as Pieces;
+    const read = await readWhole(open, pieces);
+    if (read instanceof Error) return this.explain(open, read);
+    const {body, isLong} = read;
     const headers = this.headers(response);
     const framing = framingOf(response);
+    if (isLong) return this.passLong(open, body, pieces);
     const isFailure = status >= 500;
     if (isFailure && ask.mayRepeat(this.asked.route) && !isLast) {
       this.kept = {status, headers, framing, body};
@@ -112,6 +116,33 @@
     return {type: 'delivered', status};
   }
 
+  /** Passes on an answer too long to be kept, from what was read of it on. */
+  private async passLong(
+    open: attempts.OpenAnswer,
+    read: Buffer,
+    pieces: Pieces,
+  ): Promise<Delivered> {
+    const {response, status} = open;
+    const {'content-length': length} = response.headers;
+    const headers = this.headers(response);
+    const sent =
+      length === undefined ? headers : {...headers, 'content-length': length};
+    this.answer.begin(status, sent, framingOf(response));
+    let piece: Buffer | undefined = read;
+    try {
+      while (piece) {
+        await this.answer.write(piece);
+        if (this.answer.gone.aborted) return {type: 'caller_gone'};
+        piece = await nextPiece(open, pieces);
+      }
+    } catch (error) {
+      return this.explain(open, error);
+    }
+    if (!response.complete) return this.explain(open, CUT);
+    this.answer.end();
+    return {type: 'delivered', status};
+  }
+
   private sendWhole({status, headers, framing, body}: Kept): void {
     const sent = {...headers};
     if (framing === 'marked') sent['content-length'] = String(body.length);
@@ -190,20 +221,43 @@
   return status >= 200 && status < 300;
 }
 
-/** The whole body, or the error that kept it from being whole. */
-async function readWhole(open: attempts.OpenAnswer): Promise<Buffer | Error> {
-  const {response} = open;
-  const pieces: Buffer[] = [];
+type Pieces = AsyncIterator<Buffer, undefined>;
+
+async function nextPiece(
+  open: attempts.OpenAnswer,
+  pieces: Pieces,
+): Promise<Buffer | undefined> {
+  const {value, done} = await pieces.next();
+  open.heard();
+  return done ? undefined : value;
+}
+
+interface Read {
+  readonly body: Buffer;
+  /** More is to come than is kept. */
+  readonly isLong: boolean;
+}
+
+/** The whole body or the beginning of a long one, or the error that cut it. */
+async function readWhole(
+  open: attempts.OpenAnswer,
+  pieces: Pieces,
+): Promise<Read | Error> {
+  const kept: Buffer[] = [];
   let size = 0;
   try {
-    for await (const piece of response) {
-      open.heard();
-      pieces.push(piece as Buffer);
-      size += (piece as Buffer).length;
-      if (size > MAX_BUFFERED_BYTES) return new Error('the answer is too long');
+    for (;;) {
+      const piece = await nextPiece(open, pieces);
+      if (!piece) break;
+      kept.push(piece);
+      size += piece.length;
+      if (size > MAX_BUFFERED_BYTES) {
+        return {body: Buffer.concat(kept), isLong: true};
+      }
     }
   } catch (error) {
     return error as Error;
   }
-  return response.complete ? Buffer.concat(pieces) : CUT;
+  if (!open.response.complete) return CUT;
+  return {body: Buffer.concat(kept), isLong: false};
 }
--- a/packages/direct/src/dispatcher.ts
+++ b/packages/direct/src/dispatcher.ts
@@ -66,7 +66,7 @@
       tried: new Set(),
       last: {kind: 'pool_empty', detail: `${asked.pool} has no endpoint`},
     };
-    while (this.mayTry(asked, progress)) {
+    while (this.mayTry(asked, passage, progress)) {
       const chosen = this.kernel
         .find(chooser.CHOOSER)
         .choose(asked, progress.tried);
@@ -164,7 +164,13 @@
     }
   }
 
-  private mayTry(asked: asks.Ask, progress: Progress): boolean {
+  private mayTry(
+    asked: asks.Ask,
+    passage: delivery.Delivery,
+    progress: Progress,
+  ): boolean {
+    // Only a stream may go on with another endpoint's answer.
+    if (passage.hasBegun && asked.route.repeat !== 'stream') return false;
     if (progress.sends >= MAX_SENDS) return false;
     if (this.leftMs(asked) < MIN_LEFT_MS) return false;
     const mayHaveRun =
--- a/packages/router/src/tests/direct.test.ts
+++ b/packages/router/src/tests/direct.test.ts
@@ -121,6 +121,21 @@
     );
   });
 
+  it('passes a long answer on whole, or visibly cut', async () => {
+    const body = 'long '.repeat(600_000);
+    for (const each of fleet.endpoints) each.usual = {type: 'answer', body};
+    const whole = await fleet.call('/read/a');
+    expect(whole.isWhole).to.equal(true);
+    expect(whole.body === body).to.equal(true);
+    for (const each of fleet.endpoints) {
+      each.usual = {type: 'truncate', body};
+    }
+    const runs = fleet.runs().length;
+    const cut = await fleet.call('/read/a');
+    expect(cut.isWhole).to.equal(false);
+    expect(fleet.runs(), 'nobody can take over').to.have.length(runs + 1);
+  });
+
   it('takes a success without a seal for no answer', async () => {
     for (const each of fleet.endpoints) each.usual = {type: 'unsealed'};
     const got = await fleet.call('/book/a');
--- a/packages/router/src/tests/directfleet.ts
+++ b/packages/router/src/tests/directfleet.ts
@@ -214,8 +214,11 @@
         port,
         agent: false,
       });
-      request.on('error', reject);
+      // After the head, an error only means that the answer is not whole.
+      request.once('error', reject);
       request.on('response', response => {
+        request.off('error', reject);
+        request.on('error', () => undefined);
         const pieces: Buffer[] = [];
         response.on('data', (piece: Buffer) => pieces.push(piece));
         response.on('error', () => undefined);
--- a/packages/standins/src/hostedendpoint.ts
+++ b/packages/standins/src/hostedendpoint.ts
@@ -19,7 +19,7 @@
   /** Another request's id stands in the answer. */
   | {readonly type: 'foreign'}
   /** The answer is shorter than its length says. */
-  | {readonly type: 'truncate'}
+  | {readonly type: 'truncate'; readonly body?: string}
   | {readonly type: 'unsealed'}
   /** No length: the answer ends with its connection, or is reset before. */
   | {readonly type: 'unframed'; readonly isReset: boolean}
@@ -169,9 +169,7 @@
         response.writeHead(200, {'attempt-id': id}).end('no');
         break;
       case 'truncate':
-        response.writeHead(200, {...headers, 'content-length': 1_000});
-        response.write('cut');
-        setTimeout(() => response.destroy(), 10);
+        truncate(behaviour.body ?? 'cut', response, headers);
         break;
       case 'crash':
         run.hasLeft = true;
@@ -193,6 +191,20 @@
   }
 }
 
+/** An answer that ends before its length is reached. */
+function truncate(
+  body: string,
+  response: http.ServerResponse,
+  headers: Record<string, string>,
+): void {
+  const length = body.length + MISSING_BYTES;
+  response.writeHead(200, {...headers, 'content-length': length});
+  response.write(body, () => setTimeout(() => response.destroy(), 10));
+}
+
+/** What a truncated answer lacks. */
+const MISSING_BYTES = 997;
+
 /** An answer that ends with its connection. */
 function unframed(
   isReset: boolean,
