--- a/packages/direct/src/delivery.ts
+++ b/packages/direct/src/delivery.ts
@@ -9,15 +9,13 @@
 import type * as asks from './ask.js';
 import * as ask from './ask.js';
 import type * as attempts from './attempt.js';
+import * as bodies from './bodies.js';
 import * as decisions from './decisions.js';
 import * as dialects from './dialect.js';
 import * as events from './events.js';
 import * as liveness from './liveness.js';
 import type * as model from './model.js';
 
-/** Longest plain answer that is read whole before it is passed on, in bytes. */
-const MAX_BUFFERED_BYTES = 1_024 * 1_024;
-
 /** What became of an attempt, once its answer was taken. */
 export type Delivered =
   | {readonly type: 'delivered'; readonly status: number}
@@ -99,8 +97,8 @@
       response.resume();
       return {type: 'failed_run', status};
     }
-    const pieces = response[Symbol.asyncIterator]() as Pieces;
-    const read = await readWhole(open, pieces);
+    const pieces = response[Symbol.asyncIterator]() as bodies.Pieces;
+    const read = await bodies.readWhole(open, pieces);
     if (read instanceof Error) return this.explain(open, read);
     const {body, isLong} = read;
     const headers = this.headers(response);
@@ -120,7 +118,7 @@
   private async passLong(
     open: attempts.OpenAnswer,
     read: Buffer,
-    pieces: Pieces,
+    pieces: bodies.Pieces,
   ): Promise<Delivered> {
     const {response, status} = open;
     const {'content-length': length} = response.headers;
@@ -133,12 +131,12 @@
       while (piece) {
         await this.answer.write(piece);
         if (this.answer.gone.aborted) return {type: 'caller_gone'};
-        piece = await nextPiece(open, pieces);
+        piece = await bodies.nextPiece(open, pieces);
       }
     } catch (error) {
       return this.explain(open, error);
     }
-    if (!response.complete) return this.explain(open, CUT);
+    if (!response.complete) return this.explain(open, bodies.CUT);
     this.answer.end();
     return {type: 'delivered', status};
   }
@@ -168,7 +166,7 @@
     } catch (error) {
       return this.explain(open, error);
     }
-    if (!response.complete) return this.explain(open, CUT);
+    if (!response.complete) return this.explain(open, bodies.CUT);
     const rest = this.splitter.remainder();
     if (rest.length > 0) await this.answer.write(rest);
     this.answer.end();
@@ -208,8 +206,6 @@
   }
 }
 
-const CUT = new Error('the connection ended within the answer');
-
 function framingOf({headers}: http.IncomingMessage): asks.Framing {
   const isMarked =
     headers['content-length'] !== undefined ||
@@ -220,44 +216,3 @@
 function isSuccess(status: number): boolean {
   return status >= 200 && status < 300;
 }
-
-type Pieces = AsyncIterator<Buffer, undefined>;
-
-async function nextPiece(
-  open: attempts.OpenAnswer,
-  pieces: Pieces,
-): Promise<Buffer | undefined> {
-  const {value, done} = await pieces.next();
-  open.heard();
-  return done ? undefined : value;
-}
-
-interface Read {
-  readonly body: Buffer;
-  /** More is to come than is kept. */
-  readonly isLong: boolean;
-}
-
-/** The whole body or the beginning of a long one, or the error that cut it. */
-async function readWhole(
-  open: attempts.OpenAnswer,
-  pieces: Pieces,
-): Promise<Read | Error> {
-  const kept: Buffer[] = [];
-  let size = 0;
-  try {
-    for (;;) {
-      const piece = await nextPiece(open, pieces);
-      if (!piece) break;
-      kept.push(piece);
-      size += piece.length;
-      if (size > MAX_BUFFERED_BYTES) {
-        return {body: Buffer.concat(kept), isLong: true};
-      }
-    }
-  } catch (error) {
-    return error as Error;
-  }
-  if (!open.response.complete) return CUT;
-  return {body: Buffer.concat(kept), isLong: false};
-}
