--- a/packages/decide/src/prefixplacement.ts
+++ b/packages/decide/src/prefixplacement.ts
@@ -3,11 +3,54 @@
  * prompt prefix goes where it is held; one that nobody holds goes to the same
  * endpoint from every router, without a message, by its rendezvous rank. A
  * bound on the load spreads a popular prefix over further endpoints. Requests
- * without a prefix go by load alone.
+ * without a prefix go where least runs.
  */
 import * as core from '@oleanderrock/core';
-import * as loadPlacement from './loadplacement.js';
-import type * as spots from './spot.js';
+
+/** An endpoint that may be chosen. */
+export interface Spot {
+  readonly id: string;
+  readonly zone: string;
+  /** Requests in flight there, over all routers. */
+  readonly inFlight: number;
+}
+
+/** What a placement knows of a request. */
+export interface PlacementAsk {
+  /** Names the shared part of the prompt; absent: none is shared. */
+  readonly prefix?: string;
+  /** Tokens that an endpoint without the prefix has to read. */
+  readonly prefixTokens?: number;
+  /** Endpoints that hold the prefix. */
+  readonly homes?: readonly string[];
+  /** Failure domain of the router. */
+  readonly zone: string;
+}
+
+/** Why an endpoint was chosen. */
+export type SpotReason =
+  /** It holds the prefix. */
+  | 'home'
+  /** Nobody holds the prefix; its rank is the first. */
+  | 'rank'
+  /** Those that hold the prefix are at their bound. */
+  | 'spill'
+  /** Least runs there. */
+  | 'least';
+
+/** An endpoint that was chosen, with what decided it. */
+export interface SpotChoice {
+  readonly spot: Spot;
+  readonly reason: SpotReason;
+  /** Load from which on an endpoint is passed by; absent: none was set. */
+  readonly limit?: number;
+}
+
+/** Strategy of placement. */
+export interface SpotPlacement {
+  /** The endpoint to use, or undefined where there is none. */
+  choose(ask: PlacementAsk, spots: readonly Spot[]): SpotChoice | undefined;
+}
 
 /** Load up to which an endpoint takes a prefix, against the pool's mean. */
 export interface LoadBound {
@@ -35,12 +78,31 @@
   readonly random: core.Random;
 }
 
+/** Where least runs: own zone before others, then at random. */
+export class LeastLoadedPlacement implements SpotPlacement {
+  constructor(private readonly random: core.Random) {}
+
+  choose({zone}: PlacementAsk, spots: readonly Spot[]): SpotChoice | undefined {
+    let best: Spot[] = [];
+    let lowest = Number.POSITIVE_INFINITY;
+    for (const spot of spots) {
+      // Half a request: a tie goes to the own zone.
+      const cost = spot.inFlight + (spot.zone === zone ? 0 : 0.5);
+      if (cost > lowest) continue;
+      if (cost < lowest) best = [];
+      lowest = cost;
+      best.push(spot);
+    }
+    const spot = best[this.random.below(best.length)];
+    return spot && {spot, reason: 'least'};
+  }
+}
+
 /** By homes and rendezvous on the prefix, within a bound on the load. */
-export class PrefixPlacement implements spots.SpotPlacement {
+export class PrefixPlacement implements SpotPlacement {
   private readonly dear: LoadBound;
   private readonly cheap: LoadBound;
-  private readonly least: loadPlacement.LeastLoadedPlacement;
-  private readonly plain: loadPlacement.TwoChoicesPlacement;
+  private readonly least: LeastLoadedPlacement;
 
   constructor({
     dear = DEAR_BOUND,
@@ -49,20 +111,16 @@
   }: PrefixPlacementOptions) {
     this.dear = dear;
     this.cheap = cheap;
-    this.least = new loadPlacement.LeastLoadedPlacement(random);
-    this.plain = new loadPlacement.TwoChoicesPlacement(random);
+    this.least = new LeastLoadedPlacement(random);
   }
 
-  choose(
-    ask: spots.PlacementAsk,
-    all: readonly spots.Spot[],
-  ): spots.SpotChoice | undefined {
+  choose(ask: PlacementAsk, spots: readonly Spot[]): SpotChoice | undefined {
     const {prefix, prefixTokens = 0, homes = []} = ask;
-    if (prefix === undefined) return this.plain.choose(ask, all);
+    if (prefix === undefined) return this.least.choose(ask, spots);
     const bound = prefixTokens >= DEAR_TOKENS ? this.dear : this.cheap;
-    const limit = loadLimit(all, bound);
-    const open = all.filter(spot => spot.inFlight < limit);
-    if (open.length === 0) return this.least.choose(ask, all);
+    const limit = loadLimit(spots, bound);
+    const open = spots.filter(spot => spot.inFlight < limit);
+    if (open.length === 0) return this.least.choose(ask, spots);
     const holding = open.filter(spot => homes.includes(spot.id));
     if (holding.length > 0) {
       const chosen = this.least.choose(ask, holding);
@@ -71,16 +129,16 @@
     const ids = open.map(spot => spot.id);
     const first = core.best(prefix, ids);
     const spot = open.find(item => item.id === first);
-    const isHeld = all.some(item => homes.includes(item.id));
+    const isHeld = spots.some(item => homes.includes(item.id));
     return spot && {spot, reason: isHeld ? 'spill' : 'rank', limit};
   }
 }
 
 /** Load from which on an endpoint takes no more. */
 function loadLimit(
-  all: readonly spots.Spot[],
+  spots: readonly Spot[],
   {multiple, slack}: LoadBound,
 ): number {
-  const total = all.reduce((sum, spot) => sum + spot.inFlight, 0);
-  return (total / Math.max(1, all.length)) * multiple + slack;
+  const total = spots.reduce((sum, spot) => sum + spot.inFlight, 0);
+  return (total / Math.max(1, spots.length)) * multiple + slack;
 }
