Name the new parts by the field's terms, and spread starting routers over donors

Donor, burst, expired entries, probe result and recent changes stand for elder, series, lapse, sign and news. Routers that start ask donors in an order of their own: after a kill of many, all of a failure domain would have asked the first of one list (found by reading; homes.test.ts passes, no figure).

--- a/packages/direct/src/delivery.ts
+++ b/packages/direct/src/delivery.ts
@@ -185,8 +185,8 @@
     endpoint: model.Endpoint,
   ): Promise<Delivered> {
     if (result.type !== 'broken' || result.cause !== 'broken') return result;
-    const sign = await this.kernel.find(liveness.LIVENESS).check(endpoint);
-    return sign === 'alive' ? result : {...result, cause: 'dead'};
+    const probed = await this.kernel.find(liveness.LIVENESS).check(endpoint);
+    return probed === 'alive' ? result : {...result, cause: 'dead'};
   }
 
   /** The request ended without a crash. */
--- a/packages/direct/src/digest.ts
+++ b/packages/direct/src/digest.ts
@@ -63,7 +63,7 @@
   readonly standing: fleetBook.Standing;
   readonly inFlight: decide.Counts;
   readonly outcomes: ReadonlyMap<string, decide.Outcomes>;
-  readonly news: readonly endpointBook.EndpointItem[];
+  readonly changes: readonly endpointBook.EndpointItem[];
   readonly suspects: readonly decide.SuspectNote[];
   readonly placed: readonly decide.Placed[];
 }
@@ -84,7 +84,7 @@
     standing.endpointsOffset,
     standing.upS,
     [...ids].map(id => loadOf(id, inFlight.get(id) ?? 0, outcomes.get(id))),
-    digest.news.map(({key, offset, value}) => [key, offset, entryOf(value)]),
+    digest.changes.map(({key, offset, value}) => [key, offset, entryOf(value)]),
     suspects.map(({signature, state, validMs}) => [signature, state, validMs]),
     byEndpoint(digest.placed),
   ];
@@ -112,12 +112,12 @@
   const parsed = v.safeParse(wireSchema, unpack(bytes));
   if (!parsed.success) return undefined;
   const [, name, zone, phase, version, endpointsOffset, upS] = parsed.output;
-  const [, , , , , , , loads, news, suspects, placed] = parsed.output;
+  const [, , , , , , , loads, changes, suspects, placed] = parsed.output;
   return {
     router: {name, address: from, zone},
     standing: {phase, version, endpointsOffset, upS},
     ...readLoads(loads, named),
-    news: news.map(([key, offset, entry]) => {
+    changes: changes.map(([key, offset, entry]) => {
       return {key, offset, value: readEntry(key, entry)};
     }),
     suspects: suspects.map(([signature, state, validMs]) => {
--- a/packages/direct/src/endpointbook.ts
+++ b/packages/direct/src/endpointbook.ts
@@ -37,9 +37,9 @@
   /** Takes a record in that another router told; false where it is not newer. */
   learn(item: EndpointItem, nowMs: number): boolean;
   /** Records of endpoints that came or left of late. */
-  news(nowMs: number): readonly EndpointItem[];
+  recentChanges(nowMs: number): readonly EndpointItem[];
   /** Calls `changed` when the feed says that an endpoint came or left. */
-  onNews(changed: () => void): void;
+  onChange(changed: () => void): void;
   /** The endpoint with the hash; undefined where none is known. */
   named(hash: number): string | undefined;
 }
@@ -59,8 +59,8 @@
   'reached',
   'items',
   'learn',
-  'news',
-  'onNews',
+  'recentChanges',
+  'onChange',
   'named',
 ]);
 
@@ -121,7 +121,7 @@
     return this.records.get(item.key) === item;
   }
 
-  news(nowMs: number): readonly EndpointItem[] {
+  recentChanges(nowMs: number): readonly EndpointItem[] {
     for (const [key, {atMs}] of this.changes) {
       if (atMs + TOLD_MS < nowMs) this.changes.delete(key);
     }
@@ -134,7 +134,7 @@
     return told.map(([, {item}]) => item);
   }
 
-  onNews(changed: () => void): void {
+  onChange(changed: () => void): void {
     this.listeners.push(changed);
   }
 
--- a/packages/direct/src/follower.ts
+++ b/packages/direct/src/follower.ts
@@ -21,12 +21,12 @@
 const MAX_ANSWER_MS = 1_200;
 
 /**
- * Time between two records below which they count as a series, in ms; in one,
+ * Time between two records below which they count as a burst, in ms; in one,
  * only the newest record is read, after a pause in ms. With both, a record is
  * known well within the 2 s in which it has to be in force.
  */
-const SERIES_GAP_MS = 700;
-const SERIES_PAUSE_MS = 700;
+const BURST_GAP_MS = 700;
+const BURST_PAUSE_MS = 700;
 
 /** Failed reads in a row after which the feed counts as lost. */
 const FAILURES_TO_LOSE = 2;
@@ -77,15 +77,15 @@
 
   /** The task; it ends when `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    let isSeries = false;
+    let isBurst = false;
     while (!signal.aborted) {
       const before = this.nextOffset;
       const offset = await this.load(signal);
       if (offset === undefined) continue;
-      // A series goes on while each look at the newest record finds another.
-      isSeries &&= offset !== before;
-      if (!isSeries) isSeries = await this.follow(offset, signal);
-      if (isSeries) await this.sleep(SERIES_PAUSE_MS, signal);
+      // A burst goes on while each look at the newest record finds another.
+      isBurst &&= offset !== before;
+      if (!isBurst) isBurst = await this.follow(offset, signal);
+      if (isBurst) await this.sleep(BURST_PAUSE_MS, signal);
     }
   }
 
@@ -107,7 +107,7 @@
 
   /**
    * Reads on from `offset` until the newest records have to be read; true where
-   * a series of records is the reason.
+   * a burst of records is the reason.
    */
   private async follow(offset: number, signal: AbortSignal): Promise<boolean> {
     let fromOffset = offset;
@@ -124,7 +124,7 @@
         this.nextOffset = fromOffset;
         if (isWhole && result.page.items.length > 0) {
           const gapMs = this.nowMs() - recordMs;
-          if (gapMs < SERIES_GAP_MS) return true;
+          if (gapMs < BURST_GAP_MS) return true;
           recordMs = this.nowMs();
         }
         await this.sleep(pauseMs(), signal);
--- a/packages/direct/src/gossip.ts
+++ b/packages/direct/src/gossip.ts
@@ -58,7 +58,7 @@
     const book = this.kernel.find(tablesBook.TABLES_BOOK);
     // All follow the tables themselves; this is for those that cannot.
     book.onChange(() => this.wake.abort());
-    this.kernel.find(endpointBook.ENDPOINT_BOOK).onNews(() => this.hasten());
+    this.kernel.find(endpointBook.ENDPOINT_BOOK).onChange(() => this.hasten());
     this.tasks.spawn('gossip', signal => this.run(signal));
   }
 
@@ -154,7 +154,7 @@
       },
       inFlight: this.kernel.find(decisions.LOAD).own(),
       outcomes: this.kernel.find(decisions.HEALTH).own(nowMs),
-      news: endpoints.news(nowMs),
+      changes: endpoints.recentChanges(nowMs),
       suspects: this.kernel.find(decisions.SUSPECTS).changes(nowMs),
       placed: this.kernel.find(decisions.HOMES).untold(),
     };
@@ -181,7 +181,7 @@
     load.learn(router.name, digest.inFlight, nowMs);
     const health = this.kernel.find(decisions.HEALTH);
     health.learn(router.name, digest.outcomes, nowMs);
-    for (const item of digest.news) {
+    for (const item of digest.changes) {
       endpointIntake.takeRecord(this.kernel, item, 'router');
     }
     const suspects = this.kernel.find(decisions.SUSPECTS);
--- a/packages/direct/src/homerecovery.ts
+++ b/packages/direct/src/homerecovery.ts
@@ -29,10 +29,10 @@
 const INTRODUCTION_MS = 300;
 
 /** How much longer another router must have run to know more homes, in s. */
-const ELDER_S = 3;
+const DONOR_LEAD_S = 3;
 
 /** Routers that are asked one after the other before that is given up. */
-const MAX_ELDERS = 3;
+const MAX_DONORS = 3;
 
 /**
  * Tokens from which on a part of a prompt is worth a note: shorter ones are
@@ -63,31 +63,39 @@
     }
     await clock.sleep(INTRODUCTION_MS, signal);
     if (signal.aborted) return;
-    const elders = this.elders();
-    if (elders.length > 0) await this.askElders(elders, signal);
+    const donors = this.donors();
+    if (donors.length > 0) await this.askDonors(donors, signal);
     else if (!this.own.isFirstStart) await this.askEndpoints(signal);
   }
 
-  /** Routers that have run for longer, those of the own failure domain first. */
-  private elders(): readonly model.Router[] {
+  /**
+   * Routers that have run for longer, those of the own failure domain first, in
+   * an order of its own for each router that asks.
+   */
+  private donors(): readonly model.Router[] {
     const fleet = this.kernel.find(fleetBook.FLEET_BOOK);
     const upS = this.kernel.find(lifecycle.LIFE).upS();
-    const {zone} = fleet.self();
-    const farness = ({router}: fleetBook.Member) =>
-      Number(router.zone !== zone);
-    return fleet
+    const {name, zone} = fleet.self();
+    const older = fleet
       .live(this.nowMs())
-      .filter(({standing}) => (standing?.upS ?? 0) >= upS + ELDER_S)
-      .sort((a, b) => farness(a) - farness(b))
-      .slice(0, MAX_ELDERS)
+      .filter(({standing}) => (standing?.upS ?? 0) >= upS + DONOR_LEAD_S)
       .map(({router}) => router);
+    const ranked = core
+      .rank(
+        name,
+        older.map(router => router.name),
+      )
+      .map(other => older.find(router => router.name === other)!);
+    const near = ranked.filter(router => router.zone === zone);
+    const far = ranked.filter(router => router.zone !== zone);
+    return [...near, ...far].slice(0, MAX_DONORS);
   }
 
-  private async askElders(
-    elders: readonly model.Router[],
+  private async askDonors(
+    donors: readonly model.Router[],
     signal: AbortSignal,
   ): Promise<void> {
-    for (const {name, address} of elders) {
+    for (const {name, address} of donors) {
       const port = this.own.peerPort;
       const request = {address, port, path: HOMES_PATH, signal};
       const fetched = await jsonFetch.fetchJson(request);
--- a/packages/direct/src/keepers.ts
+++ b/packages/direct/src/keepers.ts
@@ -14,15 +14,15 @@
 
 /**
  * How long after an outage a missing entry may still come back, in ms: entries
- * that lapsed meanwhile return within about two seconds.
+ * that expired meanwhile return within about two seconds.
  */
 const RETURN_MS = 2_200;
 
 /** Part of a pool whose endpoints do not crash or leave at one moment. */
-const LAPSE_SHARE = 0.5;
+const EXPIRY_SHARE = 0.5;
 
-/** Endpoints that have to vanish at once to count as lapsed. */
-const MIN_LAPSED = 2;
+/** Endpoints that have to vanish at once to count as expired. */
+const MIN_EXPIRED = 2;
 
 /** Keeps the tables. */
 export class TablesKeeper implements follower.Keeper<model.Tables> {
@@ -78,7 +78,7 @@
   reached(nextOffset: number): void {
     this.book.reached(nextOffset);
     if (this.isSettling()) return;
-    if (this.settledMs === 0 && this.isLapse()) {
+    if (this.settledMs === 0 && this.hasExpired()) {
       this.settledMs = this.nowMs() + RETURN_MS;
       return;
     }
@@ -97,9 +97,9 @@
 
   /**
    * Whether most of a pool vanished at once without a word: the store was away
-   * between two reads, and the entries lapsed.
+   * between two reads, and the entries expired.
    */
-  private isLapse(): boolean {
+  private hasExpired(): boolean {
     const vanished = new Map<string, number>();
     for (const key of this.waiting.keys()) {
       const endpoint = this.book.find(key);
@@ -107,10 +107,10 @@
       vanished.set(endpoint.pool, (vanished.get(endpoint.pool) ?? 0) + 1);
     }
     for (const [pool, count] of vanished) {
-      const isMost = count > this.book.ready(pool).length * LAPSE_SHARE;
-      if (count >= MIN_LAPSED && isMost) {
+      const isMost = count > this.book.ready(pool).length * EXPIRY_SHARE;
+      if (count >= MIN_EXPIRED && isMost) {
         const log = this.kernel.find(core.LOGGER);
-        log.warn('entries_lapsed', {pool, count});
+        log.warn('entries_expired', {pool, count});
         return true;
       }
     }
--- a/packages/direct/src/liveness.ts
+++ b/packages/direct/src/liveness.ts
@@ -21,7 +21,7 @@
 const FINDING_VALID_MS = 400;
 
 /** What a new connection shows. */
-export type Sign =
+export type ProbeResult =
   | 'alive'
   /** Nothing listens there: the endpoint crashed. */
   | 'refused'
@@ -31,14 +31,14 @@
 /** Checks whether endpoints are alive. */
 export interface Liveness {
   /** What a new connection to the endpoint shows now. */
-  check(endpoint: model.Endpoint): Promise<Sign>;
+  check(endpoint: model.Endpoint): Promise<ProbeResult>;
 }
 
 /** The contract under which the check is registered. */
 export const LIVENESS = core.contract<Liveness>('liveness', ['check']);
 
 interface Finding {
-  readonly sign: Promise<Sign>;
+  readonly result: Promise<ProbeResult>;
   /** When the check ended; infinite while it runs. */
   atMs: number;
 }
@@ -49,26 +49,26 @@
 
   constructor(private readonly kernel: core.Kernel) {}
 
-  check(endpoint: model.Endpoint): Promise<Sign> {
+  check(endpoint: model.Endpoint): Promise<ProbeResult> {
     const nowMs = this.nowMs();
     const known = this.findings.get(endpoint.id);
-    if (known && nowMs - known.atMs < FINDING_VALID_MS) return known.sign;
-    const sign = this.find(endpoint);
-    const finding = {sign, atMs: Number.POSITIVE_INFINITY};
+    if (known && nowMs - known.atMs < FINDING_VALID_MS) return known.result;
+    const result = this.find(endpoint);
+    const finding = {result, atMs: Number.POSITIVE_INFINITY};
     this.findings.set(endpoint.id, finding);
-    void sign.then(() => this.ended(finding));
-    return sign;
+    void result.then(() => this.ended(finding));
+    return result;
   }
 
-  private async find(endpoint: model.Endpoint): Promise<Sign> {
+  private async find(endpoint: model.Endpoint): Promise<ProbeResult> {
     const first = await connect(endpoint, CONNECT_TIMEOUT_MS);
     if (first === 'alive') return first;
     // New requests keep away already while it is tried once more.
     const health = this.kernel.find(decisions.HEALTH);
     health.unreachable(endpoint.id, this.nowMs());
-    const sign =
+    const result =
       first === 'silent' ? await connect(endpoint, SECOND_TIMEOUT_MS) : first;
-    if (sign === 'alive') return sign;
+    if (result === 'alive') return result;
     const nowMs = this.nowMs();
     health.unreachable(endpoint.id, nowMs);
     this.kernel.find(decisions.SUSPECTS).crashed(endpoint.id, nowMs);
@@ -76,9 +76,9 @@
     this.kernel.find(core.LOGGER).warn('endpoint_unreachable', {
       endpoint: endpoint.id,
       address: `${endpoint.address}:${endpoint.port}`,
-      sign,
+      result,
     });
-    return sign;
+    return result;
   }
 
   /** A finding holds from the end of its check on; old ones go. */
@@ -98,13 +98,13 @@
 function connect(
   {address, port}: model.Endpoint,
   timeoutMs: number,
-): Promise<Sign> {
+): Promise<ProbeResult> {
   return new Promise(resolve => {
     const socket = net.connect({host: address, port});
-    const end = (sign: Sign) => {
+    const end = (result: ProbeResult) => {
       clearTimeout(timer);
       socket.destroy();
-      resolve(sign);
+      resolve(result);
     };
     const timer = setTimeout(() => end('silent'), timeoutMs);
     socket.once('connect', () => end('alive'));
--- a/packages/direct/src/tests/follower.test.ts
+++ b/packages/direct/src/tests/follower.test.ts
@@ -122,17 +122,17 @@
 }
 
 describe('a follower', () => {
-  it('reads few records of a series, each soon superseded or known', async () => {
-    const series = [
+  it('reads few records of a burst, each soon superseded or known', async () => {
+    const burst = [
       0,
       ...Array.from({length: 25}, (none, at) => 5_000 + at * 60),
     ];
-    const naive = await follow(series, false);
-    const chosen = await follow(series, true);
-    expect(naive.sent).to.be.at.least(series.length);
+    const naive = await follow(burst, false);
+    const chosen = await follow(burst, true);
+    expect(naive.sent).to.be.at.least(burst.length);
     expect(chosen.sent).to.be.at.most(8);
     for (const {lagsMs} of [naive, chosen]) {
-      expect(lagsMs).to.have.length(series.length);
+      expect(lagsMs).to.have.length(burst.length);
       expect(Math.max(...lagsMs)).to.be.at.most(1_000);
     }
   });
--- a/packages/direct/src/tests/parts.test.ts
+++ b/packages/direct/src/tests/parts.test.ts
@@ -162,12 +162,12 @@
     expect(book.ready('pool')).to.have.length(1);
     expect(book.learn({key: 'a', offset: 6, value: drained}, 0)).to.equal(true);
     expect(book.ready('pool')).to.have.length(0);
-    expect(book.news(0).map(({key}) => key)).to.deep.equal(['a']);
+    expect(book.recentChanges(0).map(({key}) => key)).to.deep.equal(['a']);
     book.take({key: 'a', offset: 7, value: endpoint('a')}, 0);
     expect(book.ready('pool')).to.have.length(1);
     book.learn({key: 'b', offset: 8, value: endpoint('b')}, 0);
     expect(book.ready('pool')).to.have.length(2);
-    expect(book.news(10_000)).to.have.length(0);
+    expect(book.recentChanges(10_000)).to.have.length(0);
   });
 
   it('tells all of many changes, some in each digest', () => {
@@ -179,7 +179,7 @@
     }
     const told = new Set<string>();
     for (let digest = 0; digest < 3; digest++) {
-      for (const {key} of book.news(0)) told.add(key);
+      for (const {key} of book.recentChanges(0)) told.add(key);
     }
     expect([...told]).to.have.members(keys);
   });
@@ -187,7 +187,7 @@
   it('says that one came or left, but not what is there at the start', () => {
     const book = new direct.ListedEndpoints(kernel());
     let count = 0;
-    book.onNews(() => (count += 1));
+    book.onChange(() => (count += 1));
     book.take({key: 'a', offset: 1, value: endpoint('a')}, 0);
     book.reached(2);
     book.take({key: 'a', offset: 2, value: endpoint('a')}, 0);
@@ -207,7 +207,7 @@
       standing: {phase: 'ready', version: 3, endpointsOffset: 9, upS: 7},
       inFlight: new Map([['e', 2]]),
       outcomes: new Map([['e', {good: 1.5, failed: 0.5}]]),
-      news: [
+      changes: [
         {key: 'f', offset: 8, value: undefined},
         {key: 'g', offset: 9, value: {...endpoint('g'), bornMs: 5}},
         {key: 'h', offset: 9, value: endpoint('h', true)},
--- a/packages/direct/src/tests/watch.test.ts
+++ b/packages/direct/src/tests/watch.test.ts
@@ -32,14 +32,14 @@
 
 /** After which time the request was ended, in ms; undefined: never. */
 async function endOf(
-  sign: direct.Sign,
+  result: direct.ProbeResult,
   more: Partial<direct.Watched>,
 ): Promise<number | undefined> {
   const kernel = new core.Kernel();
   const clock = new SteppedClock();
   kernel.register(core.LOGGER, new core.SilentLogger());
   kernel.register(core.CLOCK, clock);
-  kernel.register(direct.LIVENESS, {check: () => Promise.resolve(sign)});
+  kernel.register(direct.LIVENESS, {check: () => Promise.resolve(result)});
   const watch = new direct.SilenceWatch(kernel);
   let endedMs: number | undefined;
   watch.add({
--- a/packages/direct/src/watch.ts
+++ b/packages/direct/src/watch.ts
@@ -99,8 +99,8 @@
 
   private async check(entry: Entry): Promise<void> {
     const {endpoint, mayMove} = entry.watched;
-    const sign = await this.kernel.find(liveness.LIVENESS).check(endpoint);
-    const mayEnd = sign === 'silent' ? mayMove : sign === 'refused';
+    const result = await this.kernel.find(liveness.LIVENESS).check(endpoint);
+    const mayEnd = result === 'silent' ? mayMove : result === 'refused';
     if (mayEnd && this.entries.delete(entry)) entry.watched.end('dead');
   }
 
--- a/packages/router/src/tests/directstore.test.ts
+++ b/packages/router/src/tests/directstore.test.ts
@@ -77,7 +77,7 @@
     }
   });
 
-  it('keep a pool whose entries lapsed unseen, until they had time to return', async () => {
+  it('keep a pool whose entries expired unseen, until they had time to return', async () => {
     for (const {id} of fleet.endpoints) fleet.store.put('keyed.servers', id);
     const untilMs = performance.now() + 1_500;
     while (performance.now() < untilMs) {
--- a/packages/router/src/tests/homes.test.ts
+++ b/packages/router/src/tests/homes.test.ts
@@ -30,12 +30,12 @@
   it('are taken from a router that has run for longer', async () => {
     await fleet.start(3, 1);
     await fleet.call('/read/a', {headers: PROMPT});
-    const [elder] = fleet.kernels;
-    const upS = () => elder!.find(direct.LIFE).upS();
+    const [donor] = fleet.kernels;
+    const upS = () => donor!.find(direct.LIFE).upS();
     await until.until('it has run for a while', () => upS() > 4);
     const newcomer = await fleet.addRouter();
     await until.until('it knows', () => homes(newcomer).length > 0);
-    expect(homes(newcomer)).to.deep.equal(homes(elder!));
+    expect(homes(newcomer)).to.deep.equal(homes(donor!));
     for (const {listings} of fleet.endpoints) expect(listings).to.equal(0);
   });
 
