See a caller's leaving before its request is sent on

Where request and end of a connection wait together, as after a pause, the router read the request, sent it on and saw the end one turn later. Ruled out: the check before the send (it looks at the caller, but the end was not read yet). Change: three turns of the event loop pass between a request and its way on.

Found on the way: a start in a test failed once with EADDRINUSE (1 in 10 runs of direct.test.js). Ports were asked for one after another, so one could be given twice; they are held together now.

--- a/packages/direct/src/entry.ts
+++ b/packages/direct/src/entry.ts
@@ -3,6 +3,7 @@
  * refuses what no endpoint is needed for, and hands the rest to the dispatcher.
  */
 import type * as http from 'node:http';
+import * as timers from 'node:timers/promises';
 import * as core from '@oleanderrock/core';
 import type * as asks from './ask.js';
 import * as callerAnswer from './calleranswer.js';
@@ -33,6 +34,12 @@
 /** When a caller should come back while the store is away, in ms. */
 const STORE_AWAY_RETRY_MS = 2_000;
 
+/**
+ * Turns of the event loop: the rest of the current one, one that reads the end
+ * of a connection, and one that closes it.
+ */
+const TURNS_TO_CLOSE = 3;
+
 /** The listener for callers. */
 export interface Entry {
   /** Asks callers to leave their connections. */
@@ -100,6 +107,7 @@
     const answer = new callerAnswer.HttpCallerAnswer(response, clock);
     try {
       const made = await this.read(request, head, arrivedMs);
+      await readsPending();
       const outcome: asks.Outcome = made.ok
         ? await this.kernel
             .find(dispatcher.DISPATCHER)
@@ -215,6 +223,14 @@
   }
 }
 
+/**
+ * Resolves after sockets were read once more: where this router was busy or
+ * paused, the end of the caller's connection may wait behind its request.
+ */
+async function readsPending(): Promise<void> {
+  for (let turn = 0; turn < TURNS_TO_CLOSE; turn++) await timers.setImmediate();
+}
+
 /** One of the route's pools by weight, the same for the same request. */
 function choosePool({pools}: model.Route, requestId: string): string {
   const [first] = pools;
--- a/packages/router/src/tests/direct.test.ts
+++ b/packages/router/src/tests/direct.test.ts
@@ -5,6 +5,9 @@
 
 const {expect} = chai;
 
+/** Time in which a request that was sent on would have run, in ms. */
+const LEFT_MS = 100;
+
 describe('a router that sends straight to endpoints', () => {
   let fleet: support.DirectFleet;
 
@@ -176,6 +179,20 @@
     await call;
   });
 
+  it('sends nothing on for a caller that left while the router was busy', async () => {
+    for (let count = 0; count < 6; count++) await fleet.call('/read/a');
+    const runs = fleet.runs().length;
+    // Request and end wait together at the router, as after a pause of it.
+    for (let count = 0; count < 6; count++) fleet.leave('/read/gone');
+    await until.until('a later request is served', async () => {
+      return (await fleet.call('/read/b')).status === 200;
+    });
+    await new Promise(resolve => setTimeout(resolve, LEFT_MS));
+    const gone = fleet.runs().filter(({path}) => path === '/read/gone');
+    expect(gone).to.have.length(0);
+    expect(fleet.runs()).to.have.length(runs + 1);
+  });
+
   it('passes a stream on whole', async () => {
     for (const each of fleet.endpoints) {
       each.usual = {type: 'stream', events: 9};
--- a/packages/router/src/tests/directfleet.ts
+++ b/packages/router/src/tests/directfleet.ts
@@ -1,5 +1,6 @@
 /** Support: a fleet that sends straight to endpoints, on the users' platform. */
 import * as http from 'node:http';
+import * as net from 'node:net';
 import * as core from '@oleanderrock/core';
 import * as direct from '@oleanderrock/direct';
 import * as standins from '@oleanderrock/standins';
@@ -62,6 +63,9 @@
 
 let callCount = 0;
 
+/** Listeners of a router. */
+const PORTS = 5;
+
 /** A fleet with its store and endpoints. */
 export class DirectFleet {
   readonly store = new standins.TopicStore();
@@ -73,13 +77,9 @@
   /** Starts the store, endpoints and routers; resolves when all are ready. */
   async start(endpoints = 2, routers = 1): Promise<void> {
     this.storePort = await this.store.start(STORE_ADDRESS);
-    this.ports = {
-      entry: await standins.freePort(),
-      ready: await standins.freePort(),
-      directory: await standins.freePort(),
-      peer: await standins.freePort(),
-      gossip: await standins.freePort(),
-    };
+    const [entry = 0, ready = 0, directory = 0, peer = 0, gossip = 0] =
+      await standins.freePorts(PORTS);
+    this.ports = {entry, ready, directory, peer, gossip};
     this.store.put('keyed.op', 'config', config(1));
     for (let count = 0; count < endpoints; count++) await this.addEndpoint();
     for (let count = 0; count < routers; count++) await this.addRouter();
@@ -150,6 +150,24 @@
     });
   }
 
+  /** Sends a request and leaves at once. */
+  leave(path: string): void {
+    callCount += 1;
+    const head = standins.callerHeaders({
+      host: HOST,
+      id: `attempt-${callCount}`,
+      key: KEY,
+      waitMs: WAIT_MS,
+    });
+    const lines = Object.entries(head).map(pair => pair.join(': '));
+    const socket = net.connect(this.ports.entry, this.address(0));
+    socket.on('error', () => undefined);
+    socket.once('connect', () => {
+      socket.end(`GET ${path} HTTP/1.1\r\n${lines.join('\r\n')}\r\n\r\n`);
+      socket.destroy();
+    });
+  }
+
   /** Asks for the addresses to use. */
   async resolve(zone: string, router = 0): Promise<string[]> {
     const path = `/resolve?name=${HOST}&region=r&zone=${zone}`;
--- a/packages/soak/src/world.ts
+++ b/packages/soak/src/world.ts
@@ -85,7 +85,10 @@
   async start(routers: number, endpoints: number): Promise<void> {
     this.folder = await fs.mkdtemp(path.join(os.tmpdir(), 'soak-'));
     this.storePort = await this.store.start(LOOPBACK);
-    for (const name of PORT_NAMES) this.ports[name] = await standins.freePort();
+    const ports = await standins.freePorts(PORT_NAMES.length);
+    for (const [at, name] of PORT_NAMES.entries()) {
+      this.ports[name] = ports[at]!;
+    }
     this.publish();
     for (let at = 0; at < endpoints; at++) {
       this.places.push(await this.addEndpoint());
--- a/packages/standins/src/hostedplatform.ts
+++ b/packages/standins/src/hostedplatform.ts
@@ -102,11 +102,17 @@
   };
 }
 
-/** A port that is free on all addresses. */
-export async function freePort(): Promise<number> {
-  const server = net.createServer();
-  await new Promise<void>(resolve => server.listen(0, '0.0.0.0', resolve));
-  const {port} = server.address() as net.AddressInfo;
-  await new Promise(resolve => server.close(resolve));
-  return port;
+/** Ports that are free on all addresses, each a different one. */
+export async function freePorts(count: number): Promise<number[]> {
+  const servers = Array.from({length: count}, () => net.createServer());
+  const ports: number[] = [];
+  for (const server of servers) {
+    await new Promise<void>(resolve => server.listen(0, '0.0.0.0', resolve));
+    ports.push((server.address() as net.AddressInfo).port);
+  }
+  // Only now, or one could be given twice.
+  for (const server of servers) {
+    await new Promise(resolve => server.close(resolve));
+  }
+  return ports;
 }
