Wait only before requests that go on, and read an answer's head once

From a last read of the change. The turns of the event loop before a request is sent on were also spent on requests that are refused without an endpoint; and the headers of a long answer were made twice.

--- a/packages/direct/src/delivery.ts
+++ b/packages/direct/src/delivery.ts
@@ -101,9 +101,9 @@
     const read = await bodies.readWhole(open, pieces);
     if (read instanceof Error) return this.explain(open, read);
     const {body, isLong} = read;
+    if (isLong) return this.passLong(open, body, pieces);
     const headers = this.headers(response);
     const framing = framingOf(response);
-    if (isLong) return this.passLong(open, body, pieces);
     const isFailure = status >= 500;
     if (isFailure && ask.mayRepeat(this.asked.route) && !isLast) {
       this.kept = {status, headers, framing, body};
--- a/packages/direct/src/entry.ts
+++ b/packages/direct/src/entry.ts
@@ -107,7 +107,7 @@
     const answer = new callerAnswer.HttpCallerAnswer(response, clock);
     try {
       const made = await this.read(request, head, arrivedMs);
-      await readsPending();
+      if (made.ok) await readsPending();
       const outcome: asks.Outcome = made.ok
         ? await this.kernel
             .find(dispatcher.DISPATCHER)
