Log what a refusal was decided on

Callers saw 401 and 404 for proper requests, and the log could not tell outdated tables from tables with other rows, or from a head that the parser rejects.

A refusal with a status of 400 to 499 now has a line of its own, with its own limit of 20 lines a second: kind, host, path, hash of the key, version in force with its source, age and fingerprint, and the newest version that any digest named. The fingerprint is computed only then. No decision changes.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -11,6 +11,7 @@
 export * from './kernel.js';
 export * as listener from './listener.js';
 export * from './logger.js';
+export * from './logquota.js';
 export * from './mailbox.js';
 export * from './metrics.js';
 export * from './logoutput.js';
--- a/packages/core/src/listener.ts
+++ b/packages/core/src/listener.ts
@@ -7,11 +7,14 @@
 import * as errors from './errors.js';
 import * as headerNames from './headers.js';
 import type * as logger from './logger.js';
+import * as logQuota from './logquota.js';
 import * as mailbox from './mailbox.js';
 import * as tasks from './tasks.js';
 
 /** Default keep-alive timeout of idle connections, in ms. */
 const DEFAULT_KEEP_ALIVE_MS = 30_000;
+/** Maximum number of unreadable requests that are logged in a second. */
+const MAX_UNREADABLE_LINES_PER_SECOND = 10;
 /** Maximum number of unhandled requests that a connection may pipeline. */
 const MAX_PIPELINED = 16;
 
@@ -53,10 +56,16 @@
     net.Socket,
     mailbox.Mailbox<Call>
   >();
+  private readonly unreadableQuota: logQuota.LogQuota;
   private isKeepAliveOff = false;
 
   constructor(private readonly options: ListenerOptions) {
     this.tasks = new tasks.TaskGroup(options.log);
+    this.unreadableQuota = new logQuota.LogQuota(
+      'request_unreadable',
+      MAX_UNREADABLE_LINES_PER_SECOND,
+      options.log,
+    );
     this.server = http.createServer({
       maxHeaderSize: options.maxHeaderBytes,
       requestTimeout: options.requestTimeoutMs,
@@ -69,9 +78,10 @@
     this.server.on('request', (request, response) => {
       this.callsBySocket.get(request.socket)?.put({request, response});
     });
-    this.server.on('clientError', (error, socket) =>
-      sendParseError(error, socket, this.options.createId?.() ?? ''),
-    );
+    this.server.on('clientError', (error, socket) => {
+      this.logUnreadable(error);
+      sendParseError(error, socket, this.options.createId?.() ?? '');
+    });
   }
 
   /** The bound port; 0 while not listening. */
@@ -147,6 +157,17 @@
     );
   }
 
+  private logUnreadable(error: Error & {code?: string}): void {
+    // A connection that breaks is no fault of a request.
+    if (error.code === 'ECONNRESET') return;
+    if (!this.unreadableQuota.consume(performance.now())) return;
+    this.options.log.info('request_unreadable', {
+      listener: this.options.name,
+      code: error.code,
+      reason: error.message,
+    });
+  }
+
   /** The task of one connection: handles its requests in order of arrival. */
   private async serveConnection(calls: mailbox.Mailbox<Call>): Promise<void> {
     for (;;) {
--- a/packages/direct/src/activetables.ts
+++ b/packages/direct/src/activetables.ts
@@ -12,11 +12,23 @@
   readonly priority?: number;
 }
 
+/** Where the tables in force come from. */
+export interface TablesProvenance {
+  /** `store`, or the address of the router that served them. */
+  readonly source: string;
+  /** Monotonic time since which they are in force, in ms. */
+  readonly sinceMs: number;
+  /** Hash of the rows; equal at routers with the same rows in any order. */
+  readonly fingerprint: number;
+}
+
 /** The tables in force at this router. */
 export interface ActiveTables {
   current(): model.Tables | undefined;
   /** Version in force; -1 if there are no tables yet. */
   version(): number;
+  /** Where the tables in force come from; undefined if there are none yet. */
+  provenance(): TablesProvenance | undefined;
   /** Puts tables in force; returns false if they are not newer. */
   activate(tables: model.Tables, source: string): boolean;
   /**
@@ -47,6 +59,7 @@
 export const ACTIVE_TABLES = core.contract<ActiveTables>('active-tables', [
   'current',
   'version',
+  'provenance',
   'activate',
   'applyPatches',
   'patchesSince',
@@ -66,6 +79,8 @@
 /** Tables with routes indexed by host, the longest path prefix first. */
 export class IndexedTables implements ActiveTables {
   private tables: model.Tables | undefined;
+  private source = '';
+  private sinceMs = 0;
   private routesByHost = new Map<string, model.Route[]>();
   private holdersByKey = new Map<string, KeyHolder>();
   /** Consecutive patches, the last of which led to the version in force. */
@@ -82,6 +97,12 @@
     return this.tables?.version ?? NO_VERSION;
   }
 
+  provenance(): TablesProvenance | undefined {
+    const {tables, source, sinceMs} = this;
+    if (!tables) return undefined;
+    return {source, sinceMs, fingerprint: fingerprintOf(tables)};
+  }
+
   activate(tables: model.Tables, source: string): boolean {
     if (tables.version <= this.version()) return false;
     this.keepPatch(this.tables && tablesPatch.diffTables(this.tables, tables));
@@ -117,6 +138,8 @@
 
   private putInForce(tables: model.Tables, source: string): void {
     this.tables = tables;
+    this.source = source;
+    this.sinceMs = this.kernel.find(core.CLOCK).nowMs();
     this.routesByHost = indexRoutes(tables.routes);
     this.holdersByKey = indexKeys(tables.customers ?? []);
     this.kernel.find(core.LOGGER).info('tables_in_force', {
@@ -156,6 +179,14 @@
   }
 }
 
+function fingerprintOf({routes, customers = []}: model.Tables): number {
+  let fingerprint = 0;
+  for (const row of [...routes, ...customers]) {
+    fingerprint ^= core.hash32(JSON.stringify(row));
+  }
+  return fingerprint >>> 0;
+}
+
 function indexRoutes(
   routes: readonly model.Route[],
 ): Map<string, model.Route[]> {
--- a/packages/direct/src/fleetregistry.ts
+++ b/packages/direct/src/fleetregistry.ts
@@ -48,6 +48,8 @@
   liveCount(): number;
   /** The other live routers, as receivers of digests. */
   digestPeers(): readonly decide.DigestPeer[];
+  /** Newest version of the tables that any router's digest named; -1 if none. */
+  newestVersion(): number;
 }
 
 /** The contract under which the fleet registry is registered. */
@@ -59,6 +61,7 @@
   'livePeers',
   'liveCount',
   'digestPeers',
+  'newestVersion',
 ]);
 
 /** Registry in memory. */
@@ -67,6 +70,7 @@
   /** The digest peers of a list of live members. */
   private cachedPeers: readonly decide.DigestPeer[] = [];
   private cachedFor: readonly decide.MemberNote[] | undefined;
+  private newestSeenVersion = -1;
 
   constructor(
     private readonly kernel: core.Kernel,
@@ -102,6 +106,7 @@
     const previous = this.membership.find(name);
     const news = this.membership.recordHeard(note, nowMs);
     this.statuses.set(name, status);
+    this.newestSeenVersion = Math.max(this.newestSeenVersion, status.version);
     this.recordChange(previous, note, news);
     return news;
   }
@@ -129,6 +134,10 @@
     return this.cachedPeers;
   }
 
+  newestVersion(): number {
+    return this.newestSeenVersion;
+  }
+
   private recordChange(
     previous: decide.MemberNote | undefined,
     note: decide.MemberNote,
--- a/packages/direct/src/recorder.ts
+++ b/packages/direct/src/recorder.ts
@@ -7,9 +7,12 @@
 import type * as routedRequest from './routedrequest.js';
 import type * as wireProtocol from './wireprotocol.js';
 import * as activeTables from './activetables.js';
+import * as fleetRegistry from './fleetregistry.js';
+import * as runState from './runstate.js';
 
-/** Maximum number of requests that a router logs in a second. */
+/** Maximum numbers of requests and of refusals that are logged in a second. */
 const MAX_LINES_PER_SECOND = 40;
+const MAX_REFUSAL_LINES_PER_SECOND = 20;
 
 const BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
 
@@ -44,11 +47,17 @@
   private readonly sends: prom.Counter<'route'>;
   private readonly duration: prom.Histogram<'route'>;
   private readonly firstByte: prom.Histogram<'route'>;
-  private windowStartMs = 0;
-  private lineCount = 0;
-  private skippedCount = 0;
+  private readonly requestQuota: core.LogQuota;
+  private readonly refusalQuota: core.LogQuota;
 
   constructor(private readonly kernel: core.Kernel) {
+    const log = kernel.find(core.LOGGER);
+    this.requestQuota = new core.LogQuota('request', MAX_LINES_PER_SECOND, log);
+    this.refusalQuota = new core.LogQuota(
+      'refused',
+      MAX_REFUSAL_LINES_PER_SECOND,
+      log,
+    );
     const registers = [kernel.find(core.METRICS).registry()];
     this.requests = new prom.Counter({
       name: 'oleander_requests_total',
@@ -91,7 +100,40 @@
     if (firstByteMs !== undefined) {
       this.firstByte.observe({route}, firstByteMs / 1_000);
     }
-    if (this.consumeLogQuota()) this.logRequest(request, outcome, durationMs);
+    const nowMs = this.nowMs();
+    if (this.requestQuota.consume(nowMs)) {
+      this.logRequest(request, outcome, durationMs);
+    }
+    if (outcome.type === 'failed' && isRefusedAsWrong(outcome.failure.kind)) {
+      if (this.refusalQuota.consume(nowMs)) {
+        this.logRefusal(request, outcome.failure.kind);
+      }
+    }
+  }
+
+  /**
+   * Logs what a refusal was decided on, so that outdated tables can be told
+   * from tables that differ and from a request that is wrong.
+   */
+  private logRefusal({head, path}: EndedRequest, kind: core.ErrorKind): void {
+    const tables = this.kernel.find(activeTables.ACTIVE_TABLES);
+    const provenance = tables.provenance();
+    this.kernel.find(core.LOGGER).warn('refused', {
+      request: head.requestId,
+      kind,
+      host: head.host,
+      path: path.split('?')[0],
+      key: head.apiKey && core.hash64(head.apiKey),
+      tables: tables.version(),
+      tables_source: provenance?.source,
+      tables_age_ms:
+        provenance && Math.round(this.nowMs() - provenance.sinceMs),
+      tables_fingerprint: provenance?.fingerprint,
+      fleet_tables: this.kernel
+        .find(fleetRegistry.FLEET_REGISTRY)
+        .newestVersion(),
+      uptime_s: this.kernel.find(runState.RUN_STATE).uptimeS(),
+    });
   }
 
   private logRequest(
@@ -128,28 +170,17 @@
     });
   }
 
-  private consumeLogQuota(): boolean {
-    const nowMs = this.nowMs();
-    if (nowMs - this.windowStartMs >= 1_000) {
-      if (this.skippedCount > 0) {
-        const log = this.kernel.find(core.LOGGER);
-        log.info('request_lines_skipped', {count: this.skippedCount});
-      }
-      this.windowStartMs = nowMs;
-      this.lineCount = 0;
-      this.skippedCount = 0;
-    }
-    this.lineCount += 1;
-    if (this.lineCount <= MAX_LINES_PER_SECOND) return true;
-    this.skippedCount += 1;
-    return false;
-  }
-
   private nowMs(): number {
     return this.kernel.find(core.CLOCK).nowMs();
   }
 }
 
+/** Whether the answer says that the caller sent a wrong request. */
+function isRefusedAsWrong(kind: core.ErrorKind): boolean {
+  const {status} = core.ERROR_RESPONSES[kind];
+  return status >= 400 && status < 500 && kind !== 'caller_gone';
+}
+
 function firstByteMsOf({
   arrivedMs,
   responseStartedMs,
