Cut the body of a response only if no bytes arrive, not while it arrives

Cause, first part: a body that is read as a whole had one fixed time-out of 1 s that its name called an idle time-out. It was not renewed by bytes, so the tables of 1,050 routes (241 KB of JSON) were thrown away and asked for again whenever the link of a small instance was shared by a few such transfers: work that made the next transfer slower.

The idle time is now renewed by each chunk, and a body has 5 s in all, so that one that trickles ends as well.

--- a/packages/core/src/relay.ts
+++ b/packages/core/src/relay.ts
@@ -287,32 +287,46 @@
   return {stage: 'answer', cause: 'broken', detail};
 }
 
+/** Limits of a response body that is read as a whole. */
+export interface BodyLimits {
+  readonly maxBytes: number;
+  /** Longest time without a further byte, in ms. */
+  readonly idleTimeoutMs: number;
+  /** Longest time for the whole body, in ms. */
+  readonly totalTimeoutMs: number;
+}
+
 /**
- * Reads a response body of up to `maxBytes`; resolves with undefined if the body
- * is incomplete or larger.
+ * Reads a response body; resolves with undefined if the body is incomplete or
+ * exceeds a limit.
  */
 export async function collectBody(
   response: http.IncomingMessage,
-  maxBytes: number,
-  idleTimeoutMs: number,
+  {maxBytes, idleTimeoutMs, totalTimeoutMs}: BodyLimits,
 ): Promise<Buffer | undefined> {
   const chunks: Buffer[] = [];
   let receivedBytes = 0;
-  const cancelIdleTimeout = startTimeout(
+  const startIdleTimeout = () =>
+    startTimeout(response, idleTimeoutMs, 'no further body bytes');
+  const cancelTotalTimeout = startTimeout(
     response,
-    idleTimeoutMs,
+    totalTimeoutMs,
     'no complete response',
   );
+  let cancelIdleTimeout = startIdleTimeout();
   try {
     for await (const chunk of response) {
+      cancelIdleTimeout();
       chunks.push(chunk as Buffer);
       receivedBytes += (chunk as Buffer).length;
       if (receivedBytes > maxBytes) return undefined;
+      cancelIdleTimeout = startIdleTimeout();
     }
   } catch {
     return undefined;
   } finally {
     cancelIdleTimeout();
+    cancelTotalTimeout();
   }
   return response.complete ? Buffer.concat(chunks) : undefined;
 }
--- a/packages/direct/src/jsonfetch.ts
+++ b/packages/direct/src/jsonfetch.ts
@@ -1,10 +1,17 @@
 /** Fetches JSON from another router or an endpoint, with time-outs. */
 import * as core from '@oleanderrock/core';
 
-/** Time-outs of connecting, and of the response's head and body, in ms. */
+/** Time-outs of connecting, and of the response's head, in ms. */
 const CONNECT_TIMEOUT_MS = 300;
 const RESPONSE_TIMEOUT_MS = 1_000;
 
+/**
+ * Longest time without a further byte of the body, and for the whole body, in
+ * ms: a large state takes long over the link of a small instance.
+ */
+const IDLE_TIMEOUT_MS = 1_000;
+const BODY_TIMEOUT_MS = 5_000;
+
 const MAX_BODY_BYTES = 16 * 1_024 * 1_024;
 
 /** Options of a fetch. */
@@ -32,11 +39,11 @@
   });
   if (relayResult.type === 'error') return failure(relayResult.error.detail);
   const {statusCode} = relayResult.response;
-  const body = await core.relay.collectBody(
-    relayResult.response,
-    MAX_BODY_BYTES,
-    RESPONSE_TIMEOUT_MS,
-  );
+  const body = await core.relay.collectBody(relayResult.response, {
+    maxBytes: MAX_BODY_BYTES,
+    idleTimeoutMs: IDLE_TIMEOUT_MS,
+    totalTimeoutMs: BODY_TIMEOUT_MS,
+  });
   if (statusCode !== 200) return failure(`status ${statusCode}`);
   return body
     ? parse(body)
--- a/packages/router/src/jsonhttp.ts
+++ b/packages/router/src/jsonhttp.ts
@@ -80,11 +80,11 @@
   });
   if (head.type === 'error') return head;
   const {socket} = head.response;
-  const raw = await core.relay.collectBody(
-    head.response,
-    MAX_ANSWER_BYTES,
-    options.timeoutMs,
-  );
+  const raw = await core.relay.collectBody(head.response, {
+    maxBytes: MAX_ANSWER_BYTES,
+    idleTimeoutMs: options.timeoutMs,
+    totalTimeoutMs: options.timeoutMs,
+  });
   reportBytes(socket, options);
   if (!raw) {
     const detail = 'the answer is truncated or too large';
--- a/packages/router/src/requestforwarder.ts
+++ b/packages/router/src/requestforwarder.ts
@@ -206,11 +206,11 @@
   response: http.IncomingMessage,
   router: string,
 ): Promise<exchange.Outcome> {
-  const raw = await core.relay.collectBody(
-    response,
-    MAX_REFUSAL_BYTES,
-    HOP_MARGIN_MS,
-  );
+  const raw = await core.relay.collectBody(response, {
+    maxBytes: MAX_REFUSAL_BYTES,
+    idleTimeoutMs: HOP_MARGIN_MS,
+    totalTimeoutMs: HOP_MARGIN_MS,
+  });
   const parsed = v.safeParse(core.problemSchema, parseJson(raw));
   if (!parsed.success) {
     return exchange.failed('peer_broke', `${router} sent a malformed refusal`);
