--- a/packages/router/src/tests/directfleet.ts
+++ b/packages/router/src/tests/directfleet.ts
@@ -119,6 +119,11 @@
     return kernel;
   }
 
+  /** Port at which all routers take requests of callers. */
+  get entryPort(): number {
+    return this.ports.entry;
+  }
+
   /** Address of the router with this index. */
   address(router: number): string {
     return `127.0.0.${FIRST_ROUTER_BYTE + router}`;
