Simulate what transfers of large tables cost at small routers

The simulated fetch of state took 4 ms whatever its size. Requests and their traffic cost nothing here.

No logic is changed.

--- a/packages/direct/src/tests/simulatedfleet.ts
+++ b/packages/direct/src/tests/simulatedfleet.ts
@@ -7,6 +7,7 @@
 import * as decide from '@oleanderrock/decide';
 import * as direct from '../index.js';
 import type * as settings from '../settings.js';
+import * as simulatedTransfers from './simulatedtransfers.js';
 import * as virtualClock from './virtualclock.js';
 
 const READY_ENDPOINT_PORT = 8_444;
@@ -21,6 +22,10 @@
   readonly seed?: number;
   /** Whether the whole fleet starts for the first time. */
   readonly isFirstStart?: boolean;
+  /** What transfers cost; by default each fetch of state takes 4 ms. */
+  readonly costs?: simulatedTransfers.TransferCosts;
+  /** Tables of the first version; by default there are no routes. */
+  readonly tables?: direct.Tables;
 }
 
 /** A router of the simulated fleet, with counters of its control traffic. */
@@ -39,6 +44,8 @@
   sentDatagrams: number;
   storeCalls: number;
   deliver: direct.DatagramListener | undefined;
+  readonly transfers: simulatedTransfers.TransferCounters;
+  readonly resources: simulatedTransfers.TransferResources;
 }
 
 type Row<T> = direct.FeedRecord<T>;
@@ -86,11 +93,16 @@
   readonly listed = new SimulatedTopic<direct.Router>();
   isStoreDown = false;
   private readonly random: core.Random;
+  private readonly transfers: simulatedTransfers.Transfers | undefined;
   private readonly byAddress = new Map<string, SimulatedRouter>();
 
   constructor(private readonly options: SimulatedFleetOptions) {
     this.random = new core.SeededRandom(options.seed ?? 1);
-    this.putTables(1);
+    const {costs, tables} = options;
+    this.transfers =
+      costs && new simulatedTransfers.Transfers(this.clock, costs);
+    if (tables) this.tables.put('config', tables);
+    else this.putTables(1);
     for (let index = 0; index < options.endpoints; index++) {
       this.endpoints.put(`e${index}`, this.endpoint(`e${index}`));
     }
@@ -203,6 +215,8 @@
       sentDatagrams: 0,
       storeCalls: 0,
       deliver: undefined,
+      transfers: simulatedTransfers.createCounters(),
+      resources: simulatedTransfers.createResources(this.clock),
     };
     this.routers.push(router);
     this.byAddress.set(router.address, router);
@@ -317,6 +331,13 @@
     address: string,
   ): Promise<direct.StateResult> {
     const peer = this.byAddress.get(address);
+    if (this.transfers) {
+      const version = this.version(router);
+      const sender = peer?.isCut || router.isCut ? undefined : peer;
+      return this.transfers.fetch(router, sender, () =>
+        direct.routerState.collect(sender!.kernel, version),
+      );
+    }
     await this.clock.sleep(4);
     if (!peer?.isRunning || peer.isCut || router.isCut) {
       return {type: 'failed', detail: 'no connection'};
@@ -352,6 +373,7 @@
       readLatest: async () => {
         if (!(await this.callStore(router))) return UNAVAILABLE;
         const page = {records: topic.latest(), nextOffset: topic.rows.length};
+        await this.receive(router, page.records);
         return {ok: true, page};
       },
       readFrom: async ({fromOffset, waitMs, signal}) => {
@@ -363,11 +385,21 @@
           ]);
         }
         const records = topic.rows.slice(fromOffset);
-        return {ok: true, page: {records, nextOffset: topic.rows.length}};
+        const page = {records, nextOffset: topic.rows.length};
+        await this.receive(router, records);
+        return {ok: true, page};
       },
     };
   }
 
+  private async receive<T>(
+    router: SimulatedRouter,
+    records: ReadonlyArray<Row<T>>,
+  ): Promise<void> {
+    const values = records.map(({value}) => value);
+    await this.transfers?.receiveFromStore(router, values);
+  }
+
   /** Returns whether the store serves the call. */
   private async callStore(router: SimulatedRouter): Promise<boolean> {
     router.storeCalls += 1;
