Limit a simulated read of the store, and test bursts over slow links

A read of the store returns at most 1,024 KB; the simulation let a reader receive its whole backlog at once.

Cause: the follower measures the gap between two reads from when it has handled them, so a read that takes over 0.7 s is no burst, and it reads every version of the backlog. No logic is changed.

--- a/packages/direct/src/tests/follower.test.ts
+++ b/packages/direct/src/tests/follower.test.ts
@@ -65,6 +65,9 @@
     private readonly timesMs: readonly number[],
     private readonly clock: SteppedClock,
     private readonly stopController: AbortController,
+    /** Time that each record takes over the link, in ms. */
+    private readonly msPerRecord = 0,
+    private readonly maxRecords = Number.POSITIVE_INFINITY,
   ) {}
 
   readLatest(): Promise<direct.FeedResult<number>> {
@@ -78,7 +81,8 @@
     const nextMs = this.timesMs[fromOffset];
     if (nextMs === undefined) this.stopController.abort();
     else this.clock.timeMs = Math.max(this.clock.timeMs, nextMs);
-    return Promise.resolve(this.page(fromOffset, this.endOffset()));
+    const endOffset = Math.min(this.endOffset(), fromOffset + this.maxRecords);
+    return Promise.resolve(this.page(fromOffset, endOffset));
   }
 
   private endOffset(): number {
@@ -94,6 +98,7 @@
       records.push({key: 'config', offset, value: offset});
     }
     this.returnedCount += records.length;
+    this.clock.timeMs += records.length * this.msPerRecord;
     return {ok: true, page: {records, nextOffset: endOffset}};
   }
 }
@@ -102,14 +107,24 @@
  * Follows records that appear at the given times; returns the number of records
  * returned by the feed, and the delay with which each was handled.
  */
-async function follow(timesMs: readonly number[], isFullState: boolean) {
+async function follow(
+  timesMs: readonly number[],
+  isFullState: boolean,
+  {msPerRecord = 0, maxRecords = Number.POSITIVE_INFINITY} = {},
+) {
   const kernel = new core.Kernel();
   const clock = new SteppedClock();
   const stopController = new AbortController();
   kernel.register(core.LOGGER, new core.SilentLogger());
   kernel.register(core.CLOCK, clock);
   kernel.register(core.RANDOM, new core.SeededRandom(1));
-  const feed = new TimedFeed(timesMs, clock, stopController);
+  const feed = new TimedFeed(
+    timesMs,
+    clock,
+    stopController,
+    msPerRecord,
+    maxRecords,
+  );
   const lagsMs: number[] = [];
   const recordLag = ({offset}: direct.FeedRecord<number>) => {
     for (let delivered = lagsMs.length; delivered <= offset; delivered++) {
@@ -152,6 +167,18 @@
     }
   });
 
+  it('reads few records of a burst if each takes 300 ms over a slow link, and handles or supersedes each within 2.5 s', async () => {
+    const burst = [
+      0,
+      ...Array.from({length: 25}, (none, index) => 5_000 + index * 60),
+    ];
+    const link = {msPerRecord: 300, maxRecords: 4};
+    const {sentCount, lagsMs} = await follow(burst, true, link);
+    expect(lagsMs).to.have.length(burst.length);
+    expect(Math.max(...lagsMs)).to.be.at.most(2_500);
+    expect(sentCount).to.be.at.most(12);
+  });
+
   it('handles records without delay if they are not part of a burst', async () => {
     const {lagsMs} = await follow([0, 2_000, 4_000, 9_000], true);
     expect(lagsMs).to.deep.equal([0, 0, 0, 0]);
--- a/packages/direct/src/tests/simulatedfleet.ts
+++ b/packages/direct/src/tests/simulatedfleet.ts
@@ -384,8 +384,11 @@
             this.clock.sleep(waitMs, signal),
           ]);
         }
-        const records = topic.rows.slice(fromOffset);
-        const page = {records, nextOffset: topic.rows.length};
+        const unread = topic.rows.slice(fromOffset);
+        const values = unread.map(({value}) => value);
+        const count = this.transfers?.firstPage(values) ?? unread.length;
+        const records = unread.slice(0, count);
+        const page = {records, nextOffset: fromOffset + count};
         await this.receive(router, records);
         return {ok: true, page};
       },
--- a/packages/direct/src/tests/simulatedtransfers.ts
+++ b/packages/direct/src/tests/simulatedtransfers.ts
@@ -48,6 +48,8 @@
 const CONNECT_MS = 2;
 const CHUNK_BYTES = 8_192;
 const BYTES_PER_KB = 1_024;
+/** Maximum size of the records that one read of the store returns. */
+const MAX_READ_BYTES = 1_024 * BYTES_PER_KB;
 /** 1 Mbit/s in bytes per ms. */
 const BYTES_PER_MS_PER_MBPS = 125;
 
@@ -118,6 +120,16 @@
     await this.process(receiver, bytes);
   }
 
+  /** Number of the first values that one read of the store returns. */
+  firstPage(values: readonly unknown[]): number {
+    let bytes = 0;
+    const count = values.findIndex(value => {
+      bytes += this.bytesOf(value);
+      return bytes > MAX_READ_BYTES;
+    });
+    return count < 0 ? values.length : Math.max(1, count);
+  }
+
   private async tryFetch(
     receiver: TransferPeer,
     sender: TransferPeer | undefined,
