Send tables between routers compressed, encoded once, and ask the next router

Cause: the design of how versions spread. One router of a failure domain reads the store and the others fetch from it. A version that changes more than 200 rows went out as whole tables, as plain JSON that was written anew for each request and carried all endpoints and members as well: 241 KB for 1,050 routes, 0.2 s of a link of 10 Mbit/s each, many at a time. The fetches ran into their time-outs (1 s to the head, 1 s for the body) and began again, which made the link busier. A router whose fetch failed then waited for the next digest of a router that was ahead. Class of fault: one sender to many receivers without a bound on what it costs, and retries that add to the load.

Each refusal of a proper request had `tables` below `fleet_tables`; no version had two fingerprints, so patches are not the cause.

Change: tables are served at /tables, apart from the state, as compressed JSON that is kept until the next version (24 KB for 1,050 routes, 1 ms to compress). A router remembers the last 8 routers that were ahead of it, asks one of the newest of them, near ones first and at random, and the next at once if one does not serve it; at most one update in 150 ms. A router that is behind serves no tables to one that is ahead.

--- a/packages/direct/src/auxiliarylisteners.ts
+++ b/packages/direct/src/auxiliarylisteners.ts
@@ -8,10 +8,12 @@
 import * as wireProtocol from './wireprotocol.js';
 import * as fleetRegistry from './fleetregistry.js';
 import * as homeRecovery from './homerecovery.js';
+import * as peerJson from './peerjson.js';
 import * as runState from './runstate.js';
 import type * as model from './model.js';
 import type * as settings from './settings.js';
 import * as routerState from './routerstate.js';
+import * as tablesUpdate from './tablesupdate.js';
 
 const MAX_HEAD_BYTES = 16_384;
 const REQUEST_TIMEOUT_MS = 5_000;
@@ -170,22 +172,28 @@
   }
 }
 
-/** Serves this router's state and prefix homes to other routers. */
+/** Serves this router's tables, state and prefix homes to other routers. */
 export class PeerStateListener extends AuxiliaryListener {
+  private readonly tablesUpdates: tablesUpdate.EncodedUpdates;
+
   constructor(kernel: core.Kernel, routerSettings: settings.Settings) {
     super(kernel, routerSettings, 'peer', routerSettings.peerPort);
+    this.tablesUpdates = new tablesUpdate.EncodedUpdates(kernel);
   }
 
   protected serve(call: core.listener.Call): Promise<void> {
     const {request, response} = call;
-    const version = routerState.readStateUrl(request.url ?? '');
+    const url = request.url ?? '';
+    const version = tablesUpdate.readTablesUrl(url);
     if (version !== undefined) {
-      const state = routerState.collect(this.kernel, version);
-      core.listener.sendJson(response, 200, state);
-    } else if (request.url === homeRecovery.HOMES_PATH) {
+      peerJson.send(response, this.tablesUpdates.encode(version));
+    } else if (url === routerState.STATE_PATH) {
+      const state = routerState.collect(this.kernel);
+      peerJson.send(response, peerJson.encode(state));
+    } else if (url === homeRecovery.HOMES_PATH) {
       const homes = this.kernel.find(decisions.PREFIX_HOMES).all();
       const rows = homes.map(({prefix, endpoint}) => [prefix, endpoint]);
-      core.listener.sendJson(response, 200, rows);
+      peerJson.send(response, peerJson.encode(rows));
     } else {
       this.sendNotFound(call);
     }
--- a/packages/direct/src/catchup.ts
+++ b/packages/direct/src/catchup.ts
@@ -1,19 +1,21 @@
 /**
- * Catches up from other routers: if a digest shows that a router has newer
- * tables, or lasting differences in the endpoints or members that it knows, its
- * state is fetched. A router that reads the store itself first waits for the
- * store to deliver the tables.
+ * Catches up from other routers: if digests show that routers have newer
+ * tables, these are fetched from one of them, and from the next if that fails.
+ * If there are lasting differences in the endpoints or members that another
+ * router knows, its state is fetched. A router that reads the store itself
+ * first waits for the store to deliver the tables.
  */
 import * as core from '@oleanderrock/core';
 import * as activeTables from './activetables.js';
 import * as decisions from './decisions.js';
 import * as endpointRegistry from './endpointregistry.js';
 import * as feedFollowers from './feedfollowers.js';
-import type * as fleetRegistry from './fleetregistry.js';
+import * as fleetRegistry from './fleetregistry.js';
 import type * as model from './model.js';
 import * as routerState from './routerstate.js';
 import * as runState from './runstate.js';
 import * as stateSource from './statesource.js';
+import * as tablesUpdate from './tablesupdate.js';
 
 /**
  * How long a router that reads the store waits for it to deliver a version that
@@ -51,11 +53,23 @@
 /** The contract under which the catch-up is registered. */
 export const CATCH_UP = core.contract<CatchUp>('catch-up', ['onDigest']);
 
+/**
+ * Shortest interval between fetches of newer tables, in ms: of versions that
+ * follow each other closely, most routers need only some.
+ */
+const TABLES_FETCH_INTERVAL_MS = 150;
+
+/** Maximum number of routers with newer tables that are remembered. */
+const MAX_PEERS_AHEAD = 8;
+
 /** Another router with newer tables. */
 interface PeerAhead {
-  readonly address: string;
+  readonly router: model.Router;
   readonly version: number;
-  /** Monotonic time at which the wait for the store began, in ms. */
+}
+
+/** A wait for the store to deliver newer tables. */
+interface Wait {
   readonly sinceMs: number;
   /** Version of this router's tables when the wait began. */
   readonly localVersion: number;
@@ -71,9 +85,12 @@
 
 /** Fetches state from the registered source. */
 export class StateCatchUp extends core.TaskService implements CatchUp {
-  private peerAhead: PeerAhead | undefined;
+  /** By address; the router heard last comes last. */
+  private readonly peersAhead = new Map<string, PeerAhead>();
+  private wait: Wait | undefined;
   private difference: Difference | undefined;
   private differingAddress: string | undefined;
+  private lastTablesFetchMs = Number.NEGATIVE_INFINITY;
   private lastDifferenceFetchMs = Number.NEGATIVE_INFINITY;
   private wakeController = new AbortController();
 
@@ -81,9 +98,9 @@
     super(kernel, 'catch_up');
   }
 
-  onDigest({address}: model.Router, status: fleetRegistry.RouterStatus): void {
-    this.compareVersions(address, status.version);
-    this.compareFingerprints(address, status);
+  onDigest(router: model.Router, status: fleetRegistry.RouterStatus): void {
+    this.compareVersions(router, status.version);
+    this.compareFingerprints(router.address, status);
   }
 
   protected async run(signal: AbortSignal): Promise<void> {
@@ -97,15 +114,20 @@
     }
   }
 
-  private compareVersions(address: string, version: number): void {
+  private compareVersions(router: model.Router, version: number): void {
     const localVersion = this.tables.version();
     if (version <= localVersion) return;
-    if (this.peerAhead && this.peerAhead.version > version) return;
+    this.peersAhead.delete(router.address);
+    this.peersAhead.set(router.address, {router, version});
+    if (this.peersAhead.size > MAX_PEERS_AHEAD) {
+      const [oldest] = this.peersAhead.keys();
+      this.peersAhead.delete(oldest!);
+    }
     // The wait starts anew whenever this router's version advances, since it
     // then still receives updates itself.
-    const isStuck = this.peerAhead?.localVersion === localVersion;
-    const sinceMs = (isStuck && this.peerAhead?.sinceMs) || this.nowMs();
-    this.peerAhead = {address, version, sinceMs, localVersion};
+    if (this.wait?.localVersion !== localVersion) {
+      this.wait = {sinceMs: this.nowMs(), localVersion};
+    }
     if (this.fetchDelayMs() === 0) this.wakeController.abort();
   }
 
@@ -127,19 +149,52 @@
   }
 
   /**
-   * Fetches from the router with newer tables, unless the store delivers them
-   * within the fetch delay.
+   * Fetches newer tables, unless the store delivers them within the fetch delay.
+   * A router that does not serve them is left out until its next digest.
    */
   private async fetchIfBehind(signal: AbortSignal): Promise<void> {
-    const {peerAhead} = this;
-    if (!peerAhead) return;
-    if (peerAhead.version <= this.tables.version()) {
-      this.peerAhead = undefined;
+    const {wait} = this;
+    const nowMs = this.nowMs();
+    if (!wait || nowMs - wait.sinceMs < this.fetchDelayMs()) return;
+    if (nowMs - this.lastTablesFetchMs < TABLES_FETCH_INTERVAL_MS) return;
+    for (;;) {
+      const peer = this.choosePeerAhead();
+      if (!peer || signal.aborted) return;
+      const {address} = peer.router;
+      this.peersAhead.delete(address);
+      const hadTables = this.tables.current() !== undefined;
+      const update = await this.source.fetchTables(address, signal);
+      if (signal.aborted) return;
+      if (update.type === 'failed') {
+        this.logFailure(address, update.detail);
+        continue;
+      }
+      this.lastTablesFetchMs = nowMs;
+      tablesUpdate.apply(this.kernel, update.value, address);
+      // A router that has just started lacks everything else as well.
+      if (!hadTables) await this.fetchState(address, signal);
       return;
     }
-    if (this.nowMs() - peerAhead.sinceMs < this.fetchDelayMs()) return;
-    this.peerAhead = undefined;
-    await this.fetch(peerAhead.address, signal);
+  }
+
+  /**
+   * One of the routers with the newest version, in this failure domain if there
+   * is one; a random one, so that a router that was heard by many is not asked
+   * by all of them.
+   */
+  private choosePeerAhead(): PeerAhead | undefined {
+    const localVersion = this.tables.version();
+    for (const [address, {version}] of this.peersAhead) {
+      if (version <= localVersion) this.peersAhead.delete(address);
+    }
+    const peers = [...this.peersAhead.values()];
+    const newest = Math.max(...peers.map(({version}) => version));
+    const newestPeers = peers.filter(({version}) => version === newest);
+    const {zone} = this.kernel.find(fleetRegistry.FLEET_REGISTRY).self();
+    const nearPeers = newestPeers.filter(({router}) => router.zone === zone);
+    const candidates = nearPeers.length > 0 ? nearPeers : newestPeers;
+    const random = this.kernel.find(core.RANDOM);
+    return candidates[random.nextInt(Math.max(1, candidates.length))];
   }
 
   private async fetchIfDifferent(signal: AbortSignal): Promise<void> {
@@ -156,7 +211,17 @@
     if (nowMs - this.lastDifferenceFetchMs < minIntervalMs) return;
     this.lastDifferenceFetchMs = nowMs;
     this.differingAddress = undefined;
-    await this.fetch(differingAddress, signal);
+    await this.fetchState(differingAddress, signal);
+  }
+
+  private async fetchState(
+    address: string,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const state = await this.source.fetchState(address, signal);
+    if (signal.aborted) return;
+    if (state.type === 'failed') this.logFailure(address, state.detail);
+    else routerState.merge(this.kernel, state.value);
   }
 
   private fetchDelayMs(): number {
@@ -166,17 +231,12 @@
     return isReading ? READER_FETCH_DELAY_MS : 0;
   }
 
-  private async fetch(address: string, signal: AbortSignal): Promise<void> {
-    const result = await this.kernel
-      .find(stateSource.STATE_SOURCE)
-      .fetch(address, signal);
-    if (signal.aborted) return;
-    if (result.type === 'state') {
-      routerState.merge(this.kernel, result.state, address);
-      return;
-    }
-    const log = this.kernel.find(core.LOGGER);
-    log.info('catch_up_failed', {address, detail: result.detail});
+  private logFailure(address: string, detail: string): void {
+    this.kernel.find(core.LOGGER).info('catch_up_failed', {address, detail});
+  }
+
+  private get source(): stateSource.StateSource {
+    return this.kernel.find(stateSource.STATE_SOURCE);
   }
 
   private get tables(): activeTables.ActiveTables {
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -30,5 +30,6 @@
 export * as settings from './settings.js';
 export * as routerState from './routerstate.js';
 export * from './statesource.js';
+export * as tablesUpdate from './tablesupdate.js';
 export * from './activetables.js';
 export * from './requestwatch.js';
--- a/packages/direct/src/jsonfetch.ts
+++ b/packages/direct/src/jsonfetch.ts
@@ -1,5 +1,6 @@
 /** Fetches JSON from another router or an endpoint, with time-outs. */
 import * as core from '@oleanderrock/core';
+import * as peerJson from './peerjson.js';
 
 /** Time-outs of connecting, and of the response's head, in ms. */
 const CONNECT_TIMEOUT_MS = 300;
@@ -12,6 +13,7 @@
 const IDLE_TIMEOUT_MS = 1_000;
 const BODY_TIMEOUT_MS = 5_000;
 
+/** Maximum size of a body, before and after it is decompressed, in bytes. */
 const MAX_BODY_BYTES = 16 * 1_024 * 1_024;
 
 /** Options of a fetch. */
@@ -32,13 +34,13 @@
   const relayResult = await core.relay.send({
     ...options,
     method: 'GET',
-    headers: {},
+    headers: {'accept-encoding': peerJson.CONTENT_ENCODING},
     body: Buffer.alloc(0),
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     firstByteTimeoutMs: RESPONSE_TIMEOUT_MS,
   });
   if (relayResult.type === 'error') return failure(relayResult.error.detail);
-  const {statusCode} = relayResult.response;
+  const {statusCode, headers} = relayResult.response;
   const body = await core.relay.collectBody(relayResult.response, {
     maxBytes: MAX_BODY_BYTES,
     idleTimeoutMs: IDLE_TIMEOUT_MS,
@@ -46,13 +48,16 @@
   });
   if (statusCode !== 200) return failure(`status ${statusCode}`);
   return body
-    ? parse(body)
+    ? parse(body, headers['content-encoding'] === peerJson.CONTENT_ENCODING)
     : failure('the response was truncated or too large');
 }
 
-function parse(body: Buffer): FetchResult {
+function parse(body: Buffer, isCompressed: boolean): FetchResult {
   try {
-    return {type: 'json', value: JSON.parse(body.toString('utf8')) as unknown};
+    const json = isCompressed
+      ? peerJson.decompress(body, MAX_BODY_BYTES)
+      : body;
+    return {type: 'json', value: JSON.parse(json.toString('utf8')) as unknown};
   } catch (error) {
     return failure(core.errorMessage(error));
   }
--- a/packages/direct/src/routerstate.ts
+++ b/packages/direct/src/routerstate.ts
@@ -1,24 +1,18 @@
 /**
- * The state that a router serves to others: the tables, as patches if the other
- * router has a recent version, the endpoints' records with their offsets, and
- * the members of the fleet.
+ * The state that a router serves to others, beside the tables: the endpoints'
+ * records with their offsets, and the members of the fleet.
  */
 import * as core from '@oleanderrock/core';
 import * as v from 'valibot';
-import * as activeTables from './activetables.js';
 import * as decisions from './decisions.js';
 import * as endpointRegistry from './endpointregistry.js';
 import * as endpointRecords from './endpointrecords.js';
 import * as fleetRegistry from './fleetregistry.js';
 import * as model from './model.js';
-import * as tablesPatch from './tablespatch.js';
 
 /** Path at which routers serve their state. */
 export const STATE_PATH = '/state';
 
-/** Query parameter with the version of the tables that the other router has. */
-const VERSION_PARAMETER = 'have';
-
 const memberSchema = v.object({
   router: model.routerSchema,
   epoch: v.number(),
@@ -28,8 +22,6 @@
 
 /** Schema of the state on the wire. */
 export const stateSchema = v.object({
-  tables: v.optional(model.tablesSchema),
-  patches: v.optional(v.array(tablesPatch.tablesPatchSchema)),
   endpoints: v.array(
     v.object({
       key: v.string(),
@@ -41,35 +33,16 @@
   members: v.array(memberSchema),
 });
 
-/** The tables, endpoint records and members known to a router. */
+/** The endpoint records and members known to a router. */
 export type RouterState = v.InferOutput<typeof stateSchema>;
 
-/** URL of the state for a router that has the version of the tables. */
-export function stateUrl(version: number): string {
-  return `${STATE_PATH}?${VERSION_PARAMETER}=${version}`;
-}
-
-/**
- * The version in a URL of the state; undefined if the URL is for something
- * else.
- */
-export function readStateUrl(url: string): number | undefined {
-  const [path, query] = url.split('?');
-  if (path !== STATE_PATH) return undefined;
-  const version = Number(new URLSearchParams(query).get(VERSION_PARAMETER));
-  return Number.isFinite(version) ? version : activeTables.NO_VERSION;
-}
-
-/** Collects this router's state for a router that has the version. */
-export function collect(kernel: core.Kernel, version: number): RouterState {
-  const tables = kernel.find(activeTables.ACTIVE_TABLES);
-  const patches = tables.patchesSince(version);
+/** Collects this router's state. */
+export function collect(kernel: core.Kernel): RouterState {
   const endpoints = kernel.find(endpointRegistry.ENDPOINT_REGISTRY);
   const membership = kernel.find(decisions.MEMBERSHIP);
   const nowMs = kernel.find(core.CLOCK).nowMs();
   const others = [...membership.live(), ...membership.down(nowMs)];
   return {
-    ...(patches ? {patches: [...patches]} : {tables: tables.current()}),
     endpoints: endpoints.allRecords().map(record => ({...record})),
     endpointsOffset: endpoints.nextOffset(),
     members: [membership.self(), ...others].map(note => ({...note})),
@@ -81,16 +54,11 @@
  */
 export function merge(
   kernel: core.Kernel,
-  state: RouterState,
-  source: string,
+  {members, endpointsOffset, endpoints: records}: RouterState,
 ): void {
   const nowMs = kernel.find(core.CLOCK).nowMs();
-  const {tables, patches = [], members, endpointsOffset} = state;
-  const tablesInForce = kernel.find(activeTables.ACTIVE_TABLES);
-  if (tables) tablesInForce.activate(tables, source);
-  else tablesInForce.applyPatches(patches, source);
   const endpoints = kernel.find(endpointRegistry.ENDPOINT_REGISTRY);
-  for (const {key, offset, value} of state.endpoints) {
+  for (const {key, offset, value} of records) {
     endpointRecords.applyRecord(kernel, {key, offset, value}, 'router');
   }
   endpoints.advanceTo(endpointsOffset);
--- a/packages/direct/src/statesource.ts
+++ b/packages/direct/src/statesource.ts
@@ -1,25 +1,35 @@
-/** Fetches the state of another router. */
+/** Fetches the tables and the state of other routers. */
 import * as core from '@oleanderrock/core';
 import * as v from 'valibot';
 import * as activeTables from './activetables.js';
 import * as jsonFetch from './jsonfetch.js';
 import * as routerState from './routerstate.js';
 import type * as settings from './settings.js';
+import * as tablesUpdate from './tablesupdate.js';
 
-/** The state, or why there is none. */
-export type StateResult =
-  | {readonly type: 'state'; readonly state: routerState.RouterState}
+/** The fetched value, or why there is none. */
+export type Fetched<T> =
+  | {readonly type: 'fetched'; readonly value: T}
   | {readonly type: 'failed'; readonly detail: string};
 
-/** Fetches the state of other routers. */
+/** Fetches from other routers. */
 export interface StateSource {
-  /** Fetches what this router lacks from the router at the address. */
-  fetch(address: string, signal: AbortSignal): Promise<StateResult>;
+  /** Fetches the tables of the router at the address, if they are newer. */
+  fetchTables(
+    address: string,
+    signal: AbortSignal,
+  ): Promise<Fetched<tablesUpdate.TablesUpdate>>;
+  /** Fetches the state of the router at the address. */
+  fetchState(
+    address: string,
+    signal: AbortSignal,
+  ): Promise<Fetched<routerState.RouterState>>;
 }
 
 /** The contract under which the source of state is registered. */
 export const STATE_SOURCE = core.contract<StateSource>('state-source', [
-  'fetch',
+  'fetchTables',
+  'fetchState',
 ]);
 
 /** Fetches over HTTP. */
@@ -29,17 +39,33 @@
     private readonly routerSettings: settings.Settings,
   ) {}
 
-  async fetch(address: string, signal: AbortSignal): Promise<StateResult> {
+  fetchTables(
+    address: string,
+    signal: AbortSignal,
+  ): Promise<Fetched<tablesUpdate.TablesUpdate>> {
     const version = this.kernel.find(activeTables.ACTIVE_TABLES).version();
-    const result = await jsonFetch.fetchJson({
-      address,
-      port: this.routerSettings.peerPort,
-      path: routerState.stateUrl(version),
-      signal,
-    });
+    const path = tablesUpdate.tablesUrl(version);
+    const schema = tablesUpdate.tablesUpdateSchema;
+    return this.fetch({address, path, signal}, schema);
+  }
+
+  fetchState(
+    address: string,
+    signal: AbortSignal,
+  ): Promise<Fetched<routerState.RouterState>> {
+    const path = routerState.STATE_PATH;
+    return this.fetch({address, path, signal}, routerState.stateSchema);
+  }
+
+  private async fetch<T>(
+    options: {address: string; path: string; signal: AbortSignal},
+    schema: v.GenericSchema<unknown, T>,
+  ): Promise<Fetched<T>> {
+    const port = this.routerSettings.peerPort;
+    const result = await jsonFetch.fetchJson({...options, port});
     if (result.type === 'failed') return result;
-    const parsed = v.safeParse(routerState.stateSchema, result.value);
-    if (parsed.success) return {type: 'state', state: parsed.output};
-    return {type: 'failed', detail: 'the state has an unexpected format'};
+    const parsed = v.safeParse(schema, result.value);
+    if (parsed.success) return {type: 'fetched', value: parsed.output};
+    return {type: 'failed', detail: 'the response has an unexpected format'};
   }
 }
--- /dev/null
+++ b/packages/direct/src/tests/catchup.test.ts
@@ -0,0 +1,159 @@
+/** Tests that a router catches up although routers that it asks do not serve it. */
+import * as chai from 'chai';
+import * as core from '@oleanderrock/core';
+import * as decide from '@oleanderrock/decide';
+import * as direct from '../index.js';
+import * as virtualClock from './virtualclock.js';
+
+const {expect} = chai;
+
+const SELF = {name: 'r0', address: '10.0.0.1', zone: 'z0'};
+
+/** Time-out of a router that does not respond, in ms. */
+const SILENCE_MS = 1_000;
+
+function tablesOf(version: number): direct.Tables {
+  const limits = {maxBodyBytes: 1, idleMs: 1};
+  return {version, routes: [], pools: [], limits};
+}
+
+/** Routers of which some never respond. */
+class PartlySilentSource implements direct.StateSource {
+  readonly asked: string[] = [];
+
+  constructor(
+    private readonly clock: core.Clock,
+    private readonly silent: ReadonlySet<string>,
+  ) {}
+
+  async fetchTables(
+    address: string,
+  ): Promise<direct.Fetched<direct.tablesUpdate.TablesUpdate>> {
+    this.asked.push(address);
+    if (this.silent.has(address)) {
+      await this.clock.sleep(SILENCE_MS);
+      return {type: 'failed', detail: 'no answer'};
+    }
+    await this.clock.sleep(5);
+    return {type: 'fetched', value: {tables: tablesOf(2)}};
+  }
+
+  fetchState(): Promise<direct.Fetched<direct.routerState.RouterState>> {
+    return Promise.resolve({type: 'failed', detail: 'not served'});
+  }
+}
+
+function setUp(silent: readonly string[]) {
+  const kernel = new core.Kernel();
+  const clock = new virtualClock.VirtualClock();
+  kernel.register(core.LOGGER, new core.SilentLogger());
+  kernel.register(core.CLOCK, clock);
+  kernel.register(core.RANDOM, new core.SeededRandom(1));
+  kernel.register(
+    direct.MEMBERSHIP,
+    new decide.PingMembership({self: SELF, firstEpoch: 1, hash: core.hash32}),
+  );
+  kernel.register(direct.ACTIVE_TABLES, new direct.IndexedTables(kernel));
+  kernel.register(
+    direct.ENDPOINT_REGISTRY,
+    new direct.InMemoryEndpointRegistry(kernel),
+  );
+  kernel.register(
+    direct.FLEET_REGISTRY,
+    new direct.InMemoryFleetRegistry(kernel, SELF),
+  );
+  kernel.register(direct.RUN_STATE, new direct.RouterRunState(kernel));
+  kernel.register(direct.FEED_FOLLOWERS, {
+    isReadingTables: () => false,
+    isStoreLost: () => false,
+    withdraw: () => Promise.resolve(),
+  });
+  const source = new PartlySilentSource(clock, new Set(silent));
+  kernel.register(direct.STATE_SOURCE, source);
+  const catchUp = new direct.StateCatchUp(kernel);
+  kernel.register(direct.CATCH_UP, catchUp);
+  const hear = (address: string, zone: string) =>
+    catchUp.onDigest(
+      {name: address, address, zone},
+      {
+        version: 2,
+        endpointsFingerprint: 0,
+        membersFingerprint: 0,
+        uptimeS: 60,
+      },
+    );
+  const version = () => kernel.find(direct.ACTIVE_TABLES).version();
+  return {kernel, clock, source, hear, version};
+}
+
+describe('catching up with newer tables', () => {
+  it('asks the next router that has them at once if one does not serve them', async () => {
+    const {kernel, clock, source, hear, version} = setUp(['a', 'b']);
+    kernel.find(direct.ACTIVE_TABLES).activate(tablesOf(1), 'store');
+    await kernel.start();
+    for (const address of ['a', 'b', 'c']) hear(address, 'z0');
+    await clock.advance(2 * SILENCE_MS + 200);
+    expect(version()).to.equal(2);
+    expect(source.asked).to.include('c');
+    await kernel.stop();
+  });
+
+  it('asks a router of its own failure domain first', async () => {
+    const {kernel, clock, source, hear} = setUp([]);
+    kernel.find(direct.ACTIVE_TABLES).activate(tablesOf(1), 'store');
+    await kernel.start();
+    hear('far-1', 'z1');
+    hear('near', 'z0');
+    hear('far-2', 'z1');
+    await clock.advance(200);
+    expect(source.asked).to.deep.equal(['near']);
+    await kernel.stop();
+  });
+
+  it('does not ask again once it has them', async () => {
+    const {kernel, clock, source, hear} = setUp([]);
+    kernel.find(direct.ACTIVE_TABLES).activate(tablesOf(2), 'store');
+    await kernel.start();
+    hear('a', 'z0');
+    await clock.advance(1_000);
+    expect(source.asked).to.deep.equal([]);
+    await kernel.stop();
+  });
+});
+
+describe('an update of large tables', () => {
+  const routes = [...Array(1_050).keys()].map(index => ({
+    name: `route-${index}`,
+    host: `host-${index % 7}.example`,
+    pathPrefix: `/${core.hash64(String(index)).slice(0, 8)}/`,
+    pools: [{name: 'engines', weight: 1}],
+    repeat: 'stream' as const,
+    isResumable: true,
+    maxRuns: 2,
+    timeoutMs: 10_000,
+    goalMs: 800,
+    priority: 2,
+    isPublic: false,
+  }));
+
+  it('is compressed, and encoded once for all routers that ask for it', () => {
+    const {kernel} = setUp([]);
+    const tables = kernel.find(direct.ACTIVE_TABLES);
+    tables.activate({...tablesOf(2), routes}, 'store');
+    const updates = new direct.tablesUpdate.EncodedUpdates(kernel);
+    const encoded = updates.encode(1);
+    const plainBytes = JSON.stringify(routes).length;
+    expect(encoded.length).to.be.below(plainBytes / 5);
+    expect(updates.encode(1)).to.equal(encoded);
+  });
+
+  it('is encoded anew for the next version', () => {
+    const {kernel} = setUp([]);
+    const tables = kernel.find(direct.ACTIVE_TABLES);
+    tables.activate({...tablesOf(2), routes}, 'store');
+    const updates = new direct.tablesUpdate.EncodedUpdates(kernel);
+    const encoded = updates.encode(1);
+    tables.activate({...tablesOf(3), routes: routes.slice(1)}, 'store');
+    expect(updates.encode(1)).not.to.equal(encoded);
+  });
+});
--- a/packages/direct/src/tests/parts.test.ts
+++ b/packages/direct/src/tests/parts.test.ts
@@ -15,6 +15,7 @@
 function createKernel(): core.Kernel {
   const kernel = new core.Kernel();
   kernel.register(core.LOGGER, new core.SilentLogger());
+  kernel.register(core.CLOCK, new core.SystemClock());
   return kernel;
 }
 
--- a/packages/direct/src/tests/simulatedfleet.ts
+++ b/packages/direct/src/tests/simulatedfleet.ts
@@ -45,6 +45,7 @@
   storeCalls: number;
   deliver: direct.DatagramListener | undefined;
   readonly transfers: simulatedTransfers.TransferCounters;
+  readonly encoded: WeakSet<object>;
   readonly resources: simulatedTransfers.TransferResources;
 }
 
@@ -216,6 +217,7 @@
       storeCalls: 0,
       deliver: undefined,
       transfers: simulatedTransfers.createCounters(),
+      encoded: new WeakSet(),
       resources: simulatedTransfers.createResources(this.clock),
     };
     this.routers.push(router);
@@ -290,7 +292,17 @@
       new direct.StoreFeedFollowers(kernel, routerSettings),
     );
     kernel.register(direct.STATE_SOURCE, {
-      fetch: peerAddress => this.fetchState(router, peerAddress),
+      fetchTables: peerAddress =>
+        this.fetch(router, peerAddress, peer =>
+          simulatedTransfers.servedUpdate(
+            direct.tablesUpdate.collect(peer.kernel, this.version(router)),
+          ),
+        ),
+      fetchState: peerAddress =>
+        this.fetch(router, peerAddress, peer => {
+          const value = direct.routerState.collect(peer.kernel);
+          return {value, parts: [value]};
+        }),
     });
     kernel.register(direct.CATCH_UP, new direct.StateCatchUp(kernel));
     kernel.register(direct.DATAGRAMS, this.datagramsFor(router));
@@ -325,26 +337,22 @@
     };
   }
 
-  /** The state of a router, as another would fetch it over HTTP. */
-  private async fetchState(
+  /** What a router serves, as another would fetch it over HTTP. */
+  private async fetch<T>(
     router: SimulatedRouter,
     address: string,
-  ): Promise<direct.StateResult> {
+    collect: (peer: SimulatedRouter) => simulatedTransfers.Served<T>,
+  ): Promise<direct.Fetched<T>> {
     const peer = this.byAddress.get(address);
     if (this.transfers) {
-      const version = this.version(router);
       const sender = peer?.isCut || router.isCut ? undefined : peer;
-      return this.transfers.fetch(router, sender, () =>
-        direct.routerState.collect(sender!.kernel, version),
-      );
+      return this.transfers.fetch(router, sender, () => collect(sender!));
     }
     await this.clock.sleep(4);
     if (!peer?.isRunning || peer.isCut || router.isCut) {
       return {type: 'failed', detail: 'no connection'};
     }
-    const version = this.version(router);
-    const state = direct.routerState.collect(peer.kernel, version);
-    return {type: 'state', state};
+    return {type: 'fetched', value: collect(peer).value};
   }
 
   private feedsFor(router: SimulatedRouter): direct.Feeds {
@@ -384,11 +392,10 @@
             this.clock.sleep(waitMs, signal),
           ]);
         }
-        const unread = topic.rows.slice(fromOffset);
-        const values = unread.map(({value}) => value);
-        const count = this.transfers?.firstPage(values) ?? unread.length;
-        const records = unread.slice(0, count);
-        const page = {records, nextOffset: fromOffset + count};
+        const records = this.transfers
+          ? this.transfers.limitRead(topic.rows.slice(fromOffset))
+          : topic.rows.slice(fromOffset);
+        const page = {records, nextOffset: fromOffset + records.length};
         await this.receive(router, records);
         return {ok: true, page};
       },
--- a/packages/direct/src/tests/simulatedtransfers.ts
+++ b/packages/direct/src/tests/simulatedtransfers.ts
@@ -1,10 +1,12 @@
 /**
- * Test support: what transfers of state cost in a simulated fleet. A link and a
- * processor each serve one piece of work after the other; a transfer sends small
- * chunks, so that the transfers of a router share its link evenly. The time-outs
- * are those of `fetchJson`.
+ * Test support: what transfers of tables and state cost in a simulated fleet. A
+ * link and a processor each serve one piece of work after the other; a transfer
+ * sends small chunks, so that the transfers of a router share its link evenly.
+ * The time-outs are those of `fetchJson`. Transfers are compressed, and what
+ * many routers fetch is encoded once.
  */
-import * as direct from '../index.js';
+import * as zlib from 'node:zlib';
+import type * as direct from '../index.js';
 import type * as virtualClock from './virtualclock.js';
 
 /** Speed of the links and processors of the routers. */
@@ -37,6 +39,8 @@
 /** One end of a transfer. */
 export interface TransferPeer {
   readonly transfers: TransferCounters;
+  /** What it has encoded and keeps. */
+  readonly encoded: WeakSet<object>;
   readonly resources: TransferResources;
   readonly isRunning: boolean;
 }
@@ -44,12 +48,14 @@
 /** Time-outs of connecting, and of the response's head and body, in ms. */
 const CONNECT_TIMEOUT_MS = 300;
 const RESPONSE_TIMEOUT_MS = 1_000;
+const BODY_TIMEOUT_MS = 5_000;
+
+/** Maximum size of a response of the store, in bytes. */
+const MAX_READ_BYTES = 1_048_576;
 
 const CONNECT_MS = 2;
 const CHUNK_BYTES = 8_192;
 const BYTES_PER_KB = 1_024;
-/** Maximum size of the records that one read of the store returns. */
-const MAX_READ_BYTES = 1_024 * BYTES_PER_KB;
 /** 1 Mbit/s in bytes per ms. */
 const BYTES_PER_MS_PER_MBPS = 125;
 
@@ -85,9 +91,28 @@
 
 type Step = 'done' | 'timeout';
 
+/** What a router serves, in parts whose sizes are computed once. */
+export interface Served<T> {
+  readonly value: T;
+  readonly parts: readonly object[];
+}
+
+/** The parts of an update of the tables. */
+export function servedUpdate(
+  value: direct.tablesUpdate.TablesUpdate,
+): Served<direct.tablesUpdate.TablesUpdate> {
+  const {tables, patches = []} = value;
+  return {value, parts: tables ? [tables] : patches};
+}
+
+interface Size {
+  readonly plainBytes: number;
+  readonly wireBytes: number;
+}
+
 /** Transfers between the routers of a fleet. */
 export class Transfers {
-  private readonly jsonBytes = new WeakMap<object, number>();
+  private readonly sizes = new WeakMap<object, Size>();
 
   constructor(
     private readonly clock: virtualClock.VirtualClock,
@@ -95,87 +120,115 @@
   ) {}
 
   /** Fetches what `collect` returns at the moment at which it is served. */
-  async fetch(
+  async fetch<T>(
     receiver: TransferPeer,
     sender: TransferPeer | undefined,
-    collect: () => direct.routerState.RouterState,
-  ): Promise<direct.StateResult> {
+    collect: () => Served<T>,
+  ): Promise<direct.Fetched<T>> {
     receiver.transfers.fetches += 1;
     const result = await this.tryFetch(receiver, sender, collect);
     if (result.type === 'failed') receiver.transfers.failedFetches += 1;
     return result;
   }
 
-  /** Receives JSON from the store, whose own link is fast. */
+  /** The first records, up to the size that the store sends in one response. */
+  limitRead<R extends {readonly value: unknown}>(
+    records: readonly R[],
+  ): readonly R[] {
+    let bytes = 0;
+    const end = records.findIndex(({value}, index) => {
+      const isObject = typeof value === 'object' && value !== null;
+      bytes += isObject ? this.sizeOf([value]).plainBytes : 0;
+      return index > 0 && bytes > MAX_READ_BYTES;
+    });
+    return end < 0 ? records : records.slice(0, end);
+  }
+
+  /**
+   * Receives JSON from the store, whose own link is fast; only the newest value
+   * is processed.
+   */
   async receiveFromStore(
     receiver: TransferPeer,
     values: readonly unknown[],
   ): Promise<void> {
-    const bytes = values.reduce<number>(
-      (sum, value) => sum + this.bytesOf(value),
-      0,
+    const objects = values.filter(
+      (value): value is object => typeof value === 'object' && value !== null,
     );
-    if (bytes === 0) return;
-    await receiver.resources.downLink.use(this.linkMs(bytes));
-    await this.process(receiver, bytes);
-  }
-
-  /** Number of the first values that one read of the store returns. */
-  firstPage(values: readonly unknown[]): number {
-    let bytes = 0;
-    const count = values.findIndex(value => {
-      bytes += this.bytesOf(value);
-      return bytes > MAX_READ_BYTES;
-    });
-    return count < 0 ? values.length : Math.max(1, count);
+    const {plainBytes} = this.sizeOf(objects);
+    if (plainBytes === 0) return;
+    await receiver.resources.downLink.use(this.linkMs(plainBytes));
+    await this.process(receiver, this.sizeOf(objects.slice(-1)).plainBytes);
   }
 
-  private async tryFetch(
+  private async tryFetch<T>(
     receiver: TransferPeer,
     sender: TransferPeer | undefined,
-    collect: () => direct.routerState.RouterState,
-  ): Promise<direct.StateResult> {
+    collect: () => Served<T>,
+  ): Promise<direct.Fetched<T>> {
     await this.clock.sleep(CONNECT_MS);
     if (!sender?.isRunning) {
       await this.clock.sleep(CONNECT_TIMEOUT_MS - CONNECT_MS);
       return {type: 'failed', detail: 'no connection'};
     }
     const transfer = {isCancelled: false};
-    let state: direct.routerState.RouterState | undefined;
-    let bytes = 0;
+    let served: Served<T> | undefined;
+    let size: Size = {plainBytes: 0, wireBytes: 0};
     const sendHead = async () => {
-      // The state is collected when the processor gets to the request.
+      // The value is collected when the processor gets to the request.
       await sender.resources.processor.use(0);
-      state = collect();
-      bytes = this.stateBytes(state);
-      sender.transfers.servedBytes += bytes;
-      if (state.tables) sender.transfers.servedWholeTables += 1;
-      const encodeMs = (bytes / BYTES_PER_KB) * this.costs.encodeMsPerKb;
-      await sender.resources.processor.use(encodeMs);
+      served = collect();
+      size = this.sizeOf(served.parts);
+      this.count(sender, served.parts, size);
+      await sender.resources.processor.use(
+        this.encodeMs(sender, served.parts, size),
+      );
       await sender.resources.upLink.use(this.linkMs(CHUNK_BYTES));
     };
-    if ((await this.withTimeout(sendHead())) === 'timeout') {
-      return {type: 'failed', detail: 'no answer'};
-    }
+    const headStep = await this.withTimeout(sendHead(), RESPONSE_TIMEOUT_MS);
+    if (headStep === 'timeout') return {type: 'failed', detail: 'no answer'};
     const sendBody = async () => {
-      for (let sent = CHUNK_BYTES; sent < bytes; sent += CHUNK_BYTES) {
+      for (let sent = CHUNK_BYTES; sent < size.wireBytes; sent += CHUNK_BYTES) {
         if (transfer.isCancelled || !sender.isRunning) return;
         await sender.resources.upLink.use(this.linkMs(CHUNK_BYTES));
         // The chunks pass the receiver's link while the next ones are sent.
-        const isLast = sent + CHUNK_BYTES >= bytes;
+        const isLast = sent + CHUNK_BYTES >= size.wireBytes;
         const isReceived = receiver.resources.downLink.use(
           this.linkMs(CHUNK_BYTES),
         );
         if (isLast) await isReceived;
       }
     };
-    const step = await this.withTimeout(sendBody());
+    const step = await this.withTimeout(sendBody(), BODY_TIMEOUT_MS);
     transfer.isCancelled = true;
-    if (step === 'timeout' || !sender.isRunning || !state) {
+    if (step === 'timeout' || !sender.isRunning || !served) {
       return {type: 'failed', detail: 'the response was truncated'};
     }
-    await this.process(receiver, bytes);
-    return {type: 'state', state};
+    await this.process(receiver, size.plainBytes);
+    return {type: 'fetched', value: served.value};
+  }
+
+  private count(
+    {transfers}: TransferPeer,
+    parts: readonly object[],
+    {wireBytes}: Size,
+  ): void {
+    transfers.servedBytes += wireBytes;
+    const isWhole = parts.some(part => 'routes' in part && 'limits' in part);
+    const isPatch = parts.some(part => 'baseVersion' in part);
+    if (isWhole && !isPatch) transfers.servedWholeTables += 1;
+  }
+
+  /** Time to encode the parts; none for parts that were encoded before. */
+  private encodeMs(
+    {encoded}: TransferPeer,
+    parts: readonly object[],
+    {plainBytes}: Size,
+  ): number {
+    const last = parts.at(-1);
+    if (!last || encoded.has(last)) return 0;
+    encoded.add(last);
+    return (plainBytes / BYTES_PER_KB) * this.costs.encodeMsPerKb;
   }
 
   private async process(receiver: TransferPeer, bytes: number): Promise<void> {
@@ -184,31 +237,31 @@
     await receiver.resources.processor.use((bytes / BYTES_PER_KB) * msPerKb);
   }
 
-  private async withTimeout(work: Promise<void>): Promise<Step> {
+  private async withTimeout(
+    work: Promise<void>,
+    timeoutMs: number,
+  ): Promise<Step> {
     const done = work.then((): Step => 'done');
-    const timeout = this.clock
-      .sleep(RESPONSE_TIMEOUT_MS)
-      .then((): Step => 'timeout');
+    const timeout = this.clock.sleep(timeoutMs).then((): Step => 'timeout');
     return Promise.race([done, timeout]);
   }
 
-  private stateBytes(state: direct.routerState.RouterState): number {
-    const {tables, patches = [], ...rest} = state;
-    const parts: readonly unknown[] = [tables, ...patches];
-    return parts.reduce<number>(
-      (sum, part) => sum + this.bytesOf(part),
-      JSON.stringify(rest).length,
-    );
-  }
-
-  /** Size of the value's JSON; computed once for each object. */
-  private bytesOf(value: unknown): number {
-    if (typeof value !== 'object' || value === null) return 0;
-    const known = this.jsonBytes.get(value);
-    if (known !== undefined) return known;
-    const bytes = JSON.stringify(value).length;
-    this.jsonBytes.set(value, bytes);
-    return bytes;
+  /** Sizes of the parts' JSON; each is computed once. */
+  private sizeOf(parts: readonly object[]): Size {
+    let plainBytes = 0;
+    let wireBytes = 0;
+    for (const part of parts) {
+      let size = this.sizes.get(part);
+      if (!size) {
+        const json = JSON.stringify(part);
+        const {length} = zlib.gzipSync(json, {level: 1});
+        size = {plainBytes: json.length, wireBytes: length};
+        this.sizes.set(part, size);
+      }
+      plainBytes += size.plainBytes;
+      wireBytes += size.wireBytes;
+    }
+    return {plainBytes, wireBytes};
   }
 
   private linkMs(bytes: number): number {
--- a/packages/direct/src/tests/tablespatch.test.ts
+++ b/packages/direct/src/tests/tablespatch.test.ts
@@ -93,6 +93,7 @@
 function createRouter(): direct.IndexedTables {
   const kernel = new core.Kernel();
   kernel.register(core.LOGGER, new core.SilentLogger());
+  kernel.register(core.CLOCK, new core.SystemClock());
   return new direct.IndexedTables(kernel);
 }
 
@@ -133,16 +134,12 @@
 function overTheWire(
   sender: direct.IndexedTables,
   version: number,
-): direct.routerState.RouterState {
-  const patches = sender.patchesSince(version);
-  const state = {
-    ...(patches ? {patches: [...patches]} : {tables: sender.current()}),
-    endpoints: [],
-    endpointsOffset: 0,
-    members: [],
-  };
-  const text = JSON.stringify(state);
-  return v.parse(direct.routerState.stateSchema, JSON.parse(text));
+): direct.tablesUpdate.TablesUpdate {
+  const kernel = new core.Kernel();
+  kernel.register(direct.ACTIVE_TABLES, sender);
+  const update = direct.tablesUpdate.collect(kernel, version);
+  const text = JSON.stringify(update);
+  return v.parse(direct.tablesUpdate.tablesUpdateSchema, JSON.parse(text));
 }
 
 function fetchFrom(
