Read the newest tables at once when versions come faster than they arrive

Cause: a reader of the store decides that versions form a burst, and then reads only the newest, by the time between two reads that brought records. It took that time after the records had arrived and were handled. With tables of 1,050 routes (270 KB a record, at most 1 MB a read) one read takes 0.86 s over 10 Mbit/s, longer than the 0.7 s that end a burst: so no storm of large versions was ever a burst, and the reader went through its whole backlog. Class of fault: a measure of the input's rate that includes the time of its own work.

Change: a read that brings more than one record of a feed whose records each replace all before shows a backlog; the newest record is read next, without the pause of a burst.

--- a/packages/direct/src/follower.ts
+++ b/packages/direct/src/follower.ts
@@ -74,6 +74,13 @@
   readonly idleCheckMs: () => number;
 }
 
+/**
+ * Why the newest records have to be read again: `burst`: records follow each
+ * other closely; `backlog`: they are written faster than they can be read, so
+ * the newest one is read at once; `stopped`: for any other reason.
+ */
+type ReadOnEnd = 'burst' | 'backlog' | 'stopped';
+
 /** Follows one feed. */
 export class Follower<T> {
   private failures = 0;
@@ -113,8 +120,11 @@
       if (offset === undefined) continue;
       // A burst lasts while each read of the newest record finds a new one.
       isBurst &&= offset !== previousOffset;
-      if (!isBurst) isBurst = await this.readOn(offset, signal);
-      if (isBurst) await this.sleep(BURST_PAUSE_MS, signal);
+      const end: ReadOnEnd = isBurst
+        ? 'burst'
+        : await this.readOn(offset, signal);
+      isBurst = end !== 'stopped';
+      if (end === 'burst') await this.sleep(BURST_PAUSE_MS, signal);
     }
   }
 
@@ -150,11 +160,11 @@
     return result.page.nextOffset;
   }
 
-  /**
-   * Reads on from `offset` until the newest records have to be read again;
-   * returns true if a burst of records is the reason.
-   */
-  private async readOn(offset: number, signal: AbortSignal): Promise<boolean> {
+  /** Reads on from `offset` until the newest records have to be read again. */
+  private async readOn(
+    offset: number,
+    signal: AbortSignal,
+  ): Promise<ReadOnEnd> {
     let fromOffset = offset;
     let lastRecordMs = Number.NEGATIVE_INFINITY;
     const {feed, handler, waitMs, pauseMs, isFullState = false} = this.options;
@@ -168,19 +178,20 @@
         handler.onOffset(fromOffset);
         this.nextOffset = fromOffset;
         if (isFullState && result.page.records.length > 0) {
+          if (result.page.records.length > 1) return 'backlog';
           const gapMs = this.nowMs() - lastRecordMs;
-          if (gapMs < BURST_GAP_MS) return true;
+          if (gapMs < BURST_GAP_MS) return 'burst';
           lastRecordMs = this.nowMs();
         }
         await this.sleep(pauseMs(), signal);
       } else if (result.error.type === 'history_lost') {
         this.log.warn('feed_history_lost', {feed: this.options.name});
-        return false;
+        return 'stopped';
       } else {
         await this.handleFailure(result.error, signal);
       }
     }
-    return false;
+    return 'stopped';
   }
 
   private handleSuccess(): void {
