--- a/packages/core/src/listener.ts
+++ b/packages/core/src/listener.ts
@@ -13,6 +13,11 @@
 
 /** Default keep-alive timeout of idle connections, in ms. */
 const DEFAULT_KEEP_ALIVE_MS = 30_000;
+/** Errors of connections that break, which are no fault of a request. */
+const BROKEN_CONNECTION_CODES: ReadonlySet<string> = new Set([
+  'ECONNRESET',
+  'EPIPE',
+]);
 /** Maximum number of unreadable requests that are logged in a second. */
 const MAX_UNREADABLE_LINES_PER_SECOND = 10;
 /** Maximum number of unhandled requests that a connection may pipeline. */
@@ -158,8 +163,7 @@
   }
 
   private logUnreadable(error: Error & {code?: string}): void {
-    // A connection that breaks is no fault of a request.
-    if (error.code === 'ECONNRESET') return;
+    if (BROKEN_CONNECTION_CODES.has(error.code ?? '')) return;
     if (!this.unreadableQuota.consume(performance.now())) return;
     this.options.log.info('request_unreadable', {
       listener: this.options.name,
