--- /dev/null
+++ b/packages/decide/src/crashtracker.ts
@@ -0,0 +1,337 @@
+/**
+ * Finds what requests that crash endpoints have in common. At a crash, each
+ * request that was running there and had not begun its answer may be the cause,
+ * by any of its crash keys. A key is proved sound by a request with it that
+ * begins to answer later, at any router; a key that stays under several crashes
+ * is condemned, and requests with it are refused.
+ */
+import * as core from '@oleanderrock/core';
+import * as boundedMap from './boundedmap.js';
+import * as crashEvidence from './crashevidence.js';
+import * as crashKeys from './crashkeys.js';
+import * as quarantines from './quarantine.js';
+import * as trackedRequests from './trackedrequests.js';
+
+/** A proof that a key is sound: a request with it began to answer. */
+export interface ProofNote {
+  readonly key: string;
+  readonly atMs: number;
+}
+
+/** What this router has to tell others. */
+export interface CrashNews {
+  readonly crashes: readonly crashEvidence.CrashNote[];
+  readonly proofs: readonly ProofNote[];
+}
+
+/** An endpoint that crashed, in one of its lifetimes. */
+export interface CrashedEndpoint {
+  readonly id: string;
+  readonly bornMs?: number;
+}
+
+/** The requests that a crash ended. */
+export interface CrashReport {
+  readonly crash: number;
+  /** Those that may have caused it. */
+  readonly candidates: readonly trackedRequests.TrackedRequest[];
+  /** Those whose answer had begun. */
+  readonly begun: readonly trackedRequests.TrackedRequest[];
+  readonly keys: readonly string[];
+}
+
+/** Whether a request may be sent; `probe` if it is to tell whether it may. */
+export type CrashVerdict =
+  | {readonly type: 'free'}
+  | {readonly type: 'probe' | 'refused'; readonly key: string};
+
+/** A change of what is known of a key. */
+export interface KeyChange {
+  readonly key: string;
+  readonly is: 'condemned' | 'condemned_again' | 'cleared';
+  /** The crashes under the key. */
+  readonly crashes: readonly number[];
+}
+
+/** Tracks crashes and the requests that may cause them. */
+export interface CrashTracker {
+  /** Whether a request may be sent to an endpoint. */
+  admit(
+    requestId: string,
+    keys: readonly string[],
+    nowMs: number,
+  ): CrashVerdict;
+  /** Whether no other request that is close to being condemned runs there. */
+  isApart(keys: readonly string[], endpoint: string, nowMs: number): boolean;
+  recordStart(
+    requestId: string,
+    keys: readonly string[],
+    endpoint: string,
+  ): trackedRequests.TrackedRequest;
+  /** Records that the head of the answer arrived. */
+  recordHead(request: trackedRequests.TrackedRequest): void;
+  /** Records that the answer began, which proves the request's keys sound. */
+  recordBegun(request: trackedRequests.TrackedRequest, nowMs: number): void;
+  recordEnd(request: trackedRequests.TrackedRequest): void;
+  /** Records a crash of the endpoint, which ended all requests on it. */
+  recordCrash(endpoint: CrashedEndpoint, nowMs: number): CrashReport;
+  /** Applies a note of another router; returns whether it was new. */
+  applyCrash(note: crashEvidence.CrashNote, nowMs: number): boolean;
+  /** Applies a note of another router; returns whether it cleared evidence. */
+  applyProof(note: ProofNote, nowMs: number): boolean;
+  /** News since the last call. */
+  takeNews(): CrashNews;
+  /** The crashes under condemned keys, for a router that starts. */
+  condemnations(nowMs: number): readonly crashEvidence.CrashNote[];
+}
+
+/** Limits of what is kept. */
+const MAX_EVIDENCE_KEYS = 2_048;
+const MAX_CONDEMNED_KEYS = 512;
+const MAX_PROOFS = 4_096;
+const MAX_UNSENT = 64;
+
+/** Maximum number of keys in one note. */
+export const MAX_NOTE_KEYS = 24;
+
+/** Age at which a note of another router is ignored, in ms. */
+const MAX_NOTE_AGE_MS = 60_000;
+
+/** Stands for this router in a note about its own crashes that others send. */
+const UNKNOWN_REPORTER = 0;
+
+/** Options of `EvidenceCrashTracker`. */
+export interface CrashTrackerOptions {
+  /** Name of this router. */
+  readonly self: string;
+  /** Whether this router probes the key. */
+  readonly isProber: (key: string) => boolean;
+  /** Called when there is news to tell soon. */
+  readonly onNews?: () => void;
+  readonly onChange?: (change: KeyChange) => void;
+}
+
+/** Tracks by evidence and proofs that routers share. */
+export class EvidenceCrashTracker implements CrashTracker {
+  private readonly reporter: number;
+  private readonly requests = new trackedRequests.TrackedRequests();
+  private readonly evidence: crashEvidence.CrashEvidence;
+  private readonly quarantine: quarantines.Quarantine;
+  /** Time of the last proof, by key. */
+  private readonly proofs = new boundedMap.BoundedMap<number>(MAX_PROOFS);
+  /** Time of the last proof that other routers know of, by key. */
+  private readonly sharedProofs = new boundedMap.BoundedMap<number>(MAX_PROOFS);
+  /** Crashes that a condemned key explains. */
+  private readonly explained = new boundedMap.BoundedMap<string>(
+    MAX_EVIDENCE_KEYS,
+  );
+  private unsentCrashes: crashEvidence.CrashNote[] = [];
+  private unsentProofs = new boundedMap.BoundedMap<number>(MAX_UNSENT);
+
+  constructor(private readonly options: CrashTrackerOptions) {
+    this.reporter = core.hash32(options.self);
+    this.evidence = new crashEvidence.CrashEvidence({
+      reporter: this.reporter,
+      maxKeys: MAX_EVIDENCE_KEYS,
+    });
+    this.quarantine = new quarantines.Quarantine({
+      isProber: options.isProber,
+      maxKeys: MAX_CONDEMNED_KEYS,
+    });
+  }
+
+  admit(
+    requestId: string,
+    keys: readonly string[],
+    nowMs: number,
+  ): CrashVerdict {
+    let verdict: CrashVerdict = {type: 'free'};
+    for (const key of keys) {
+      if (!this.isCondemned(key, nowMs)) continue;
+      if (!this.quarantine.admits(key, requestId, nowMs)) {
+        return {type: 'refused', key};
+      }
+      verdict = {type: 'probe', key};
+    }
+    return verdict;
+  }
+
+  isApart(keys: readonly string[], endpoint: string, nowMs: number): boolean {
+    const isSuspect = (key: string) => this.evidence.isSuspect(key, nowMs);
+    const own = keys.filter(isSuspect);
+    if (own.length === 0) return true;
+    return this.requests
+      .on(endpoint)
+      .filter(({stage}) => stage !== 'begun')
+      .every(other => {
+        const suspects = other.keys.filter(isSuspect);
+        return suspects.length === 0 || suspects.some(key => own.includes(key));
+      });
+  }
+
+  recordStart(
+    requestId: string,
+    keys: readonly string[],
+    endpoint: string,
+  ): trackedRequests.TrackedRequest {
+    const request = {requestId, keys, endpoint, stage: 'sent' as const};
+    this.requests.add(request);
+    return request;
+  }
+
+  recordHead(request: trackedRequests.TrackedRequest): void {
+    if (request.stage === 'sent') request.stage = 'head';
+  }
+
+  recordBegun(request: trackedRequests.TrackedRequest, nowMs: number): void {
+    if (request.stage === 'begun') return;
+    request.stage = 'begun';
+    let isNews = false;
+    for (const key of request.keys) {
+      if (!this.applyProofAt(key, nowMs)) continue;
+      this.queueProof(key, nowMs);
+      isNews = true;
+    }
+    if (isNews) this.options.onNews?.();
+  }
+
+  recordEnd(request: trackedRequests.TrackedRequest): void {
+    this.requests.remove(request);
+  }
+
+  recordCrash({id, bornMs}: CrashedEndpoint, nowMs: number): CrashReport {
+    const crash = core.hash32(`${id} ${bornMs ?? ''}`);
+    const requests = this.requests.removeAll(id);
+    const candidates = requests.filter(({stage}) => stage !== 'begun');
+    const begun = requests.filter(({stage}) => stage === 'begun');
+    const keys = this.candidateKeys(candidates);
+    if (keys.length > 0) {
+      const {reporter} = this;
+      const note = {crash, reporter, atMs: nowMs, keys};
+      this.addEvidence(note, nowMs);
+      this.queueCrash(note);
+      this.options.onNews?.();
+    }
+    return {crash, candidates, begun, keys};
+  }
+
+  applyCrash(note: crashEvidence.CrashNote, nowMs: number): boolean {
+    if (nowMs - note.atMs > MAX_NOTE_AGE_MS) return false;
+    const isOwn = note.reporter === this.reporter;
+    const reporter = isOwn ? UNKNOWN_REPORTER : note.reporter;
+    const keys = note.keys.slice(0, MAX_NOTE_KEYS);
+    const atMs = Math.min(note.atMs, nowMs);
+    return this.addEvidence({...note, reporter, atMs, keys}, nowMs);
+  }
+
+  applyProof({key, atMs}: ProofNote, nowMs: number): boolean {
+    const provedMs = Math.min(atMs, nowMs);
+    this.sharedProofs.set(key, Math.max(provedMs, this.sharedMs(key)));
+    return this.applyProofAt(key, provedMs);
+  }
+
+  takeNews(): CrashNews {
+    const crashes = this.unsentCrashes;
+    const proofs = [...this.unsentProofs].map(([key, atMs]) => ({key, atMs}));
+    this.unsentCrashes = [];
+    this.unsentProofs = new boundedMap.BoundedMap(MAX_UNSENT);
+    return {crashes, proofs};
+  }
+
+  condemnations(nowMs: number): readonly crashEvidence.CrashNote[] {
+    return this.quarantine
+      .keys()
+      .filter(key => this.quarantine.has(key, nowMs))
+      .slice(-MAX_UNSENT)
+      .flatMap(key => this.evidence.notesOf(key));
+  }
+
+  /** Keys of the candidates, those that were never proved sound first. */
+  private candidateKeys(
+    candidates: readonly trackedRequests.TrackedRequest[],
+  ): readonly string[] {
+    const keys = new Set(candidates.flatMap(request => request.keys));
+    const provedMs = (key: string) =>
+      this.proofs.get(key) ?? Number.NEGATIVE_INFINITY;
+    // Whole requests last, since each is seen by one router mostly.
+    const rank = (key: string) => (crashKeys.isWholeRequest(key) ? 1 : 0);
+    return [...keys]
+      .sort((a, b) => rank(a) - rank(b) || (provedMs(a) < provedMs(b) ? -1 : 1))
+      .slice(0, MAX_NOTE_KEYS);
+  }
+
+  /** Adds what a crash tells of its keys; returns whether it was new. */
+  private addEvidence(note: crashEvidence.CrashNote, nowMs: number): boolean {
+    const {crash, atMs, keys} = note;
+    const cause = keys.find(key => this.quarantine.has(key, nowMs));
+    if (cause !== undefined) this.recordCondemnedCrash(cause, note, nowMs);
+    const explainedBy = this.explained.get(String(crash));
+    let isNew = false;
+    for (const key of keys) {
+      if (explainedBy !== undefined && key !== explainedBy) continue;
+      const provedMs = this.proofs.get(key);
+      if (provedMs !== undefined && provedMs > atMs) {
+        if (this.sharedMs(key) <= atMs) this.queueProof(key, provedMs);
+        continue;
+      }
+      if (this.evidence.add(key, note)) isNew = true;
+    }
+    return isNew;
+  }
+
+  private recordCondemnedCrash(
+    key: string,
+    {crash, atMs}: crashEvidence.CrashNote,
+    nowMs: number,
+  ): void {
+    this.explained.set(String(crash), key);
+    if (this.evidence.crashesOf(key).includes(crash)) return;
+    // The router at which it came does not know that the key is condemned.
+    for (const note of this.evidence.notesOf(key)) this.queueCrash(note);
+    if (this.quarantine.recordCrash(key, atMs, nowMs)) {
+      this.reportChange(key, 'condemned_again');
+    }
+  }
+
+  private isCondemned(key: string, nowMs: number): boolean {
+    if (this.quarantine.has(key, nowMs)) return true;
+    if (!this.evidence.condemns(key, nowMs)) return false;
+    const lastCrashMs = this.evidence.lastCrashMs(key) ?? nowMs;
+    this.quarantine.condemn(key, lastCrashMs, nowMs);
+    this.evidence.explainBy(key);
+    for (const crash of this.evidence.crashesOf(key)) {
+      this.explained.set(String(crash), key);
+    }
+    this.reportChange(key, 'condemned');
+    return true;
+  }
+
+  /** Applies a proof; returns whether it cleared evidence. */
+  private applyProofAt(key: string, atMs: number): boolean {
+    const provedMs = this.proofs.get(key) ?? Number.NEGATIVE_INFINITY;
+    if (atMs <= provedMs) return false;
+    this.proofs.set(key, atMs);
+    const wasCondemned = this.quarantine.recordProof(key, atMs);
+    if (wasCondemned) this.reportChange(key, 'cleared');
+    return this.evidence.dropUntil(key, atMs) || wasCondemned;
+  }
+
+  private sharedMs(key: string): number {
+    return this.sharedProofs.get(key) ?? Number.NEGATIVE_INFINITY;
+  }
+
+  private queueProof(key: string, atMs: number): void {
+    this.sharedProofs.set(key, atMs);
+    this.unsentProofs.set(key, atMs);
+  }
+
+  private queueCrash(note: crashEvidence.CrashNote): void {
+    this.unsentCrashes.push(note);
+    if (this.unsentCrashes.length > MAX_UNSENT) this.unsentCrashes.shift();
+  }
+
+  private reportChange(key: string, is: KeyChange['is']): void {
+    const crashes = this.evidence.crashesOf(key);
+    this.options.onChange?.({key, is, crashes});
+  }
+}
--- a/packages/direct/src/attempt.ts
+++ b/packages/direct/src/attempt.ts
@@ -6,6 +6,7 @@
  */
 import type * as http from 'node:http';
 import * as core from '@oleanderrock/core';
+import type * as decide from '@oleanderrock/decide';
 import * as routedRequest from './routedrequest.js';
 import * as connections from './connections.js';
 import * as decisions from './decisions.js';
@@ -61,6 +62,8 @@
   readonly status: number;
   /** Records that bytes arrived. */
   recordActivity(): void;
+  /** Records that the answer began, so that it is no cause of later crashes. */
+  recordBegun(): void;
   /**
    * Releases the resources of the attempt, once the response is complete or
    * abandoned.
@@ -107,6 +110,7 @@
     activeAttempt.recordActivity();
     this.recordLoad(options.endpoint, head);
     if (!head.isNotRun) {
+      activeAttempt.recordHead();
       return {type: 'response', response: activeAttempt.openResponse(response)};
     }
     response.resume();
@@ -231,6 +235,7 @@
 class ActiveAttempt {
   private readonly controller = new AbortController();
   private readonly watchHandle: requestWatch.WatchHandle;
+  private readonly tracked: decide.TrackedRequest;
   private readonly onCallerGone = () => this.controller.abort();
   private readonly timeout: NodeJS.Timeout;
   private recordedCause: FailureCause | undefined;
@@ -243,6 +248,9 @@
     const {endpoint, request, callerGone, timeoutMs} = options;
     kernel.find(decisions.FLEET_LOAD).recordStart(endpoint.id);
     kernel.find(decisions.SUSPECTS).recordStart(request.signature, endpoint.id);
+    this.tracked = kernel
+      .find(decisions.CRASH_TRACKER)
+      .recordStart(request.head.requestId, request.crashKeys, endpoint.id);
     this.watchHandle = kernel.find(requestWatch.REQUEST_WATCH).add({
       endpoint,
       isStream: request.route.repeat === 'stream',
@@ -266,11 +274,21 @@
     this.watchHandle.recordActivity();
   }
 
+  recordHead(): void {
+    this.kernel.find(decisions.CRASH_TRACKER).recordHead(this.tracked);
+  }
+
+  recordBegun(): void {
+    const nowMs = this.kernel.find(core.CLOCK).nowMs();
+    this.kernel.find(decisions.CRASH_TRACKER).recordBegun(this.tracked, nowMs);
+  }
+
   openResponse(response: http.IncomingMessage): EndpointResponse {
     return {
       response,
       status: response.statusCode ?? 0,
       recordActivity: () => this.recordActivity(),
+      recordBegun: () => this.recordBegun(),
       release: () => this.release(),
       abortCause: () => this.abortCause(),
     };
@@ -287,6 +305,7 @@
     this.kernel
       .find(decisions.SUSPECTS)
       .recordAbort(request.signature, endpoint.id);
+    this.kernel.find(decisions.CRASH_TRACKER).recordEnd(this.tracked);
   }
 
   private abort(cause: FailureCause): void {
--- a/packages/direct/src/callerlistener.ts
+++ b/packages/direct/src/callerlistener.ts
@@ -6,6 +6,7 @@
 import type * as http from 'node:http';
 import * as timers from 'node:timers/promises';
 import * as core from '@oleanderrock/core';
+import * as decide from '@oleanderrock/decide';
 import type * as routedRequest from './routedrequest.js';
 import * as callerResponses from './callerresponse.js';
 import * as decisions from './decisions.js';
@@ -191,6 +192,7 @@
       arrivedMs,
       deadlineMs: arrivedMs + timeoutMs,
       signature,
+      crashKeys: decide.crashKeys(signature, head.sharedParts),
     });
   }
 
--- a/packages/direct/src/decisions.ts
+++ b/packages/direct/src/decisions.ts
@@ -70,6 +70,27 @@
   ],
 );
 
+/**
+ * The contract under which the crash tracker is registered: it finds what
+ * requests that crash endpoints have in common.
+ */
+export const CRASH_TRACKER = core.contract<decide.CrashTracker>(
+  'crash-tracker',
+  [
+    'admit',
+    'isApart',
+    'recordStart',
+    'recordHead',
+    'recordBegun',
+    'recordEnd',
+    'recordCrash',
+    'applyCrash',
+    'applyProof',
+    'takeNews',
+    'condemnations',
+  ],
+);
+
 /** The contract under which the strategy of digest rounds is registered. */
 export const DIGEST_ROUNDS = core.contract<decide.DigestRounds>(
   'digest-rounds',
--- a/packages/direct/src/fleetregistry.ts
+++ b/packages/direct/src/fleetregistry.ts
@@ -61,6 +61,17 @@
   'digestPeers',
 ]);
 
+/**
+ * Whether this router is the one of the fleet that lets a request with the
+ * condemned crash key through as a probe; all routers choose the same.
+ */
+export function isProber(kernel: core.Kernel, key: string): boolean {
+  const fleet = kernel.find(FLEET_REGISTRY);
+  const {name} = fleet.self();
+  const peers = fleet.livePeers().map(({note}) => note.router.name);
+  return core.topNode(key, [name, ...peers]) === name;
+}
+
 /** Registry in memory. */
 export class InMemoryFleetRegistry implements FleetRegistry {
   private readonly statuses = new Map<string, RouterStatus>();
--- a/packages/direct/src/liveness.ts
+++ b/packages/direct/src/liveness.ts
@@ -5,6 +5,7 @@
  */
 import * as net from 'node:net';
 import * as core from '@oleanderrock/core';
+import * as crashReport from './crashreport.js';
 import * as decisions from './decisions.js';
 import type * as model from './model.js';
 
@@ -79,6 +80,8 @@
     const nowMs = this.nowMs();
     health.recordUnreachable(endpoint.id, nowMs);
     this.kernel.find(decisions.SUSPECTS).recordCrash(endpoint.id, nowMs);
+    // Silence may be this router's own link.
+    if (result === 'refused') crashReport.record(this.kernel, endpoint);
     this.kernel.find(decisions.PREFIX_HOMES).forget(endpoint.id);
     this.kernel.find(core.LOGGER).warn('endpoint_unreachable', {
       endpoint: endpoint.id,
--- a/packages/direct/src/responsedelivery.ts
+++ b/packages/direct/src/responsedelivery.ts
@@ -82,6 +82,7 @@
         : await this.relayBuffered(incoming, isLastSend);
       if (result.type === 'delivered' || result.type === 'failed_run') {
         this.recordEnd(endpoint);
+        incoming.recordBegun();
       }
       return await this.checkForCrash(result, endpoint);
     } finally {
@@ -178,7 +179,10 @@
       for await (const chunk of response) {
         incoming.recordActivity();
         const events = this.splitter.push(chunk as Buffer);
-        if (events.length > 0) await this.outgoing.write(events);
+        if (events.length > 0) {
+          incoming.recordBegun();
+          await this.outgoing.write(events);
+        }
         if (this.outgoing.callerGone.aborted) return {type: 'caller_gone'};
       }
     } catch (error) {
--- a/packages/direct/src/routedrequest.ts
+++ b/packages/direct/src/routedrequest.ts
@@ -33,6 +33,8 @@
    * request has the same hash.
    */
   readonly signature: string;
+  /** What it may have in common with other requests that crash endpoints. */
+  readonly crashKeys: readonly string[];
 }
 
 /**
--- a/packages/direct/src/tests/simulatedfleet.ts
+++ b/packages/direct/src/tests/simulatedfleet.ts
@@ -259,6 +259,14 @@
       direct.SUSPECTS,
       new decide.SignatureSuspectTracker({suspectMs: 20_000}),
     );
+    kernel.register(
+      direct.CRASH_TRACKER,
+      new decide.EvidenceCrashTracker({
+        self: name,
+        isProber: key => direct.isProber(kernel, key),
+        onNews: () => kernel.find(direct.GOSSIP).sendSoon(),
+      }),
+    );
     kernel.register(direct.ACTIVE_TABLES, new direct.IndexedTables(kernel));
     kernel.register(
       direct.ENDPOINT_REGISTRY,
--- a/packages/direct/src/wireprotocol.ts
+++ b/packages/direct/src/wireprotocol.ts
@@ -20,6 +20,8 @@
   readonly sharedPrefix?: string;
   /** Number of prompt tokens up to the end of that prefix. */
   readonly sharedPrefixTokens: number;
+  /** Ids of the parts of the prompt that other requests may share, in order. */
+  readonly sharedParts: readonly string[];
 }
 
 /** Headers that the router adds to a request to an endpoint. */
--- a/packages/router/src/wiredirect.ts
+++ b/packages/router/src/wiredirect.ts
@@ -110,6 +110,24 @@
   kernel.register(direct.RUN_STATE, new direct.RouterRunState(kernel));
 }
 
+/** Finds what requests that crash endpoints have in common. */
+function registerCrashTracker(
+  kernel: core.Kernel,
+  {name}: direct.settings.Settings,
+): void {
+  const log = kernel.find(core.LOGGER);
+  kernel.register(
+    direct.CRASH_TRACKER,
+    new decide.EvidenceCrashTracker({
+      self: name,
+      isProber: key => direct.isProber(kernel, key),
+      onNews: () => kernel.find(direct.GOSSIP).sendSoon(),
+      onChange: ({key, is, crashes}) =>
+        log.warn('crash_key', {key, is, crashes: crashes.join()}),
+    }),
+  );
+}
+
 /** The services through which a request passes. */
 function registerRequestPath(kernel: core.Kernel): void {
   kernel.register(direct.WIRE_PROTOCOL, new platform.PlatformProtocol());
@@ -199,6 +217,7 @@
   kernel.register(core.HEAP_COLLECTOR, new core.GrowthHeapCollector(kernel));
   registerDecisions(kernel, routerSettings);
   registerState(kernel, routerSettings);
+  registerCrashTracker(kernel, routerSettings);
   const {storeAddress} = routerSettings;
   kernel.register(direct.FEEDS, new platform.StoreFeeds({storeAddress, log}));
   registerRequestPath(kernel);
