Refuse requests by the part of their prompts that crashes endpoints

What callers saw: 5 in 100 requests of one route carry a part that crashes each engine that begins to answer it. No two of them are alike, they came on at every router, and all answers on those engines were cut off.

Cause: the identity was too narrow. Crash tracking knew a request by a hash of method, path, customer and whole body, so nothing was ever seen twice. The deadly request has no head, or a head and no whole event; so 'begun' means a whole event.

Change: EvidenceCrashTracker in place of SignatureSuspectTracker on the direct path. Each request has crash keys (whole request, and each shared part). Routers tell each other crashes with the keys of what had not begun, and proofs of keys under evidence. Three crashes that are no single moment, the first 1 s old, condemn a part; at most two of one other router count. Requests are checked again before each further send. Quarantine is 20 s, then one router probes.

--- a/packages/decide/src/crashevidence.ts
+++ b/packages/decide/src/crashevidence.ts
@@ -92,11 +92,14 @@
     return this.retain(key, observation => observation.atMs > atMs);
   }
 
-  /** Drops crashes under all keys but one, which explains them. */
+  /**
+   * Drops the crashes under a key, which explains them, for all keys with fewer
+   * crashes.
+   */
   explainBy(cause: string): void {
     const crashes = new Set(this.crashesOf(cause));
-    for (const [key] of [...this.byKey]) {
-      if (key === cause) continue;
+    for (const [key, observations] of [...this.byKey]) {
+      if (key === cause || observations.length >= crashes.size) continue;
       this.retain(key, ({crash}) => !crashes.has(crash));
     }
   }
--- a/packages/decide/src/crashtracker.ts
+++ b/packages/decide/src/crashtracker.ts
@@ -61,8 +61,11 @@
     keys: readonly string[],
     nowMs: number,
   ): CrashVerdict;
-  /** Whether no other request that is close to being condemned runs there. */
-  isApart(keys: readonly string[], endpoint: string, nowMs: number): boolean;
+  /**
+   * Endpoints where the next crash would not tell the request from another, if
+   * one more crash may condemn keys of both.
+   */
+  endpointsToAvoid(keys: readonly string[], nowMs: number): ReadonlySet<string>;
   recordStart(
     requestId: string,
     keys: readonly string[],
@@ -97,6 +100,8 @@
 /** Age at which a note of another router is ignored, in ms. */
 const MAX_NOTE_AGE_MS = 60_000;
 
+const NO_ENDPOINTS: ReadonlySet<string> = new Set();
+
 /** Stands for this router in a note about its own crashes that others send. */
 const UNKNOWN_REPORTER = 0;
 
@@ -156,17 +161,22 @@
     return verdict;
   }
 
-  isApart(keys: readonly string[], endpoint: string, nowMs: number): boolean {
+  endpointsToAvoid(
+    keys: readonly string[],
+    nowMs: number,
+  ): ReadonlySet<string> {
     const isSuspect = (key: string) => this.evidence.isSuspect(key, nowMs);
     const own = keys.filter(isSuspect);
-    if (own.length === 0) return true;
-    return this.requests
-      .on(endpoint)
-      .filter(({stage}) => stage !== 'begun')
-      .every(other => {
-        const suspects = other.keys.filter(isSuspect);
-        return suspects.length === 0 || suspects.some(key => own.includes(key));
-      });
+    if (own.length === 0) return NO_ENDPOINTS;
+    const others = this.requests
+      .all()
+      .filter(
+        other =>
+          other.stage !== 'begun' &&
+          other.keys.some(isSuspect) &&
+          !other.keys.some(key => own.includes(key)),
+      );
+    return new Set(others.map(({endpoint}) => endpoint));
   }
 
   recordStart(
@@ -246,6 +256,17 @@
       .flatMap(key => this.evidence.notesOf(key));
   }
 
+  /** Number of keys that are kept, of all kinds. */
+  size(): number {
+    return [
+      this.evidence,
+      this.quarantine,
+      this.proofs,
+      this.sharedProofs,
+      this.explained,
+    ].reduce((sum, {size}) => sum + size, 0);
+  }
+
   /** Keys of the candidates, those that were never proved sound first. */
   private candidateKeys(
     candidates: readonly trackedRequests.TrackedRequest[],
@@ -263,8 +284,11 @@
   /** Adds what a crash tells of its keys; returns whether it was new. */
   private addEvidence(note: crashEvidence.CrashNote, nowMs: number): boolean {
     const {crash, atMs, keys} = note;
-    const cause = keys.find(key => this.quarantine.has(key, nowMs));
-    if (cause !== undefined) this.recordCondemnedCrash(cause, note, nowMs);
+    for (const key of keys) {
+      if (this.quarantine.has(key, nowMs)) {
+        this.recordCondemnedCrash(key, note, nowMs);
+      }
+    }
     const explainedBy = this.explained.get(String(crash));
     let isNew = false;
     for (const key of keys) {
@@ -284,7 +308,7 @@
     {crash, atMs}: crashEvidence.CrashNote,
     nowMs: number,
   ): void {
-    this.explained.set(String(crash), key);
+    this.explain(crash, key);
     if (this.evidence.crashesOf(key).includes(crash)) return;
     // The router at which it came does not know that the key is condemned.
     for (const note of this.evidence.notesOf(key)) this.queueCrash(note);
@@ -298,14 +322,18 @@
     if (!this.evidence.condemns(key, nowMs)) return false;
     const lastCrashMs = this.evidence.lastCrashMs(key) ?? nowMs;
     this.quarantine.condemn(key, lastCrashMs, nowMs);
-    this.evidence.explainBy(key);
-    for (const crash of this.evidence.crashesOf(key)) {
-      this.explained.set(String(crash), key);
-    }
+    if (!crashKeys.isWholeRequest(key)) this.evidence.explainBy(key);
+    for (const crash of this.evidence.crashesOf(key)) this.explain(crash, key);
     this.reportChange(key, 'condemned');
     return true;
   }
 
+  /** A whole request explains no crash, since one of its parts may be why. */
+  private explain(crash: number, key: string): void {
+    if (crashKeys.isWholeRequest(key)) return;
+    this.explained.set(String(crash), key);
+  }
+
   /** Applies a proof; returns whether it cleared evidence. */
   private applyProofAt(key: string, atMs: number): boolean {
     const provedMs = this.proofs.get(key) ?? Number.NEGATIVE_INFINITY;
--- a/packages/decide/src/trackedrequests.ts
+++ b/packages/decide/src/trackedrequests.ts
@@ -17,6 +17,10 @@
     return [...(this.byEndpoint.get(endpoint) ?? [])];
   }
 
+  all(): readonly TrackedRequest[] {
+    return [...this.byEndpoint.values()].flatMap(requests => [...requests]);
+  }
+
   add(request: TrackedRequest): void {
     const requests = this.byEndpoint.get(request.endpoint) ?? new Set();
     requests.add(request);
--- a/packages/direct/src/attempt.ts
+++ b/packages/direct/src/attempt.ts
@@ -247,7 +247,6 @@
   ) {
     const {endpoint, request, callerGone, timeoutMs} = options;
     kernel.find(decisions.FLEET_LOAD).recordStart(endpoint.id);
-    kernel.find(decisions.SUSPECTS).recordStart(request.signature, endpoint.id);
     this.tracked = kernel
       .find(decisions.CRASH_TRACKER)
       .recordStart(request.head.requestId, request.crashKeys, endpoint.id);
@@ -300,11 +299,8 @@
     clearTimeout(this.timeout);
     this.options.callerGone.removeEventListener('abort', this.onCallerGone);
     this.watchHandle.remove();
-    const {endpoint, request} = this.options;
+    const {endpoint} = this.options;
     this.kernel.find(decisions.FLEET_LOAD).recordEnd(endpoint.id);
-    this.kernel
-      .find(decisions.SUSPECTS)
-      .recordAbort(request.signature, endpoint.id);
     this.kernel.find(decisions.CRASH_TRACKER).recordEnd(this.tracked);
   }
 
--- a/packages/direct/src/callerlistener.ts
+++ b/packages/direct/src/callerlistener.ts
@@ -169,11 +169,13 @@
       keyHolder?.name,
       body.value,
     );
-    if (this.isQuarantined(signature)) {
-      return core.fail(
-        'quarantined',
-        'endpoints crashed while running this request',
-      );
+    const crashKeys = decide.crashKeys(signature, head.sharedParts);
+    const verdict = this.kernel
+      .find(decisions.CRASH_TRACKER)
+      .admit(head.requestId, crashKeys, this.kernel.find(core.CLOCK).nowMs());
+    if (verdict.type === 'refused') {
+      const detail = `endpoints crashed under requests with ${verdict.key}`;
+      return core.fail('quarantined', detail);
     }
     const timeoutMs = Math.min(
       head.callerTimeoutMs ?? route.timeoutMs,
@@ -191,8 +193,7 @@
       priority: keyHolder?.priority ?? route.priority,
       arrivedMs,
       deadlineMs: arrivedMs + timeoutMs,
-      signature,
-      crashKeys: decide.crashKeys(signature, head.sharedParts),
+      crashKeys,
     });
   }
 
@@ -239,12 +240,6 @@
     return core.hash64(`${method} ${path} ${customer ?? ''} ${text}`);
   }
 
-  private isQuarantined(signature: string): boolean {
-    const nowMs = this.kernel.find(core.CLOCK).nowMs();
-    const suspects = this.kernel.find(decisions.SUSPECTS);
-    return suspects.check(signature, '', nowMs) === 'condemned';
-  }
-
   private sendFailure(
     outcome: routedRequest.RequestOutcome,
     {requestId}: wireProtocol.CallerRequestHead,
--- a/packages/direct/src/decisions.ts
+++ b/packages/direct/src/decisions.ts
@@ -53,23 +53,6 @@
   ['recordFirstSend', 'trySpend'],
 );
 
-/**
- * The contract under which the tracker of suspect requests is registered:
- * requests that may have crashed an endpoint.
- */
-export const SUSPECTS = core.contract<decide.SuspectTracker>(
-  'suspect-tracker',
-  [
-    'check',
-    'recordStart',
-    'recordEnd',
-    'recordAbort',
-    'recordCrash',
-    'applyRemote',
-    'takeChanges',
-  ],
-);
-
 /**
  * The contract under which the crash tracker is registered: it finds what
  * requests that crash endpoints have in common.
@@ -78,7 +61,7 @@
   'crash-tracker',
   [
     'admit',
-    'isApart',
+    'endpointsToAvoid',
     'recordStart',
     'recordHead',
     'recordBegun',
--- a/packages/direct/src/digest.ts
+++ b/packages/direct/src/digest.ts
@@ -5,12 +5,12 @@
  */
 import * as msgpackr from 'msgpackr';
 import * as v from 'valibot';
-import type * as decide from '@oleanderrock/decide';
+import * as decide from '@oleanderrock/decide';
 import * as endpointRegistry from './endpointregistry.js';
 import type * as fleetRegistry from './fleetregistry.js';
 import type * as model from './model.js';
 
-const FORMAT_VERSION = 3;
+const FORMAT_VERSION = 4;
 
 const countSchema = v.pipe(v.number(), v.integer(), v.minValue(0));
 
@@ -21,7 +21,7 @@
     value.every(item => Number.isSafeInteger(item) && item >= 0),
 );
 
-const suspectStateSchema = v.picklist(['suspect', 'condemned', 'cleared']);
+const crashKeySchema = v.pipe(v.string(), v.maxLength(decide.MAX_KEY_LENGTH));
 
 /** Phases of a member; on the wire, the index. */
 const PHASES = ['starting', 'ready', 'leaving', 'down'] as const;
@@ -87,8 +87,17 @@
    * null.
    */
   v.array(v.tuple([v.string(), v.number(), v.nullable(endpointSchema)])),
-  /** Suspect requests: signature, state, and remaining validity in ms. */
-  v.array(v.tuple([v.string(), suspectStateSchema, v.number()])),
+  /** Crashes of endpoints: id, id of the reporter, age, and crash keys. */
+  v.array(
+    v.tuple([
+      countSchema,
+      countSchema,
+      countSchema,
+      v.pipe(v.array(crashKeySchema), v.maxLength(decide.MAX_NOTE_KEYS)),
+    ]),
+  ),
+  /** Crash keys that are proved sound, each with the age of the proof. */
+  v.array(v.tuple([crashKeySchema, countSchema])),
   /** Prefixes that were placed, by hash of the endpoint. */
   v.array(v.tuple([countSchema, v.array(v.string())])),
   /** Reports of endpoints, each as hash, requests in flight, and age. */
@@ -107,7 +116,8 @@
 /** The news in a digest. */
 export interface DigestNews {
   readonly endpointChanges: readonly endpointRegistry.EndpointRecord[];
-  readonly suspects: readonly decide.SuspectNote[];
+  readonly crashes: readonly decide.CrashNote[];
+  readonly proofs: readonly decide.ProofNote[];
   readonly placements: readonly decide.PrefixLocation[];
   readonly failures: readonly decide.FailureNote[];
   readonly members: readonly decide.MemberNote[];
@@ -162,11 +172,13 @@
       offset,
       encodeEndpoint(value),
     ]),
-    news.suspects.map(({signature, state, validMs}) => [
-      signature,
-      state,
-      validMs,
+    news.crashes.map(({crash, reporter, atMs, keys}) => [
+      crash,
+      reporter,
+      ageOf(atMs),
+      [...keys],
     ]),
+    news.proofs.map(({key, atMs}) => [key, ageOf(atMs)]),
     groupByEndpoint(news.placements),
     reports.flatMap(({endpoint, inFlight, observedAtMs}) => [
       endpointRegistry.endpointHash(endpoint),
@@ -216,13 +228,15 @@
     uptimeS,
     loads,
     endpointChanges,
-    suspects,
+    crashes,
+    proofs,
     placements,
     reports,
     failures,
     members,
   ] = parsed.output;
   const note = decodeMember(sender);
+  const timeOf = (age: number) => nowMs - age * AGE_UNIT_MS;
   return {
     sender: {...note, router: {...note.router, address: senderAddress}},
     wantsReply: wantsReplyFlag === 1,
@@ -233,9 +247,10 @@
       endpointChanges: endpointChanges.map(([key, offset, encoded]) => {
         return {key, offset, value: decodeEndpoint(key, encoded)};
       }),
-      suspects: suspects.map(([signature, state, validMs]) => {
-        return {signature, state, validMs};
+      crashes: crashes.map(([crash, reporter, age, keys]) => {
+        return {crash, reporter, atMs: timeOf(age), keys};
       }),
+      proofs: proofs.map(([key, age]) => ({key, atMs: timeOf(age)})),
       placements: placements.flatMap(([hash, prefixes]) => {
         const endpoint = findIdByHash(hash);
         if (endpoint === undefined) return [];
@@ -322,7 +337,7 @@
 
 function groupByEndpoint(
   placements: readonly decide.PrefixLocation[],
-): EncodedDigest[10] {
+): EncodedDigest[11] {
   const prefixes = new Map<string, string[]>();
   for (const {prefix, endpoint} of placements) {
     const existing = prefixes.get(endpoint);
--- a/packages/direct/src/dispatcher.ts
+++ b/packages/direct/src/dispatcher.ts
@@ -201,6 +201,7 @@
     // Only an event stream can be resumed with another endpoint's response.
     if (delivery.hasBegun && request.route.repeat !== 'stream') return false;
     if (progress.sendCount >= MAX_SENDS) return false;
+    if (progress.sendCount > 0 && this.isQuarantined(request)) return false;
     if (this.remainingMs(request) < MIN_SEND_TIME_MS) return false;
     const mayHaveRun =
       progress.possibleRuns > 0 ||
@@ -212,6 +213,17 @@
     );
   }
 
+  /** Whether endpoints crashed under the request, or others with its keys. */
+  private isQuarantined({
+    head,
+    crashKeys,
+  }: routedRequest.RoutedRequest): boolean {
+    const verdict = this.kernel
+      .find(decisions.CRASH_TRACKER)
+      .admit(head.requestId, crashKeys, this.nowMs());
+    return verdict.type === 'refused';
+  }
+
   /**
    * Spends a retry of the shared budget; a first send needs none. Returns false
    * if the budget is exhausted.
--- a/packages/direct/src/endpointselector.ts
+++ b/packages/direct/src/endpointselector.ts
@@ -82,23 +82,23 @@
   }
 
   /**
-   * The healthy endpoints without those that a suspect request must avoid
-   * because another suspect runs there. If all would be avoided, returns all
+   * The healthy endpoints without those that a request must avoid, since one
+   * more crash would not tell it from another that runs there. If all would be avoided, returns all
    * healthy ones.
    */
   private usableIds(
-    {signature}: routedRequest.RoutedRequest,
+    {crashKeys}: routedRequest.RoutedRequest,
     ids: readonly string[],
     nowMs: number,
   ): readonly string[] {
     const healthyIds = this.kernel
       .find(decisions.ENDPOINT_HEALTH)
       .filterUsable(ids, nowMs);
-    const suspects = this.kernel.find(decisions.SUSPECTS);
-    const idsWithoutSuspects = healthyIds.filter(
-      id => suspects.check(signature, id, nowMs) === 'free',
-    );
-    return idsWithoutSuspects.length > 0 ? idsWithoutSuspects : healthyIds;
+    const avoidedIds = this.kernel
+      .find(decisions.CRASH_TRACKER)
+      .endpointsToAvoid(crashKeys, nowMs);
+    const idsApart = healthyIds.filter(id => !avoidedIds.has(id));
+    return idsApart.length > 0 ? idsApart : healthyIds;
   }
 
   private findHomes(
--- a/packages/direct/src/gossip.ts
+++ b/packages/direct/src/gossip.ts
@@ -56,7 +56,8 @@
 
 const NO_NEWS: digestCodec.DigestNews = {
   endpointChanges: [],
-  suspects: [],
+  crashes: [],
+  proofs: [],
   placements: [],
   failures: [],
   members: [],
--- a/packages/direct/src/gossipnews.ts
+++ b/packages/direct/src/gossipnews.ts
@@ -14,7 +14,8 @@
 const MAX_MEMBERS = 12;
 const MAX_PLACEMENTS = 16;
 const MAX_PLACEMENTS_TO_ALL = 64;
-const MAX_SUSPECTS = 8;
+const MAX_CRASHES = 4;
+const MAX_PROOFS = 16;
 const MAX_FAILURES = 12;
 
 /** Maximum number of items of one kind that wait to be sent. */
@@ -25,11 +26,14 @@
 
 /**
  * Number of digests that carry an item if each goes to one router. With four,
- * one in fifty routers misses it; suspects are sent more often, since a router
+ * one in fifty routers misses it; crashes are sent more often, since a router
  * that misses them errs for longer.
  */
 const SAMPLED_REPEATS = 4;
-const SUSPECT_REPEATS = 8;
+const CRASH_REPEATS = 8;
+
+/** Number of digests that carry a crash or a proof if each goes to all. */
+const CRASH_REPEATS_TO_ALL = 3;
 
 /** Number of digests that carry a note about a router if each goes to all. */
 const MEMBER_REPEATS_TO_ALL = 2;
@@ -41,7 +45,10 @@
   );
   private readonly placements =
     new decide.BoundedRumorQueue<decide.PrefixLocation>(MAX_QUEUED);
-  private readonly suspects = new decide.BoundedRumorQueue<decide.SuspectNote>(
+  private readonly crashes = new decide.BoundedRumorQueue<decide.CrashNote>(
+    MAX_QUEUED,
+  );
+  private readonly proofs = new decide.BoundedRumorQueue<decide.ProofNote>(
     MAX_QUEUED,
   );
   private readonly failures = new decide.BoundedRumorQueue<decide.FailureNote>(
@@ -64,14 +71,15 @@
    * @param isForAll whether the digest goes to all routers
    */
   collect(isForAll: boolean, nowMs: number): digestCodec.DigestNews {
-    this.collectOwn(isForAll, nowMs);
+    this.collectOwn(isForAll);
     const isFresh = ({observedAtMs}: decide.FailureNote) =>
       nowMs - observedAtMs < MAX_FAILURE_AGE_MS;
     return {
       endpointChanges: this.kernel
         .find(endpointRegistry.ENDPOINT_REGISTRY)
         .recentChanges(nowMs),
-      suspects: this.suspects.take(MAX_SUSPECTS),
+      crashes: this.crashes.take(MAX_CRASHES),
+      proofs: this.proofs.take(MAX_PROOFS),
       placements: this.placements.take(
         isForAll ? MAX_PLACEMENTS_TO_ALL : MAX_PLACEMENTS,
       ),
@@ -92,25 +100,26 @@
   ): boolean {
     const areEndpointsNew = this.applyEndpointChanges(news);
     const areMembersNew = this.applyMembers(news, isPassedOn, nowMs);
-    const areSuspectsNew = this.applySuspects(news, isPassedOn, nowMs);
+    const areCrashesNew = this.applyCrashes(news, isPassedOn, nowMs);
     this.applyPlacements(news, isPassedOn, nowMs);
     const areFailuresNew = this.applyFailures(news, isPassedOn, nowMs);
-    return areEndpointsNew || areMembersNew || areSuspectsNew || areFailuresNew;
+    return areEndpointsNew || areMembersNew || areCrashesNew || areFailuresNew;
   }
 
   /** Queues what this router's own services have to tell. */
-  private collectOwn(isForAll: boolean, nowMs: number): void {
+  private collectOwn(isForAll: boolean): void {
     const repeats = isForAll ? 1 : SAMPLED_REPEATS;
     for (const location of this.kernel
       .find(decisions.PREFIX_HOMES)
       .takeUnsent()) {
       this.placements.add(keyOf(location), location, repeats);
     }
-    for (const note of this.kernel
-      .find(decisions.SUSPECTS)
-      .takeChanges(nowMs)) {
-      this.suspects.add(note.signature, note, isForAll ? 1 : SUSPECT_REPEATS);
+    const {crashes, proofs} = this.tracker.takeNews();
+    const crashRepeats = isForAll ? CRASH_REPEATS_TO_ALL : CRASH_REPEATS;
+    for (const note of crashes) {
+      this.crashes.add(crashNoteKey(note), note, crashRepeats);
     }
+    for (const note of proofs) this.proofs.add(note.key, note, crashRepeats);
     const failures = this.kernel.find(decisions.ENDPOINT_HEALTH).takeFailures();
     // In a small fleet the counts of outcomes tell all routers the failures.
     if (isForAll) return;
@@ -119,6 +128,10 @@
     }
   }
 
+  private get tracker(): decide.CrashTracker {
+    return this.kernel.find(decisions.CRASH_TRACKER);
+  }
+
   private applyEndpointChanges(news: digestCodec.DigestNews): boolean {
     const endpoints = this.kernel.find(endpointRegistry.ENDPOINT_REGISTRY);
     const previousFingerprint = endpoints.fingerprint();
@@ -144,21 +157,28 @@
     return isUrgent;
   }
 
-  private applySuspects(
+  /** The proofs go first, so that none of them is older than a new crash. */
+  private applyCrashes(
     news: digestCodec.DigestNews,
     isPassedOn: boolean,
     nowMs: number,
   ): boolean {
-    const suspects = this.kernel.find(decisions.SUSPECTS);
-    let hasNew = false;
-    for (const note of news.suspects) {
-      if (!suspects.applyRemote(note, nowMs)) continue;
-      hasNew = true;
-      if (isPassedOn) {
-        this.suspects.add(note.signature, note, SUSPECT_REPEATS);
+    const {tracker} = this;
+    const newProofs = news.proofs.filter(note =>
+      tracker.applyProof(note, nowMs),
+    );
+    const newCrashes = news.crashes.filter(note =>
+      tracker.applyCrash(note, nowMs),
+    );
+    if (isPassedOn) {
+      for (const note of newProofs) {
+        this.proofs.add(note.key, note, CRASH_REPEATS);
+      }
+      for (const note of newCrashes) {
+        this.crashes.add(crashNoteKey(note), note, CRASH_REPEATS);
       }
     }
-    return hasNew;
+    return newProofs.length + newCrashes.length > 0;
   }
 
   private applyPlacements(
@@ -191,6 +211,10 @@
   }
 }
 
+function crashNoteKey({crash, reporter, keys}: decide.CrashNote): string {
+  return `${crash} ${reporter} ${keys[0] ?? ''}`;
+}
+
 function keyOf({prefix, endpoint}: decide.PrefixLocation): string {
   return `${prefix} ${endpoint}`;
 }
--- a/packages/direct/src/liveness.ts
+++ b/packages/direct/src/liveness.ts
@@ -79,7 +79,6 @@
     if (result === 'alive') return result;
     const nowMs = this.nowMs();
     health.recordUnreachable(endpoint.id, nowMs);
-    this.kernel.find(decisions.SUSPECTS).recordCrash(endpoint.id, nowMs);
     // Silence may be this router's own link.
     if (result === 'refused') crashReport.record(this.kernel, endpoint);
     this.kernel.find(decisions.PREFIX_HOMES).forget(endpoint.id);
--- a/packages/direct/src/responsedelivery.ts
+++ b/packages/direct/src/responsedelivery.ts
@@ -9,7 +9,6 @@
 import * as routedRequest from './routedrequest.js';
 import type * as attempt from './attempt.js';
 import * as bodies from './responsebody.js';
-import * as decisions from './decisions.js';
 import * as wireProtocol from './wireprotocol.js';
 import * as eventSplitter from './eventsplitter.js';
 import * as liveness from './liveness.js';
@@ -81,7 +80,6 @@
         ? await this.relayEventStream(incoming)
         : await this.relayBuffered(incoming, isLastSend);
       if (result.type === 'delivered' || result.type === 'failed_run') {
-        this.recordEnd(endpoint);
         incoming.recordBegun();
       }
       return await this.checkForCrash(result, endpoint);
@@ -219,14 +217,6 @@
     return probeResult === 'alive' ? result : {...result, cause: 'dead'};
   }
 
-  /** Records that the request ended without a crash. */
-  private recordEnd({id}: model.Endpoint): void {
-    const nowMs = this.kernel.find(core.CLOCK).nowMs();
-    this.kernel
-      .find(decisions.SUSPECTS)
-      .recordEnd(this.request.signature, id, nowMs);
-  }
-
   /**
    * Headers for the caller, without content-length, which is set again on
    * sending.
--- a/packages/direct/src/routedrequest.ts
+++ b/packages/direct/src/routedrequest.ts
@@ -28,11 +28,6 @@
    */
   readonly arrivedMs: number;
   readonly deadlineMs: number;
-  /**
-   * Hash that identifies the request in crash tracking; a resend of the same
-   * request has the same hash.
-   */
-  readonly signature: string;
   /** What it may have in common with other requests that crash endpoints. */
   readonly crashKeys: readonly string[];
 }
--- a/packages/direct/src/routerstate.ts
+++ b/packages/direct/src/routerstate.ts
@@ -4,6 +4,7 @@
  * the members of the fleet.
  */
 import * as core from '@oleanderrock/core';
+import * as decide from '@oleanderrock/decide';
 import * as v from 'valibot';
 import * as activeTables from './activetables.js';
 import * as decisions from './decisions.js';
@@ -26,6 +27,13 @@
   isStoreLost: v.boolean(),
 });
 
+const crashSchema = v.object({
+  crash: v.number(),
+  reporter: v.number(),
+  ageMs: v.number(),
+  keys: v.pipe(v.array(v.string()), v.maxLength(decide.MAX_NOTE_KEYS)),
+});
+
 /** Schema of the state on the wire. */
 export const stateSchema = v.object({
   tables: v.optional(model.tablesSchema),
@@ -39,6 +47,8 @@
   ),
   endpointsOffset: v.number(),
   members: v.array(memberSchema),
+  /** Crashes under condemned keys. */
+  crashes: v.optional(v.array(crashSchema), []),
 });
 
 /** The tables, endpoint records and members known to a router. */
@@ -73,6 +83,12 @@
     endpoints: endpoints.allRecords().map(record => ({...record})),
     endpointsOffset: endpoints.nextOffset(),
     members: [membership.self(), ...others].map(note => ({...note})),
+    crashes: kernel
+      .find(decisions.CRASH_TRACKER)
+      .condemnations(nowMs)
+      .map(({crash, reporter, atMs, keys}) => {
+        return {crash, reporter, ageMs: nowMs - atMs, keys: [...keys]};
+      }),
   };
 }
 
@@ -96,4 +112,8 @@
   endpoints.advanceTo(endpointsOffset);
   const fleet = kernel.find(fleetRegistry.FLEET_REGISTRY);
   for (const note of members) fleet.applyNote(note, nowMs);
+  const tracker = kernel.find(decisions.CRASH_TRACKER);
+  for (const {ageMs, ...note} of state.crashes) {
+    tracker.applyCrash({...note, atMs: nowMs - ageMs}, nowMs);
+  }
 }
--- a/packages/direct/src/tests/parts.test.ts
+++ b/packages/direct/src/tests/parts.test.ts
@@ -275,7 +275,15 @@
         {key: 'g', offset: 9, value: {...createEndpoint('g'), bornMs: 5}},
         {key: 'h', offset: 9, value: createEndpoint('h', true)},
       ],
-      suspects: [{signature: 's', state: 'suspect', validMs: 10}],
+      crashes: [
+        {
+          crash: 2 ** 32 - 1,
+          reporter: 3,
+          atMs: NOW_MS - 60,
+          keys: ['w1', 'p2'],
+        },
+      ],
+      proofs: [{key: 'p2', atMs: NOW_MS - 20}],
       placements: [{prefix: 'p', endpoint: 'e'}],
       failures: [
         {
--- a/packages/direct/src/tests/simulatedfleet.ts
+++ b/packages/direct/src/tests/simulatedfleet.ts
@@ -255,10 +255,6 @@
       direct.FEED_READERS,
       new decide.RankedFeedReaders({perZone: 1}),
     );
-    kernel.register(
-      direct.SUSPECTS,
-      new decide.SignatureSuspectTracker({suspectMs: 20_000}),
-    );
     kernel.register(
       direct.CRASH_TRACKER,
       new decide.EvidenceCrashTracker({
--- a/packages/router/src/wiredirect.ts
+++ b/packages/router/src/wiredirect.ts
@@ -7,18 +7,6 @@
 import * as direct from '@oleanderrock/direct';
 import * as platform from '@oleanderrock/platform';
 
-/**
- * How long a quarantined request is refused, in ms: longer than callers keep
- * resending it.
- */
-const QUARANTINE_MS = 30_000;
-
-/**
- * How long a request that was running when an endpoint crashed stays a suspect,
- * in ms.
- */
-const SUSPECT_MS = 20_000;
-
 /** Routers of each failure domain that read the store for the others. */
 const READERS_PER_ZONE = 1;
 
@@ -75,13 +63,6 @@
       },
     }),
   );
-  kernel.register(
-    direct.SUSPECTS,
-    new decide.SignatureSuspectTracker({
-      suspectMs: SUSPECT_MS,
-      condemnedMs: QUARANTINE_MS,
-    }),
-  );
 }
 
 function registerState(
