Condemn a crash key at all routers at one time, also where no request with it comes

Keys that may be condemned are now looked at with each digest, and the time counts from the last crash, which is the same at all routers.

--- a/packages/decide/src/crashtracker.ts
+++ b/packages/decide/src/crashtracker.ts
@@ -82,8 +82,8 @@
   applyCrash(note: crashEvidence.CrashNote, nowMs: number): boolean;
   /** Applies a note of another router; returns whether it cleared evidence. */
   applyProof(note: ProofNote, nowMs: number): boolean;
-  /** News since the last call. */
-  takeNews(): CrashNews;
+  /** News since the last call; also condemns keys whose time has come. */
+  takeNews(nowMs: number): CrashNews;
   /** The crashes under condemned keys, for a router that starts. */
   condemnations(nowMs: number): readonly crashEvidence.CrashNote[];
 }
@@ -126,6 +126,10 @@
   private readonly proofs = new boundedMap.BoundedMap<number>(MAX_PROOFS);
   /** Time of the last proof that other routers know of, by key. */
   private readonly sharedProofs = new boundedMap.BoundedMap<number>(MAX_PROOFS);
+  /** Keys that may be condemned, with their last crash. */
+  private readonly suspects = new boundedMap.BoundedMap<number>(
+    MAX_EVIDENCE_KEYS,
+  );
   /** Crashes that a condemned key explains. */
   private readonly explained = new boundedMap.BoundedMap<string>(
     MAX_EVIDENCE_KEYS,
@@ -240,7 +244,12 @@
     return this.applyProofAt(key, provedMs);
   }
 
-  takeNews(): CrashNews {
+  takeNews(nowMs: number): CrashNews {
+    for (const [key] of [...this.suspects]) {
+      const isSettled =
+        this.isCondemned(key, nowMs) || !this.evidence.isSuspect(key, nowMs);
+      if (isSettled) this.suspects.delete(key);
+    }
     const crashes = this.unsentCrashes;
     const proofs = [...this.unsentProofs].map(([key, atMs]) => ({key, atMs}));
     this.unsentCrashes = [];
@@ -263,6 +272,7 @@
       this.quarantine,
       this.proofs,
       this.sharedProofs,
+      this.suspects,
       this.explained,
     ].reduce((sum, {size}) => sum + size, 0);
   }
@@ -286,7 +296,7 @@
     const {crash, atMs, keys} = note;
     for (const key of keys) {
       if (this.quarantine.has(key, nowMs)) {
-        this.recordCondemnedCrash(key, note, nowMs);
+        this.recordCondemnedCrash(key, note);
       }
     }
     const explainedBy = this.explained.get(String(crash));
@@ -298,7 +308,9 @@
         if (this.sharedMs(key) <= atMs) this.queueProof(key, provedMs);
         continue;
       }
-      if (this.evidence.add(key, note)) isNew = true;
+      if (!this.evidence.add(key, note)) continue;
+      isNew = true;
+      if (this.evidence.isSuspect(key, nowMs)) this.suspects.set(key, crash);
     }
     return isNew;
   }
@@ -306,13 +318,12 @@
   private recordCondemnedCrash(
     key: string,
     {crash, atMs}: crashEvidence.CrashNote,
-    nowMs: number,
   ): void {
     this.explain(crash, key);
     if (this.evidence.crashesOf(key).includes(crash)) return;
     // The router at which it came does not know that the key is condemned.
     for (const note of this.evidence.notesOf(key)) this.queueCrash(note);
-    if (this.quarantine.recordCrash(key, atMs, nowMs)) {
+    if (this.quarantine.recordCrash(key, atMs)) {
       this.reportChange(key, 'condemned_again');
     }
   }
@@ -321,7 +332,7 @@
     if (this.quarantine.has(key, nowMs)) return true;
     if (!this.evidence.condemns(key, nowMs)) return false;
     const lastCrashMs = this.evidence.lastCrashMs(key) ?? nowMs;
-    this.quarantine.condemn(key, lastCrashMs, nowMs);
+    this.quarantine.condemn(key, lastCrashMs);
     if (!crashKeys.isWholeRequest(key)) this.evidence.explainBy(key);
     for (const crash of this.evidence.crashesOf(key)) this.explain(crash, key);
     this.reportChange(key, 'condemned');
--- a/packages/decide/src/quarantine.ts
+++ b/packages/decide/src/quarantine.ts
@@ -73,9 +73,10 @@
     return false;
   }
 
-  condemn(key: string, lastCrashMs: number, nowMs: number): void {
+  /** The time counts from the last crash, which is the same at all routers. */
+  condemn(key: string, lastCrashMs: number): void {
     const durationMs = this.firstMs;
-    const untilMs = nowMs + durationMs;
+    const untilMs = lastCrashMs + durationMs;
     this.byKey.set(key, {durationMs, untilMs, lastCrashMs});
   }
 
@@ -84,7 +85,7 @@
    * that of a probe and condemns the key anew, for twice as long; returns
    * whether it does.
    */
-  recordCrash(key: string, atMs: number, nowMs: number): boolean {
+  recordCrash(key: string, atMs: number): boolean {
     const condemned = this.byKey.get(key);
     if (!condemned) return false;
     const lastCrashMs = Math.max(atMs, condemned.lastCrashMs);
@@ -93,7 +94,7 @@
       return false;
     }
     const durationMs = Math.min(this.maxMs, 2 * condemned.durationMs);
-    const untilMs = nowMs + durationMs;
+    const untilMs = atMs + durationMs;
     this.byKey.set(key, {durationMs, untilMs, lastCrashMs});
     return true;
   }
--- a/packages/direct/src/gossipnews.ts
+++ b/packages/direct/src/gossipnews.ts
@@ -71,7 +71,7 @@
    * @param isForAll whether the digest goes to all routers
    */
   collect(isForAll: boolean, nowMs: number): digestCodec.DigestNews {
-    this.collectOwn(isForAll);
+    this.collectOwn(isForAll, nowMs);
     const isFresh = ({observedAtMs}: decide.FailureNote) =>
       nowMs - observedAtMs < MAX_FAILURE_AGE_MS;
     return {
@@ -107,14 +107,14 @@
   }
 
   /** Queues what this router's own services have to tell. */
-  private collectOwn(isForAll: boolean): void {
+  private collectOwn(isForAll: boolean, nowMs: number): void {
     const repeats = isForAll ? 1 : SAMPLED_REPEATS;
     for (const location of this.kernel
       .find(decisions.PREFIX_HOMES)
       .takeUnsent()) {
       this.placements.add(keyOf(location), location, repeats);
     }
-    const {crashes, proofs} = this.tracker.takeNews();
+    const {crashes, proofs} = this.tracker.takeNews(nowMs);
     const crashRepeats = isForAll ? CRASH_REPEATS_TO_ALL : CRASH_REPEATS;
     for (const note of crashes) {
       this.crashes.add(crashNoteKey(note), note, crashRepeats);
