Condemn a part at its fifth crash, although most were of one moment

Five crashes of two moments now condemn as three moments do. The new test failed before (the fifth crash left the part free); a single moment still condemns nothing.

--- a/packages/decide/src/crashevidence.ts
+++ b/packages/decide/src/crashevidence.ts
@@ -41,9 +41,13 @@
 /** Shortest time from the first crash until a part is condemned, in ms. */
 const MIN_STAND_MS = 1_000;
 
-/** Crashes that condemn a part of prompts. */
+/** Crashes, not of one moment, that condemn a part of prompts. */
 const PART_CRASHES = 3;
 
+/** Crashes that condemn it if they are of two moments at least. */
+const MANY_PART_CRASHES = 5;
+const MANY_PART_MOMENTS = 2;
+
 /** Weight that condemns a whole request; one that ran alone counts double. */
 const WHOLE_WEIGHT = 3;
 
@@ -119,7 +123,8 @@
     const crashes = this.countedCrashes(key, nowMs);
     return crashKeys.isWholeRequest(key)
       ? crashes.length > 0
-      : countSpaced(crashes) >= PART_CRASHES - 1;
+      : countSpaced(crashes) >= PART_CRASHES - 1 ||
+          crashes.length >= MANY_PART_CRASHES - 1;
   }
 
   /** Whether the evidence condemns the key. */
@@ -131,7 +136,9 @@
     }
     const [first] = crashes;
     if (!first || nowMs - first.atMs < MIN_STAND_MS) return false;
-    return countSpaced(crashes) >= PART_CRASHES;
+    const moments = countSpaced(crashes);
+    if (moments >= PART_CRASHES) return true;
+    return moments >= MANY_PART_MOMENTS && crashes.length >= MANY_PART_CRASHES;
   }
 
   /** The crashes under the key, as notes to other routers. */
--- a/packages/decide/src/tests/crashtracker.test.ts
+++ b/packages/decide/src/tests/crashtracker.test.ts
@@ -117,6 +117,16 @@
     expect(router.verdict(['wnew', 'ppopular'], 5_000)).to.equal('free');
   });
 
+  it('condemns a part at its fifth crash, although most were of one moment', () => {
+    const router = new Router();
+    for (let index = 0; index < 4; index++) {
+      router.crash(`e${index}`, [[`w${index}`, 'pdeadly']], index * 50);
+    }
+    expect(router.verdict(['wnew', 'pdeadly'], 1_590)).to.equal('free');
+    router.crash('e4', [['w4', 'pdeadly']], 1_600);
+    expect(router.verdict(['wnew', 'pdeadly'], 1_601)).to.equal('refused');
+  });
+
   it('counts a crash once that several routers saw, and anew after a restart', () => {
     const router = new Router();
     for (let reporter = 1; reporter <= 9; reporter++) {
