Merge the work on prompt parts that crash engines

Routers tell each other crashes and what was running there; a part of prompts under three crashes that nothing proved sound is refused for some time.

--- a/packages/direct/src/decisions.ts
+++ b/packages/direct/src/decisions.ts
@@ -54,19 +54,23 @@
 );
 
 /**
- * The contract under which the tracker of suspect requests is registered:
- * requests that may have crashed an endpoint.
+ * The contract under which the crash tracker is registered: it finds what
+ * requests that crash endpoints have in common.
  */
-export const SUSPECTS = core.contract<decide.SuspectTracker>(
-  'suspect-tracker',
+export const CRASH_TRACKER = core.contract<decide.CrashTracker>(
+  'crash-tracker',
   [
-    'check',
+    'admit',
+    'endpointsToAvoid',
     'recordStart',
+    'recordHead',
+    'recordBegun',
     'recordEnd',
-    'recordAbort',
     'recordCrash',
-    'applyRemote',
-    'takeChanges',
+    'applyCrash',
+    'applyProof',
+    'takeNews',
+    'condemnations',
   ],
 );
 
--- a/packages/direct/src/routerstate.ts
+++ b/packages/direct/src/routerstate.ts
@@ -3,6 +3,7 @@
  * records with their offsets, and the members of the fleet.
  */
 import * as core from '@oleanderrock/core';
+import * as decide from '@oleanderrock/decide';
 import * as v from 'valibot';
 import * as decisions from './decisions.js';
 import * as endpointRegistry from './endpointregistry.js';
@@ -20,6 +21,13 @@
   isStoreLost: v.boolean(),
 });
 
+const crashSchema = v.object({
+  crash: v.number(),
+  reporter: v.number(),
+  ageMs: v.number(),
+  keys: v.pipe(v.array(v.string()), v.maxLength(decide.MAX_NOTE_KEYS)),
+});
+
 /** Schema of the state on the wire. */
 export const stateSchema = v.object({
   endpoints: v.array(
@@ -31,6 +39,8 @@
   ),
   endpointsOffset: v.number(),
   members: v.array(memberSchema),
+  /** Crashes under condemned keys. */
+  crashes: v.optional(v.array(crashSchema), []),
 });
 
 /** The endpoint records and members known to a router. */
@@ -46,6 +56,12 @@
     endpoints: endpoints.allRecords().map(record => ({...record})),
     endpointsOffset: endpoints.nextOffset(),
     members: [membership.self(), ...others].map(note => ({...note})),
+    crashes: kernel
+      .find(decisions.CRASH_TRACKER)
+      .condemnations(nowMs)
+      .map(({crash, reporter, atMs, keys}) => {
+        return {crash, reporter, ageMs: nowMs - atMs, keys: [...keys]};
+      }),
   };
 }
 
@@ -54,7 +70,7 @@
  */
 export function merge(
   kernel: core.Kernel,
-  {members, endpointsOffset, endpoints: records}: RouterState,
+  {members, endpointsOffset, endpoints: records, crashes}: RouterState,
 ): void {
   const nowMs = kernel.find(core.CLOCK).nowMs();
   const endpoints = kernel.find(endpointRegistry.ENDPOINT_REGISTRY);
@@ -64,4 +80,8 @@
   endpoints.advanceTo(endpointsOffset);
   const fleet = kernel.find(fleetRegistry.FLEET_REGISTRY);
   for (const note of members) fleet.applyNote(note, nowMs);
+  const tracker = kernel.find(decisions.CRASH_TRACKER);
+  for (const {ageMs, ...note} of crashes) {
+    tracker.applyCrash({...note, atMs: nowMs - ageMs}, nowMs);
+  }
 }
--- a/packages/direct/src/tests/simulatedfleet.ts
+++ b/packages/direct/src/tests/simulatedfleet.ts
@@ -272,8 +272,12 @@
       new decide.RankedFeedReaders({perZone: 1}),
     );
     kernel.register(
-      direct.SUSPECTS,
-      new decide.SignatureSuspectTracker({suspectMs: 20_000}),
+      direct.CRASH_TRACKER,
+      new decide.EvidenceCrashTracker({
+        self: name,
+        isProber: key => direct.isProber(kernel, key),
+        onNews: () => kernel.find(direct.GOSSIP).sendSoon(),
+      }),
     );
     kernel.register(direct.ACTIVE_TABLES, new direct.IndexedTables(kernel));
     kernel.register(
--- a/packages/router/src/wiredirect.ts
+++ b/packages/router/src/wiredirect.ts
@@ -7,18 +7,6 @@
 import * as direct from '@oleanderrock/direct';
 import * as platform from '@oleanderrock/platform';
 
-/**
- * How long a quarantined request is refused, in ms: longer than callers keep
- * resending it.
- */
-const QUARANTINE_MS = 30_000;
-
-/**
- * How long a request that was running when an endpoint crashed stays a suspect,
- * in ms.
- */
-const SUSPECT_MS = 20_000;
-
 /** Routers of each failure domain that read the store for the others. */
 const READERS_PER_ZONE = 1;
 
@@ -75,13 +63,6 @@
       },
     }),
   );
-  kernel.register(
-    direct.SUSPECTS,
-    new decide.SignatureSuspectTracker({
-      suspectMs: SUSPECT_MS,
-      condemnedMs: QUARANTINE_MS,
-    }),
-  );
 }
 
 function registerState(
@@ -110,6 +91,24 @@
   kernel.register(direct.RUN_STATE, new direct.RouterRunState(kernel));
 }
 
+/** Finds what requests that crash endpoints have in common. */
+function registerCrashTracker(
+  kernel: core.Kernel,
+  {name}: direct.settings.Settings,
+): void {
+  const log = kernel.find(core.LOGGER);
+  kernel.register(
+    direct.CRASH_TRACKER,
+    new decide.EvidenceCrashTracker({
+      self: name,
+      isProber: key => direct.isProber(kernel, key),
+      onNews: () => kernel.find(direct.GOSSIP).sendSoon(),
+      onChange: ({key, is, crashes}) =>
+        log.warn('crash_key', {key, is, crashes: crashes.join()}),
+    }),
+  );
+}
+
 /** The services through which a request passes. */
 function registerRequestPath(kernel: core.Kernel): void {
   kernel.register(direct.WIRE_PROTOCOL, new platform.PlatformProtocol());
@@ -199,6 +198,7 @@
   kernel.register(core.HEAP_COLLECTOR, new core.GrowthHeapCollector(kernel));
   registerDecisions(kernel, routerSettings);
   registerState(kernel, routerSettings);
+  registerCrashTracker(kernel, routerSettings);
   const {storeAddress} = routerSettings;
   kernel.register(direct.FEEDS, new platform.StoreFeeds({storeAddress, log}));
   registerRequestPath(kernel);
