Count a stream that ends inside an event as broken

Callers saw a stream as complete although its last event was cut: the endpoint ended its answer in the middle of an event, by the end of its connection, of its length or of its chunks, and the router wrote the half event and the regular end.

Cause: relayEventStream passed on what EventSplitter.remainder() held and ended the response.

Change: bytes of an event that has begun make the end a broken one, which is resumed at another endpoint where the route allows, else the caller's connection is reset (no chunks) or closed before the last chunk. Blank lines are no event and are passed on as before.

The test caller took a reset answer without a length for a complete one, as Node reports it; it is stricter now.

--- a/packages/direct/src/eventsplitter.ts
+++ b/packages/direct/src/eventsplitter.ts
@@ -29,7 +29,12 @@
     return completeEvents;
   }
 
-  /** Bytes after the last complete event, at the end of a complete response. */
+  /** Whether an event has begun and is not yet complete. */
+  get isInsideEvent(): boolean {
+    return this.pending.some(byte => !isLineEnd(byte));
+  }
+
+  /** Bytes after the last complete event. */
   remainder(): Buffer {
     return this.pending;
   }
@@ -53,6 +58,10 @@
   }
 }
 
+function isLineEnd(byte: number): boolean {
+  return byte === LINE_FEED || byte === CARRIAGE_RETURN;
+}
+
 /** Index after the last complete event, which ends with an empty line. */
 function endOfLastEvent(bytes: Buffer): number {
   for (let index = bytes.length - 1; index > 0; index--) {
--- a/packages/direct/src/responsedelivery.ts
+++ b/packages/direct/src/responsedelivery.ts
@@ -2,7 +2,8 @@
  * Delivers an endpoint's response to the caller. Responses other than event
  * streams are buffered first, so that a truncated one can be retried at another
  * endpoint, unless they exceed the buffer limit. Event streams are passed on
- * event by event, and can be resumed with a second endpoint's response.
+ * event by event, and can be resumed with a second endpoint's response; one that
+ * ends inside an event is broken.
  */
 import type * as http from 'node:http';
 import * as core from '@oleanderrock/core';
@@ -184,7 +185,11 @@
     } catch (error) {
       return this.breakResult(incoming, error);
     }
-    if (!response.complete) return this.breakResult(incoming, bodies.TRUNCATED);
+    // Only the events tell whether a stream that ends with its connection is
+    // complete.
+    if (!response.complete || this.splitter.isInsideEvent) {
+      return this.breakResult(incoming, bodies.TRUNCATED);
+    }
     const remainder = this.splitter.remainder();
     if (remainder.length > 0) await this.outgoing.write(remainder);
     this.outgoing.end();
--- a/packages/direct/src/routedrequest.ts
+++ b/packages/direct/src/routedrequest.ts
@@ -40,8 +40,8 @@
  * chunked encoding, `connection` by closing the connection.
  *
  * A body that ends with its connection may be truncated without the router
- * noticing; only the reader of its content can tell. The router relays it with
- * the same framing.
+ * noticing; only its content can tell, as the events of a stream do. The router
+ * relays it with the same framing.
  */
 export type Framing = 'marked' | 'connection';
 
--- a/packages/router/src/tests/directfleet.ts
+++ b/packages/router/src/tests/directfleet.ts
@@ -251,11 +251,12 @@
         agent: false,
       });
       // After the head has arrived, an error only means that the response is
-      // incomplete.
+      // incomplete. Node reports one without a length as complete even then.
+      let isBroken = false;
       request.once('error', reject);
       request.on('response', response => {
         request.off('error', reject);
-        request.on('error', () => undefined);
+        request.on('error', () => (isBroken = true));
         const chunks: Buffer[] = [];
         response.on('data', (chunk: Buffer) => chunks.push(chunk));
         response.on('error', () => undefined);
@@ -264,7 +265,7 @@
             status: response.statusCode ?? 0,
             headers: response.headers,
             body: Buffer.concat(chunks).toString(),
-            isComplete: response.complete,
+            isComplete: response.complete && !isBroken,
           }),
         );
       });
--- a/packages/standins/src/hostedendpoint.ts
+++ b/packages/standins/src/hostedendpoint.ts
@@ -24,6 +24,15 @@
   | {readonly type: 'unsealed'}
   /** Answers without a length: the connection is closed, or reset early. */
   | {readonly type: 'unframed'; readonly isReset: boolean}
+  /**
+   * Writes text as it is, which need not be a valid answer, and closes or
+   * resets the connection.
+   */
+  | {
+      readonly type: 'raw';
+      readonly text: (run: RecordedRun) => string;
+      readonly isReset: boolean;
+    }
   /** Never answers. */
   | {readonly type: 'hang'}
   /** Streams events from the one after `Last-Event-Id` up to `events`. */
@@ -189,6 +198,9 @@
       case 'unframed':
         sendUnframed(behaviour.isReset, response, headers);
         break;
+      case 'raw':
+        sendRaw(behaviour.text(run), behaviour.isReset, response);
+        break;
       case 'reset':
         run.isCutOff = true;
         response.destroy();
@@ -231,6 +243,19 @@
   else socket?.end(' and half');
 }
 
+function sendRaw(
+  text: string,
+  isReset: boolean,
+  {socket}: http.ServerResponse,
+): void {
+  if (!isReset) {
+    socket?.end(text);
+    return;
+  }
+  socket?.write(text);
+  setTimeout(() => socket?.resetAndDestroy(), RESET_DELAY_MS);
+}
+
 /** Text of a server-sent event. */
 export function eventText(number: number, label = 'event'): string {
   return `id: ${number}\ndata: ${label} ${number}\n\n`;
