Send nothing further to an endpoint whose answer says that it leaves

What happened: the header was passed on to callers and otherwise ignored; an engine whose record lagged or still said `ready` went on to get requests.

Change: any response head that belongs to the request (success, failure, not run, stream; not one with another id, nor a 421, which another engine sent) marks that lifetime of the endpoint as leaving. The selector leaves it out, for first sends, retries and resumed streams; the last check is just before the first byte, for requests that wait for a connection; these cost no retry. What runs there ends, and it stays a source of contexts. The mark is kept by id and time of start (`born`), so neither a `ready` record nor a removal with a return of the same lifetime undoes it; another lifetime begins unmarked.

Not told to other routers: the rule binds the machine that passed the answer on, each learns it from its own first answer, and one router that errs cannot empty a pool elsewhere. A removal was first meant to drop the mark; it is kept, since records that expired while the store was away come back for the same lifetime.

--- a/packages/decide/src/index.ts
+++ b/packages/decide/src/index.ts
@@ -17,6 +17,7 @@
 export * from './membership.js';
 export * from './neighbours.js';
 export * from './endpointhealth.js';
+export * from './endpointnotices.js';
 export * from './ownership.js';
 export * from './placement.js';
 export * from './prefixhomes.js';
--- a/packages/direct/src/attempt.ts
+++ b/packages/direct/src/attempt.ts
@@ -10,6 +10,7 @@
 import * as connections from './connections.js';
 import * as decisions from './decisions.js';
 import * as wireProtocol from './wireprotocol.js';
+import * as endpointNotices from './endpointnotices.js';
 import * as liveness from './liveness.js';
 import type * as model from './model.js';
 import * as requestWatch from './requestwatch.js';
@@ -45,6 +46,11 @@
 export type AttemptResult =
   /** No byte was sent; another endpoint may be tried. */
   | {readonly type: 'not_sent'; readonly detail: string}
+  /**
+   * The endpoint announced before the first byte was sent that it accepts no
+   * further requests.
+   */
+  | {readonly type: 'withheld'}
   /** The endpoint reports that it did not run the request. */
   | {readonly type: 'not_run'; readonly status: number}
   | {
@@ -106,6 +112,12 @@
     const head = this.protocol.readEndpointResponse(status, response.headers);
     activeAttempt.recordActivity();
     this.recordLoad(options.endpoint, head);
+    endpointNotices.recordNotices(
+      this.kernel,
+      options.endpoint,
+      options.request.head.requestId,
+      head,
+    );
     if (!head.isNotRun) {
       return {type: 'response', response: activeAttempt.openResponse(response)};
     }
@@ -161,6 +173,7 @@
       connectTimeoutMs: Math.min(liveness.CONNECT_TIMEOUT_MS, timeoutMs),
       firstByteTimeoutMs: timeoutMs,
       checkHead: response => this.checkHead(response, request),
+      mayDispatch: () => endpointNotices.isWilling(this.kernel, endpoint),
       signal: activeAttempt.signal,
     };
   }
@@ -201,6 +214,7 @@
     }
     if (callerGone.aborted) return {type: 'caller_gone'};
     if (stage === 'connect') return {type: 'not_sent', detail};
+    if (stage === 'forbidden') return {type: 'withheld'};
     const cause = activeAttempt.abortCause() ?? causeOf(error);
     if (cause === 'broken') {
       // The check records a crash, if there was one, so that the request that
--- a/packages/direct/src/decisions.ts
+++ b/packages/direct/src/decisions.ts
@@ -19,6 +19,15 @@
   ],
 );
 
+/**
+ * The contract under which the notices of endpoints are registered: what they
+ * announced about themselves in responses.
+ */
+export const ENDPOINT_NOTICES = core.contract<decide.EndpointNotices>(
+  'endpoint-notices',
+  ['recordLeaving', 'isWilling', 'forget'],
+);
+
 /**
  * The contract under which the load of endpoints over the fleet is registered.
  */
--- a/packages/direct/src/dispatcher.ts
+++ b/packages/direct/src/dispatcher.ts
@@ -149,6 +149,11 @@
         progress.lastFailure = refusedFailure(`${endpoint.id}: ${detail}`);
         return undefined;
       })
+      .with({type: 'withheld'}, () => {
+        // The request did not reach the endpoint, so it costs no retry.
+        progress.sendCount -= 1;
+        return undefined;
+      })
       .with({type: 'not_run'}, ({status}) => {
         progress.lastFailure = refusedFailure(
           `${endpoint.id} answered ${status} without running the request`,
@@ -182,7 +187,11 @@
     const nowMs = this.nowMs();
     if (result.type === 'delivered' && result.status < 500) {
       health.recordSuccess(id, nowMs);
-    } else if (result.type !== 'caller_gone' && result.type !== 'not_sent') {
+    } else if (
+      result.type !== 'caller_gone' &&
+      result.type !== 'not_sent' &&
+      result.type !== 'withheld'
+    ) {
       health.recordFailure(id, nowMs);
       this.kernel.find(core.LOGGER).info('attempt_failed', {
         request: request.head.requestId,
--- a/packages/direct/src/endpointselector.ts
+++ b/packages/direct/src/endpointselector.ts
@@ -7,6 +7,7 @@
 import type * as decide from '@oleanderrock/decide';
 import type * as routedRequest from './routedrequest.js';
 import * as decisions from './decisions.js';
+import * as endpointNotices from './endpointnotices.js';
 import * as endpointRegistry from './endpointregistry.js';
 import * as fleetRegistry from './fleetregistry.js';
 import type * as model from './model.js';
@@ -71,7 +72,10 @@
     triedIds: ReadonlySet<string>,
     nowMs: number,
   ): decide.DirectCandidate[] {
-    const poolEndpoints = this.endpoints.readyEndpoints(request.pool);
+    const poolEndpoints = endpointNotices.willingEndpoints(
+      this.kernel,
+      request.pool,
+    );
     const ids = poolEndpoints.map(({id}) => id).filter(id => !triedIds.has(id));
     const load = this.kernel.find(decisions.FLEET_LOAD);
     return this.usableIds(request, ids, nowMs).map(id => ({
@@ -123,8 +127,8 @@
   }
 
   /**
-   * Selects the endpoint from which `targetId` copies context. A draining
-   * endpoint qualifies; an unreachable one does not.
+   * Selects the endpoint from which `targetId` copies context. A draining or
+   * unwilling endpoint qualifies; an unreachable one does not.
    */
   private findContextSource(
     {head, pool}: routedRequest.RoutedRequest,
--- a/packages/direct/src/tests/simulatedfleet.ts
+++ b/packages/direct/src/tests/simulatedfleet.ts
@@ -245,6 +245,10 @@
         random,
       }),
     );
+    kernel.register(
+      direct.ENDPOINT_NOTICES,
+      new decide.RecentEndpointNotices(),
+    );
     kernel.register(direct.FLEET_LOAD, new decide.SummedFleetLoad());
     kernel.register(direct.PREFIX_HOMES, new decide.SharedPrefixHomes());
     kernel.register(
--- a/packages/direct/src/wireprotocol.ts
+++ b/packages/direct/src/wireprotocol.ts
@@ -55,6 +55,8 @@
   readonly isNotRun: boolean;
   /** Whether another endpoint now uses the address. */
   readonly isMisdirected: boolean;
+  /** Whether the endpoint shuts down and wants no further requests. */
+  readonly isLeaving: boolean;
   /**
    * Requests that run or wait at the endpoint; absent if it does not report its
    * load.
--- a/packages/standins/src/hostedendpoint.ts
+++ b/packages/standins/src/hostedendpoint.ts
@@ -66,6 +66,12 @@
   readonly cachedTokensByPrefix = new Map<string, number>();
   /** Number of requests for `/kv-list`. */
   prefixListCount = 0;
+  /** Number of callers' requests that arrived, refused ones included. */
+  arrivalCount = 0;
+  /** Headers that all answers carry. */
+  extraHeaders: Readonly<Record<string, string>> = {};
+  /** Wall-clock time of the start, in ms; another one is another lifetime. */
+  bornMs = 1_700_000_000_000;
   /** Queue of behaviours, one for each of the next requests. */
   readonly nextBehaviours: Behaviour[] = [];
   /** Behaviour if the queue is empty and no callback is set. */
@@ -110,7 +116,7 @@
       state,
       warmupLeftMs: 0,
       seq: 1,
-      born: 1_700_000_000_000,
+      born: this.bornMs,
     };
   }
 
@@ -126,6 +132,9 @@
   ): Promise<void> {
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk as Buffer);
+    for (const [name, value] of Object.entries(this.extraHeaders)) {
+      response.setHeader(name, value);
+    }
     if (request.url === '/kv-list') {
       this.sendPrefixList(response);
       return;
@@ -134,6 +143,7 @@
       response.writeHead(421, {'instance-id': this.id}).end();
       return;
     }
+    this.arrivalCount += 1;
     const run: RecordedRun = {
       method: request.method ?? '',
       path: request.url ?? '',
