Send nothing to an endpoint that answered 503 with Retry-After until then

What happened: the header of a refusal was ignored. The endpoint got further requests at once, and a caller whose request all had refused was told to come back after 300 ms, long before any of them wanted it.

Change: a 503 with Retry-After, with or without Not-Executed, holds that lifetime of the endpoint off at this router, from the arrival of the head, by the monotonic clock; the latest end holds. It is believed under the same terms as Server-Leaving and checked in the same places: first sends, retries, resumed streams, just before the first byte, and the read of cached prefixes at the start. Where all endpoints of a pool are held off, a request is refused at once, 503 `saturated`, not run. The Retry-After of a refusal, also of one by the endpoints themselves, is the time until the first of the pool is free; 300 ms as before if one wants requests. It is not cut to a third of the caller's time, since callers do that themselves. `endpoint_hold_off` is logged once for each period.

Not changed: a 503 without Not-Executed that is passed on keeps the endpoint's own Retry-After. Callers that were told one time come back together; not spread.

--- a/packages/direct/src/decisions.ts
+++ b/packages/direct/src/decisions.ts
@@ -25,7 +25,13 @@
  */
 export const ENDPOINT_NOTICES = core.contract<decide.EndpointNotices>(
   'endpoint-notices',
-  ['recordLeaving', 'isWilling', 'forget'],
+  [
+    'recordLeaving',
+    'recordHoldOff',
+    'isWilling',
+    'earliestWillingMs',
+    'forget',
+  ],
 );
 
 /**
--- a/packages/direct/src/dispatcher.ts
+++ b/packages/direct/src/dispatcher.ts
@@ -7,6 +7,7 @@
 import * as tsPattern from 'ts-pattern';
 import * as routedRequest from './routedrequest.js';
 import * as attempt from './attempt.js';
+import * as endpointNotices from './endpointnotices.js';
 import * as endpointSelector from './endpointselector.js';
 import * as decisions from './decisions.js';
 import * as responseDelivery from './responsedelivery.js';
@@ -23,8 +24,8 @@
 const MIN_SEND_TIME_MS = 15;
 
 /**
- * Retry-after for requests that all endpoints refused, in ms: long enough for
- * queues to shorten.
+ * Retry-after for requests that all endpoints refused without a hold-off, in ms:
+ * long enough for queues to shorten.
  */
 const RETRY_AFTER_MS = 300;
 
@@ -266,16 +267,33 @@
     const failure: core.Failure = mayHaveRunBefore
       ? {kind: 'endpoint_broke', detail: progress.lastFailure.detail}
       : progress.lastFailure;
-    const retryAfterMs =
-      isNotRun && !mayHaveRunBefore ? RETRY_AFTER_MS : undefined;
     return {
       type: 'failed',
-      failure: {...failure, retryAfterMs},
+      failure:
+        isNotRun && !mayHaveRunBefore
+          ? this.refusal(request, failure)
+          : failure,
       sendCount: progress.sendCount,
       placement: progress.placement,
     };
   }
 
+  /** A refusal with the time after which an endpoint may take the request. */
+  private refusal(
+    {pool}: routedRequest.RoutedRequest,
+    failure: core.Failure,
+  ): core.Failure {
+    const holdOffMs = endpointNotices.holdOffMs(this.kernel, pool);
+    if (holdOffMs === undefined) {
+      return {...failure, retryAfterMs: RETRY_AFTER_MS};
+    }
+    if (failure.kind !== 'pool_empty') {
+      return {...failure, retryAfterMs: holdOffMs};
+    }
+    const detail = `all endpoints of ${pool} asked to be sent nothing for now`;
+    return {kind: 'saturated', detail, retryAfterMs: holdOffMs};
+  }
+
   /** The time-out of the next send, in ms. */
   private sendTimeoutMs(
     request: routedRequest.RoutedRequest,
--- a/packages/direct/src/endpointnotices.ts
+++ b/packages/direct/src/endpointnotices.ts
@@ -29,11 +29,20 @@
     head.requestId === undefined
       ? !head.isNotRun
       : head.requestId !== requestId;
-  if (isForeign || head.isMisdirected || !head.isLeaving) return;
+  if (isForeign || head.isMisdirected) return;
   const notices = kernel.find(decisions.ENDPOINT_NOTICES);
-  if (!notices.recordLeaving(lifetimeOf(endpoint))) return;
+  const log = kernel.find(core.LOGGER);
   const {id, pool} = endpoint;
-  kernel.find(core.LOGGER).info('endpoint_leaving', {endpoint: id, pool});
+  const lifetime = lifetimeOf(endpoint);
+  if (head.isLeaving && notices.recordLeaving(lifetime)) {
+    log.info('endpoint_leaving', {endpoint: id, pool});
+  }
+  if (head.holdOffMs === undefined) return;
+  const nowMs = kernel.find(core.CLOCK).nowMs();
+  if (notices.recordHoldOff(lifetime, nowMs + head.holdOffMs, nowMs)) {
+    const fields = {endpoint: id, pool, for_ms: Math.round(head.holdOffMs)};
+    log.info('endpoint_hold_off', fields);
+  }
 }
 
 /** Whether the endpoint accepts requests of this router. */
@@ -42,7 +51,8 @@
   endpoint: model.Endpoint,
 ): boolean {
   const notices = kernel.find(decisions.ENDPOINT_NOTICES);
-  return notices.isWilling(lifetimeOf(endpoint));
+  const nowMs = kernel.find(core.CLOCK).nowMs();
+  return notices.isWilling(lifetimeOf(endpoint), nowMs);
 }
 
 /** The endpoints of the pool that accept requests of this router. */
@@ -50,8 +60,28 @@
   kernel: core.Kernel,
   pool: string,
 ): readonly model.Endpoint[] {
+  const notices = kernel.find(decisions.ENDPOINT_NOTICES);
+  const nowMs = kernel.find(core.CLOCK).nowMs();
   return kernel
     .find(endpointRegistry.ENDPOINT_REGISTRY)
     .readyEndpoints(pool)
-    .filter(endpoint => isWilling(kernel, endpoint));
+    .filter(endpoint => notices.isWilling(lifetimeOf(endpoint), nowMs));
+}
+
+/**
+ * Time until the first endpoint of the pool accepts requests of this router, in
+ * ms; undefined if one does already, or none will.
+ */
+export function holdOffMs(
+  kernel: core.Kernel,
+  pool: string,
+): number | undefined {
+  const nowMs = kernel.find(core.CLOCK).nowMs();
+  const endpoints = kernel.find(endpointRegistry.ENDPOINT_REGISTRY);
+  const lifetimes = endpoints.readyEndpoints(pool).map(lifetimeOf);
+  const earliestMs = kernel
+    .find(decisions.ENDPOINT_NOTICES)
+    .earliestWillingMs(lifetimes, nowMs);
+  if (earliestMs === undefined || earliestMs <= nowMs) return undefined;
+  return Math.ceil(earliestMs - nowMs);
 }
--- a/packages/direct/src/homerecovery.ts
+++ b/packages/direct/src/homerecovery.ts
@@ -8,7 +8,7 @@
 import * as v from 'valibot';
 import * as decisions from './decisions.js';
 import * as wireProtocol from './wireprotocol.js';
-import * as endpointRegistry from './endpointregistry.js';
+import * as endpointNotices from './endpointnotices.js';
 import * as fleetRegistry from './fleetregistry.js';
 import * as jsonFetch from './jsonfetch.js';
 import * as runState from './runstate.js';
@@ -180,10 +180,9 @@
 
   /** Endpoints of pools that cache the context of prompts. */
   private cachingEndpoints(): readonly model.Endpoint[] {
-    const endpoints = this.kernel.find(endpointRegistry.ENDPOINT_REGISTRY);
     const tables = this.kernel.find(activeTables.ACTIVE_TABLES).current();
     return (tables?.pools ?? []).flatMap(({name}) =>
-      endpoints.readyEndpoints(name),
+      endpointNotices.willingEndpoints(this.kernel, name),
     );
   }
 
--- a/packages/direct/src/tests/endpointnotices.test.ts
+++ b/packages/direct/src/tests/endpointnotices.test.ts
@@ -42,6 +42,7 @@
   beforeEach(() => {
     kernel = new core.Kernel();
     lines = [];
+    kernel.register(core.CLOCK, new core.SystemClock());
     kernel.register(core.LOGGER, new RecordingLogger(lines));
     kernel.register(
       direct.ENDPOINT_NOTICES,
@@ -59,6 +60,9 @@
     const notRun = {isNotRun: true, isSealed: false};
     expect(isWillingAfter({requestId: 'r2'})).to.equal(true);
     expect(isWillingAfter({requestId: undefined})).to.equal(true);
+    const heldOff = {...notRun, isLeaving: false, holdOffMs: 60_000};
+    expect(isWillingAfter({...heldOff, requestId: 'r2'})).to.equal(true);
+    expect(isWillingAfter({...heldOff, isMisdirected: true})).to.equal(true);
     expect(isWillingAfter({...notRun, requestId: 'r2'})).to.equal(true);
     expect(isWillingAfter({...notRun, isMisdirected: true})).to.equal(true);
     expect(isWillingAfter({isLeaving: false})).to.equal(true);
@@ -71,6 +75,8 @@
       {isSealed: false},
       {isNotRun: true, isSealed: false},
       {isNotRun: true, isSealed: false, requestId: undefined},
+      {isLeaving: false, holdOffMs: 60_000},
+      {isLeaving: false, isNotRun: true, holdOffMs: 60_000},
     ];
     for (const head of heads) {
       expect(isWillingAfter(head)).to.equal(false);
@@ -79,6 +85,12 @@
     }
   });
 
+  it('are logged once for each period in which the endpoint wants nothing', () => {
+    const heldOff = {isLeaving: false, holdOffMs: 60_000};
+    for (let count = 0; count < 5; count++) isWillingAfter(heldOff);
+    expect(lines).to.deep.equal(['endpoint_hold_off']);
+  });
+
   it('are logged once for each lifetime', () => {
     for (let count = 0; count < 5; count++) isWillingAfter({});
     expect(lines).to.deep.equal(['endpoint_leaving']);
--- a/packages/direct/src/wireprotocol.ts
+++ b/packages/direct/src/wireprotocol.ts
@@ -57,6 +57,11 @@
   readonly isMisdirected: boolean;
   /** Whether the endpoint shuts down and wants no further requests. */
   readonly isLeaving: boolean;
+  /**
+   * How long the endpoint wants no requests of this router, in ms; absent if it
+   * does not say so.
+   */
+  readonly holdOffMs?: number;
   /**
    * Requests that run or wait at the endpoint; absent if it does not report its
    * load.
--- a/packages/standins/src/hostedendpoint.ts
+++ b/packages/standins/src/hostedendpoint.ts
@@ -8,8 +8,8 @@
 /** How one request is answered. */
 export type Behaviour =
   | {readonly type: 'answer'; readonly body?: string}
-  /** Runs the request and answers 500. */
-  | {readonly type: 'fail'}
+  /** Runs the request and answers 500, or another status. */
+  | {readonly type: 'fail'; readonly status?: number}
   /** Refuses the request with 503 and does not run it. */
   | {readonly type: 'shed'}
   /** Runs the request and closes its connection without an answer. */
@@ -190,7 +190,7 @@
         response.writeHead(200, headers).end(behaviour.body ?? `by ${this.id}`);
         break;
       case 'fail':
-        response.writeHead(500, headers).end('failed');
+        response.writeHead(behaviour.status ?? 500, headers).end('failed');
         break;
       case 'foreign':
         response.writeHead(200, {...headers, 'attempt-id': 'other'}).end('no');
