Compare the lifetimes of endpoints without building keys

The newest notice of an id holds, also one of a late answer of an older lifetime, since a start may be stamped by a clock that was set back; the next answer marks the new lifetime again.

--- a/packages/decide/src/endpointnotices.ts
+++ b/packages/decide/src/endpointnotices.ts
@@ -1,63 +1,82 @@
 /**
  * What endpoints have announced about themselves in their responses. A notice
  * holds for one lifetime of an endpoint, whatever older sources say of it. All
- * times are monotonic, in ms.
+ * times but that of a start are monotonic, in ms.
  */
 
-/** Keeps the notices of endpoints, by a key of one lifetime of each. */
+/** One lifetime of an endpoint, which may start again under the same id. */
+export interface EndpointLifetime {
+  readonly id: string;
+  /** Wall-clock time of the start, in ms; absent if the endpoint gives none. */
+  readonly bornMs?: number;
+}
+
+/** Keeps the notices of endpoints. */
 export interface EndpointNotices {
   /** Records that the endpoint shuts down. Returns false if that was known. */
-  recordLeaving(lifetime: string): boolean;
+  recordLeaving(lifetime: EndpointLifetime): boolean;
   /**
    * Records that the endpoint wants no requests until then; the latest end
    * holds. Returns false if the endpoint was already held off.
    */
-  recordHoldOff(lifetime: string, untilMs: number, nowMs: number): boolean;
+  recordHoldOff(
+    lifetime: EndpointLifetime,
+    untilMs: number,
+    nowMs: number,
+  ): boolean;
   /** Whether the endpoint accepts requests of this router. */
-  isWilling(lifetime: string, nowMs: number): boolean;
+  isWilling(lifetime: EndpointLifetime, nowMs: number): boolean;
   /**
    * The time at which the first of the endpoints accepts requests, `nowMs` if
    * one does already; undefined if all are leaving.
    */
   earliestWillingMs(
-    lifetimes: readonly string[],
+    lifetimes: readonly EndpointLifetime[],
     nowMs: number,
   ): number | undefined;
-  /** Drops the notices of a lifetime that has ended for good. */
-  forget(lifetime: string): void;
 }
 
-/** Maximum number of lifetimes whose notices are kept. */
-const MAX_LIFETIMES = 4_096;
+/** Maximum number of endpoints whose notices are kept. */
+const MAX_ENDPOINTS = 4_096;
 
-/** Keeps the notices of the lifetimes that gave one last. */
+interface Notice {
+  readonly bornMs: number | undefined;
+  /** End of the hold-off; infinite for a leaving endpoint. */
+  readonly untilMs: number;
+}
+
+/**
+ * Keeps the notices of one lifetime of each endpoint, for the endpoints that gave
+ * one last.
+ */
 export class RecentEndpointNotices implements EndpointNotices {
-  /**
-   * End of the hold-off, infinite for a leaving endpoint, in the order in which
-   * they were recorded.
-   */
-  private readonly unwillingUntilMs = new Map<string, number>();
+  /** By id, in the order in which they were recorded. */
+  private readonly notices = new Map<string, Notice>();
 
-  constructor(private readonly maxLifetimes = MAX_LIFETIMES) {}
+  constructor(private readonly maxEndpoints = MAX_ENDPOINTS) {}
 
-  recordLeaving(lifetime: string): boolean {
+  recordLeaving(lifetime: EndpointLifetime): boolean {
     const isKnown = this.endMs(lifetime) === Number.POSITIVE_INFINITY;
-    this.set(lifetime, Number.POSITIVE_INFINITY);
+    this.record(lifetime, Number.POSITIVE_INFINITY);
     return !isKnown;
   }
 
-  recordHoldOff(lifetime: string, untilMs: number, nowMs: number): boolean {
+  recordHoldOff(
+    lifetime: EndpointLifetime,
+    untilMs: number,
+    nowMs: number,
+  ): boolean {
     const wasWilling = this.isWilling(lifetime, nowMs);
-    this.set(lifetime, Math.max(untilMs, this.endMs(lifetime)));
+    this.record(lifetime, Math.max(untilMs, this.endMs(lifetime)));
     return wasWilling && untilMs > nowMs;
   }
 
-  isWilling(lifetime: string, nowMs: number): boolean {
+  isWilling(lifetime: EndpointLifetime, nowMs: number): boolean {
     return this.endMs(lifetime) <= nowMs;
   }
 
   earliestWillingMs(
-    lifetimes: readonly string[],
+    lifetimes: readonly EndpointLifetime[],
     nowMs: number,
   ): number | undefined {
     const endsMs = lifetimes.map(lifetime => this.endMs(lifetime));
@@ -67,21 +86,20 @@
       : Math.max(nowMs, earliestMs);
   }
 
-  forget(lifetime: string): void {
-    this.unwillingUntilMs.delete(lifetime);
+  private endMs({id, bornMs}: EndpointLifetime): number {
+    const notice = this.notices.get(id);
+    return notice && notice.bornMs === bornMs
+      ? notice.untilMs
+      : Number.NEGATIVE_INFINITY;
   }
 
-  private endMs(lifetime: string): number {
-    return this.unwillingUntilMs.get(lifetime) ?? Number.NEGATIVE_INFINITY;
-  }
-
-  private set(lifetime: string, untilMs: number): void {
-    // Deleting first moves a known lifetime to the end.
-    this.unwillingUntilMs.delete(lifetime);
-    this.unwillingUntilMs.set(lifetime, untilMs);
-    if (this.unwillingUntilMs.size <= this.maxLifetimes) return;
-    const [oldest] = this.unwillingUntilMs.keys();
-    this.unwillingUntilMs.delete(oldest!);
+  private record({id, bornMs}: EndpointLifetime, untilMs: number): void {
+    // Deleting first moves a known endpoint to the end.
+    this.notices.delete(id);
+    this.notices.set(id, {bornMs, untilMs});
+    if (this.notices.size <= this.maxEndpoints) return;
+    const [oldest] = this.notices.keys();
+    this.notices.delete(oldest!);
   }
 }
 
@@ -100,11 +118,9 @@
   }
 
   earliestWillingMs(
-    lifetimes: readonly string[],
+    lifetimes: readonly EndpointLifetime[],
     nowMs: number,
   ): number | undefined {
     return lifetimes.length > 0 ? nowMs : undefined;
   }
-
-  forget(): void {}
 }
--- a/packages/direct/src/decisions.ts
+++ b/packages/direct/src/decisions.ts
@@ -25,13 +25,7 @@
  */
 export const ENDPOINT_NOTICES = core.contract<decide.EndpointNotices>(
   'endpoint-notices',
-  [
-    'recordLeaving',
-    'recordHoldOff',
-    'isWilling',
-    'earliestWillingMs',
-    'forget',
-  ],
+  ['recordLeaving', 'recordHoldOff', 'isWilling', 'earliestWillingMs'],
 );
 
 /**
--- a/packages/direct/src/endpointnotices.ts
+++ b/packages/direct/src/endpointnotices.ts
@@ -9,14 +9,6 @@
 import type * as model from './model.js';
 import type * as wireProtocol from './wireprotocol.js';
 
-/**
- * Key of one lifetime of the endpoint. An endpoint may start again under the
- * same id, and a removed record may return for the same lifetime.
- */
-export function lifetimeOf({id, bornMs}: model.Endpoint): string {
-  return `${id} ${bornMs ?? ''}`;
-}
-
 /** Records the notices in the head of a response to the request. */
 export function recordNotices(
   kernel: core.Kernel,
@@ -33,13 +25,12 @@
   const notices = kernel.find(decisions.ENDPOINT_NOTICES);
   const log = kernel.find(core.LOGGER);
   const {id, pool} = endpoint;
-  const lifetime = lifetimeOf(endpoint);
-  if (head.isLeaving && notices.recordLeaving(lifetime)) {
+  if (head.isLeaving && notices.recordLeaving(endpoint)) {
     log.info('endpoint_leaving', {endpoint: id, pool});
   }
   if (head.holdOffMs === undefined) return;
   const nowMs = kernel.find(core.CLOCK).nowMs();
-  if (notices.recordHoldOff(lifetime, nowMs + head.holdOffMs, nowMs)) {
+  if (notices.recordHoldOff(endpoint, nowMs + head.holdOffMs, nowMs)) {
     const fields = {endpoint: id, pool, for_ms: Math.round(head.holdOffMs)};
     log.info('endpoint_hold_off', fields);
   }
@@ -52,7 +43,7 @@
 ): boolean {
   const notices = kernel.find(decisions.ENDPOINT_NOTICES);
   const nowMs = kernel.find(core.CLOCK).nowMs();
-  return notices.isWilling(lifetimeOf(endpoint), nowMs);
+  return notices.isWilling(endpoint, nowMs);
 }
 
 /** The endpoints of the pool that accept requests of this router. */
@@ -65,7 +56,7 @@
   return kernel
     .find(endpointRegistry.ENDPOINT_REGISTRY)
     .readyEndpoints(pool)
-    .filter(endpoint => notices.isWilling(lifetimeOf(endpoint), nowMs));
+    .filter(endpoint => notices.isWilling(endpoint, nowMs));
 }
 
 /**
@@ -78,10 +69,9 @@
 ): number | undefined {
   const nowMs = kernel.find(core.CLOCK).nowMs();
   const endpoints = kernel.find(endpointRegistry.ENDPOINT_REGISTRY);
-  const lifetimes = endpoints.readyEndpoints(pool).map(lifetimeOf);
   const earliestMs = kernel
     .find(decisions.ENDPOINT_NOTICES)
-    .earliestWillingMs(lifetimes, nowMs);
+    .earliestWillingMs(endpoints.readyEndpoints(pool), nowMs);
   if (earliestMs === undefined || earliestMs <= nowMs) return undefined;
   return Math.ceil(earliestMs - nowMs);
 }
--- a/packages/direct/src/endpointrecords.ts
+++ b/packages/direct/src/endpointrecords.ts
@@ -1,12 +1,10 @@
 /**
  * Applies endpoint records from any source. When a record ends an endpoint's
- * lifetime, its health, prefix homes and connections are dropped. Its notices are
- * dropped when another lifetime begins, since a removed record may return.
+ * lifetime, its health, prefix homes and connections are dropped.
  */
 import * as core from '@oleanderrock/core';
 import * as connections from './connections.js';
 import * as decisions from './decisions.js';
-import * as endpointNotices from './endpointnotices.js';
 import * as endpointRegistry from './endpointregistry.js';
 
 /** Source of a record: the store's feed, or another router. */
@@ -29,10 +27,6 @@
   // An endpoint restarted under the same id has an empty cache and new
   // connections.
   if (record.value && record.value.bornMs === previous.bornMs) return;
-  if (record.value) {
-    const lifetime = endpointNotices.lifetimeOf(previous);
-    kernel.find(decisions.ENDPOINT_NOTICES).forget(lifetime);
-  }
   kernel.find(decisions.ENDPOINT_HEALTH).forget(record.key);
   kernel.find(decisions.PREFIX_HOMES).forget(record.key);
   kernel.find(connections.CONNECTION_POOL).remove(record.key);
--- a/packages/direct/src/tests/endpointnotices.test.ts
+++ b/packages/direct/src/tests/endpointnotices.test.ts
@@ -39,7 +39,7 @@
   let kernel: core.Kernel;
   let lines: string[];
 
-  beforeEach(() => {
+  const setUp = () => {
     kernel = new core.Kernel();
     lines = [];
     kernel.register(core.CLOCK, new core.SystemClock());
@@ -48,7 +48,9 @@
       direct.ENDPOINT_NOTICES,
       new decide.RecentEndpointNotices(),
     );
-  });
+  };
+
+  beforeEach(setUp);
 
   const isWillingAfter = (head: Partial<direct.EndpointResponseHead>) => {
     const fullHead = {...LEAVING_HEAD, ...head};
@@ -79,9 +81,8 @@
       {isLeaving: false, isNotRun: true, holdOffMs: 60_000},
     ];
     for (const head of heads) {
+      setUp();
       expect(isWillingAfter(head)).to.equal(false);
-      const lifetime = direct.endpointNotices.lifetimeOf(ENDPOINT);
-      kernel.find(direct.ENDPOINT_NOTICES).forget(lifetime);
     }
   });
 
--- a/packages/router/src/tests/directnotices.test.ts
+++ b/packages/router/src/tests/directnotices.test.ts
@@ -157,8 +157,7 @@
       const choice = select(request, triedIds);
       if (choice && first === undefined) {
         first = choice.endpoint.id;
-        const lifetime = direct.endpointNotices.lifetimeOf(choice.endpoint);
-        queueMicrotask(() => notices.recordLeaving(lifetime));
+        queueMicrotask(() => notices.recordLeaving(choice.endpoint));
       }
       return choice;
     };
