--- /dev/null
+++ b/packages/direct/src/endpointnotices.ts
@@ -0,0 +1,77 @@
+/**
+ * Applies the notices in endpoints' responses: reads them from response heads,
+ * and selects the endpoints that accept requests. Only this router's own
+ * responses count, so that no error of another router can empty a pool here.
+ */
+import * as core from '@oleanderrock/core';
+import * as decisions from './decisions.js';
+import * as endpointRegistry from './endpointregistry.js';
+import type * as model from './model.js';
+import type * as wireProtocol from './wireprotocol.js';
+
+/** Records the notices in the head of a response to the request. */
+export function recordNotices(
+  kernel: core.Kernel,
+  endpoint: model.Endpoint,
+  requestId: string,
+  head: wireProtocol.EndpointResponseHead,
+): void {
+  // The head may belong to another request, or come from another endpoint.
+  const isForeign =
+    head.requestId === undefined
+      ? !head.isNotRun
+      : head.requestId !== requestId;
+  if (isForeign || head.isMisdirected) return;
+  const notices = kernel.find(decisions.ENDPOINT_NOTICES);
+  const log = kernel.find(core.LOGGER);
+  const {id, pool} = endpoint;
+  if (head.isLeaving && notices.recordLeaving(endpoint)) {
+    log.info('endpoint_leaving', {endpoint: id, pool});
+  }
+  if (head.holdOffMs === undefined) return;
+  const nowMs = kernel.find(core.CLOCK).nowMs();
+  if (notices.recordHoldOff(endpoint, nowMs + head.holdOffMs, nowMs)) {
+    const fields = {endpoint: id, pool, for_ms: Math.round(head.holdOffMs)};
+    log.info('endpoint_hold_off', fields);
+  }
+}
+
+/** Whether the endpoint accepts requests of this router. */
+export function isWilling(
+  kernel: core.Kernel,
+  endpoint: model.Endpoint,
+): boolean {
+  const notices = kernel.find(decisions.ENDPOINT_NOTICES);
+  const nowMs = kernel.find(core.CLOCK).nowMs();
+  return notices.isWilling(endpoint, nowMs);
+}
+
+/** The endpoints of the pool that accept requests of this router. */
+export function willingEndpoints(
+  kernel: core.Kernel,
+  pool: string,
+): readonly model.Endpoint[] {
+  const notices = kernel.find(decisions.ENDPOINT_NOTICES);
+  const nowMs = kernel.find(core.CLOCK).nowMs();
+  return kernel
+    .find(endpointRegistry.ENDPOINT_REGISTRY)
+    .readyEndpoints(pool)
+    .filter(endpoint => notices.isWilling(endpoint, nowMs));
+}
+
+/**
+ * Time until the first endpoint of the pool accepts requests of this router, in
+ * ms; undefined if one does already, or none will.
+ */
+export function holdOffMs(
+  kernel: core.Kernel,
+  pool: string,
+): number | undefined {
+  const nowMs = kernel.find(core.CLOCK).nowMs();
+  const endpoints = kernel.find(endpointRegistry.ENDPOINT_REGISTRY);
+  const earliestMs = kernel
+    .find(decisions.ENDPOINT_NOTICES)
+    .earliestWillingMs(endpoints.readyEndpoints(pool), nowMs);
+  if (earliestMs === undefined || earliestMs <= nowMs) return undefined;
+  return Math.ceil(earliestMs - nowMs);
+}
--- a/packages/standins/src/hostedendpoint.ts
+++ b/packages/standins/src/hostedendpoint.ts
@@ -8,8 +8,8 @@
 /** How one request is answered. */
 export type Behaviour =
   | {readonly type: 'answer'; readonly body?: string}
-  /** Runs the request and answers 500. */
-  | {readonly type: 'fail'}
+  /** Runs the request and answers 500, or another status. */
+  | {readonly type: 'fail'; readonly status?: number}
   /** Refuses the request with 503 and does not run it. */
   | {readonly type: 'shed'}
   /** Runs the request and closes its connection without an answer. */
@@ -24,6 +24,15 @@
   | {readonly type: 'unsealed'}
   /** Answers without a length: the connection is closed, or reset early. */
   | {readonly type: 'unframed'; readonly isReset: boolean}
+  /**
+   * Writes text as it is, which need not be a valid answer, and closes or
+   * resets the connection.
+   */
+  | {
+      readonly type: 'raw';
+      readonly text: (run: RecordedRun) => string;
+      readonly isReset: boolean;
+    }
   /** Never answers. */
   | {readonly type: 'hang'}
   /** Streams events from the one after `Last-Event-Id` up to `events`. */
@@ -57,6 +66,12 @@
   readonly cachedTokensByPrefix = new Map<string, number>();
   /** Number of requests for `/kv-list`. */
   prefixListCount = 0;
+  /** Number of callers' requests that arrived, refused ones included. */
+  arrivalCount = 0;
+  /** Headers that all answers carry. */
+  extraHeaders: Readonly<Record<string, string>> = {};
+  /** Wall-clock time of the start, in ms; another one is another lifetime. */
+  bornMs = 1_700_000_000_000;
   /** Queue of behaviours, one for each of the next requests. */
   readonly nextBehaviours: Behaviour[] = [];
   /** Behaviour if the queue is empty and no callback is set. */
@@ -101,7 +116,7 @@
       state,
       warmupLeftMs: 0,
       seq: 1,
-      born: 1_700_000_000_000,
+      born: this.bornMs,
     };
   }
 
@@ -117,6 +132,9 @@
   ): Promise<void> {
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk as Buffer);
+    for (const [name, value] of Object.entries(this.extraHeaders)) {
+      response.setHeader(name, value);
+    }
     if (request.url === '/kv-list') {
       this.sendPrefixList(response);
       return;
@@ -125,6 +143,7 @@
       response.writeHead(421, {'instance-id': this.id}).end();
       return;
     }
+    this.arrivalCount += 1;
     const run: RecordedRun = {
       method: request.method ?? '',
       path: request.url ?? '',
@@ -171,7 +190,7 @@
         response.writeHead(200, headers).end(behaviour.body ?? `by ${this.id}`);
         break;
       case 'fail':
-        response.writeHead(500, headers).end('failed');
+        response.writeHead(behaviour.status ?? 500, headers).end('failed');
         break;
       case 'foreign':
         response.writeHead(200, {...headers, 'attempt-id': 'other'}).end('no');
@@ -189,6 +208,9 @@
       case 'unframed':
         sendUnframed(behaviour.isReset, response, headers);
         break;
+      case 'raw':
+        sendRaw(behaviour.text(run), behaviour.isReset, response);
+        break;
       case 'reset':
         run.isCutOff = true;
         response.destroy();
@@ -231,6 +253,19 @@
   else socket?.end(' and half');
 }
 
+function sendRaw(
+  text: string,
+  isReset: boolean,
+  {socket}: http.ServerResponse,
+): void {
+  if (!isReset) {
+    socket?.end(text);
+    return;
+  }
+  socket?.write(text);
+  setTimeout(() => socket?.resetAndDestroy(), RESET_DELAY_MS);
+}
+
 /** Text of a server-sent event. */
 export function eventText(number: number, label = 'event'): string {
   return `id: ${number}\ndata: ${label} ${number}\n\n`;
