Make room in a full queue of rumors without a search of all items

What it costs: a router of a large fleet passes on what is new to it. When more placements come in than its digests carry, the queue of 512 is full, and each new item searched all 512 for the one sent most. In a profile of one router that receives 42 digests a second, each with 16 mostly new placements, from 140 simulated peers, that was 40 % of its processor time. How often the queue is full in a real fleet was not measured; the digests of the trial bring more that is new than those of a fleet with settled homes.

The queue now also keeps its keys by the sends that are left, in the same order, and takes the first of the lowest. Digests no longer copy the whole queue for their 16 items either.

--- a/packages/decide/src/rumors.ts
+++ b/packages/decide/src/rumors.ts
@@ -28,6 +28,8 @@
 export class BoundedRumorQueue<T> implements RumorQueue<T> {
   /** Items that were not sent for the longest time come first. */
   private readonly rumors = new Map<string, Rumor<T>>();
+  /** The keys by the sends that are left, each set in the same order. */
+  private readonly keysBySendsLeft = new Map<number, Set<string>>();
 
   constructor(private readonly maxItems: number) {}
 
@@ -36,31 +38,46 @@
   }
 
   add(key: string, item: T, repeats: number): void {
-    this.rumors.delete(key);
+    this.remove(key);
     if (this.rumors.size >= this.maxItems) this.evictOne();
-    this.rumors.set(key, {item, sendsLeft: repeats});
+    this.append(key, {item, sendsLeft: repeats});
   }
 
   take(maxItems: number): readonly T[] {
-    const batch = [...this.rumors].slice(0, maxItems);
+    const batch: Array<readonly [string, Rumor<T>]> = [];
+    for (const entry of this.rumors) {
+      if (batch.length >= maxItems) break;
+      batch.push(entry);
+    }
     for (const [key, {item, sendsLeft}] of batch) {
-      this.rumors.delete(key);
-      if (sendsLeft <= 1) continue;
+      this.remove(key);
       // At the end of the map, so that the next message begins with the items
       // that this one left out.
-      this.rumors.set(key, {item, sendsLeft: sendsLeft - 1});
+      if (sendsLeft > 1) this.append(key, {item, sendsLeft: sendsLeft - 1});
     }
     return batch.map(([, {item}]) => item);
   }
 
+  private append(key: string, rumor: Rumor<T>): void {
+    this.rumors.set(key, rumor);
+    const {sendsLeft} = rumor;
+    const keys = this.keysBySendsLeft.get(sendsLeft);
+    if (keys) keys.add(key);
+    else this.keysBySendsLeft.set(sendsLeft, new Set([key]));
+  }
+
+  private remove(key: string): void {
+    const rumor = this.rumors.get(key);
+    if (!rumor) return;
+    this.rumors.delete(key);
+    const keys = this.keysBySendsLeft.get(rumor.sendsLeft);
+    keys?.delete(key);
+    if (keys?.size === 0) this.keysBySendsLeft.delete(rumor.sendsLeft);
+  }
+
   private evictOne(): void {
-    let victim: string | undefined;
-    let fewestSends = Number.POSITIVE_INFINITY;
-    for (const [key, {sendsLeft}] of this.rumors) {
-      if (sendsLeft >= fewestSends) continue;
-      fewestSends = sendsLeft;
-      victim = key;
-    }
-    if (victim !== undefined) this.rumors.delete(victim);
+    const fewestSends = Math.min(...this.keysBySendsLeft.keys());
+    const [victim] = this.keysBySendsLeft.get(fewestSends) ?? [];
+    if (victim !== undefined) this.remove(victim);
   }
 }
