Bundle the direct mode apart from the other commands

What it costs: the two modes shared a chunk. With code splitting, esbuild puts every module of a shared package into it that either mode uses, so a router in direct mode also loaded what only the other commands need, and with it Node's crypto module.

Each mode is now a bundle of its own, and the entry program imports one of them. The command in the deploy file is the same.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -24,18 +24,29 @@
 );
 if (compilation.status !== 0) process.exit(compilation.status ?? 1);
 fs.rmSync('target', {recursive: true, force: true});
-await esbuild.build({
-  entryPoints: {oleanderrock: 'packages/router/dist/main.js'},
-  outdir: 'target',
-  bundle: true,
-  splitting: true,
-  minify: true,
-  keepNames: true,
-  platform: 'node',
-  format: 'esm',
-  target: 'node20',
-  banner: {js: BANNER},
-  plugins: [{name: 'prom-client', setup: resolvePromClient}],
-  logLevel: 'warning',
-});
+
+/** Bundles one module and what it uses; the modules in `external` stay apart. */
+async function bundle(name, entryPoint, external = []) {
+  await esbuild.build({
+    entryPoints: {[name]: `packages/router/dist/${entryPoint}`},
+    outdir: 'target',
+    bundle: true,
+    splitting: true,
+    minify: true,
+    keepNames: true,
+    platform: 'node',
+    format: 'esm',
+    target: 'node20',
+    banner: {js: BANNER},
+    external,
+    plugins: [{name: 'prom-client', setup: resolvePromClient}],
+    logLevel: 'warning',
+  });
+}
+
+// Each mode is a bundle of its own: in chunks that both share, esbuild puts
+// every module of a shared package that either of them uses.
+await bundle('oleanderrock', 'main.js', ['./direct.js', './cli.js']);
+await bundle('direct', 'direct.js');
+await bundle('cli', 'cli.js');
 fs.writeFileSync('target/package.json', '{"type": "module"}\n');
