--- /dev/null
+++ b/packages/direct/src/tests/routedtables.ts
@@ -0,0 +1,178 @@
+/**
+ * Test support: arbitrary tables, routers that fetch them from each other, and
+ * how requests are matched.
+ */
+import * as chai from 'chai';
+import * as core from '@oleanderrock/core';
+import * as fc from 'fast-check';
+import * as v from 'valibot';
+import * as direct from '../index.js';
+
+const {expect} = chai;
+
+const HOSTS = ['a.example', 'A.Example', 'b.example'];
+const PREFIXES = ['/', '/x/', '/x/y/', '/x/yz/', '/w/'];
+const PATHS = ['/', '/x/', '/x/y', '/x/y/z?q=/w/', '/x/yz/1', '/w/1', '/v', ''];
+const KEYS = ['k1', 'k2', 'k3', 'k4', 'k5', '__proto__'];
+const NAMES = ['n1', 'n2', 'n3', 'n4', 'n5', 'n6', '__proto__', '7'];
+
+/** A version without its number. */
+export type Content = Omit<direct.Tables, 'version'>;
+
+const routeArbitrary = fc.record({
+  name: fc.constantFrom(...NAMES),
+  host: fc.constantFrom(...HOSTS),
+  pathPrefix: fc.constantFrom(...PREFIXES),
+  pools: fc.array(
+    fc.record({name: fc.constantFrom('p', 'q'), weight: fc.nat(3)}),
+    {minLength: 1, maxLength: 2},
+  ),
+  repeat: fc.constantFrom('idempotent' as const, 'once' as const),
+  isResumable: fc.boolean(),
+  maxRuns: fc.nat(3),
+  timeoutMs: fc.nat(3),
+  goalMs: fc.nat(3),
+  priority: fc.nat(9),
+  isPublic: fc.boolean(),
+});
+
+const customerArbitrary = fc.record(
+  {
+    name: fc.constantFrom(...NAMES),
+    keys: fc.uniqueArray(fc.constantFrom(...KEYS), {maxLength: 4}),
+    priority: fc.option(fc.nat(9), {nil: undefined}),
+  },
+  {requiredKeys: ['name', 'keys']},
+);
+
+/** Tables in which names are unique, but the order of other rows may decide. */
+export const anyContentArbitrary: fc.Arbitrary<Content> = fc.record({
+  routes: fc.uniqueArray(routeArbitrary, {
+    maxLength: 8,
+    selector: ({name}) => name,
+  }),
+  pools: fc.uniqueArray(
+    fc.record({name: fc.constantFrom('p', 'q'), copyUsPerToken: fc.nat(9)}),
+    {selector: ({name}) => name},
+  ),
+  customers: fc.option(
+    fc.uniqueArray(customerArbitrary, {
+      maxLength: 5,
+      selector: ({name}) => name,
+    }),
+    {nil: undefined},
+  ),
+  limits: fc.record({maxBodyBytes: fc.nat(9), idleMs: fc.nat(9)}),
+});
+
+/** Tables in which names, host with prefix, and keys are unique. */
+export const contentArbitrary: fc.Arbitrary<Content> = anyContentArbitrary.map(
+  content => ({
+    ...content,
+    routes: uniqueBy(
+      content.routes,
+      ({host, pathPrefix}) => `${host.toLowerCase()} ${pathPrefix}`,
+    ),
+    customers: content.customers && withoutSharedKeys(content.customers),
+  }),
+);
+
+function uniqueBy<T>(rows: readonly T[], keyOf: (row: T) => string): T[] {
+  return [...new Map(rows.map(row => [keyOf(row), row])).values()];
+}
+
+function withoutSharedKeys(customers: direct.Customer[]): direct.Customer[] {
+  const taken = new Set<string>();
+  return customers.map(customer => {
+    const keys = customer.keys.filter(key => !taken.has(key));
+    for (const key of keys) taken.add(key);
+    return {...customer, keys};
+  });
+}
+
+/** A router without tables. */
+export function createRouter(): direct.IndexedTables {
+  const kernel = new core.Kernel();
+  kernel.register(core.LOGGER, new core.SilentLogger());
+  kernel.register(core.CLOCK, new core.SystemClock());
+  return new direct.IndexedTables(kernel);
+}
+
+/** How all requests are matched; undefined without tables. */
+function behaviour(tables: direct.IndexedTables): unknown {
+  const current = tables.current();
+  if (!current) return undefined;
+  const needsKeys = current.customers !== undefined;
+  return {
+    routes: HOSTS.flatMap(host =>
+      PATHS.map(path => tables.findRoute(host, path)),
+    ),
+    holders: needsKeys && KEYS.map(key => tables.findKeyHolder(key)),
+    needsKeys,
+    copyUs: ['p', 'q'].map(name => tables.copyUsPerToken(name)),
+    limits: current.limits,
+    version: current.version,
+  };
+}
+
+/** What JSON keeps; an absent priority equals one that is undefined. */
+export function toPlain(value: unknown): unknown {
+  return value === undefined ? value : JSON.parse(JSON.stringify(value));
+}
+
+/** Expects a router to match requests as the whole tables do. */
+export function expectTables(
+  router: direct.IndexedTables,
+  whole: direct.Tables,
+): void {
+  const reference = createRouter();
+  reference.activate(whole, 'reference');
+  expect(toPlain(behaviour(router))).to.deep.equal(
+    toPlain(behaviour(reference)),
+  );
+}
+
+/** The tables and patches as another router receives them. */
+export function overTheWire(
+  sender: direct.IndexedTables,
+  version: number,
+): direct.tablesUpdate.TablesUpdate {
+  const kernel = new core.Kernel();
+  kernel.register(direct.ACTIVE_TABLES, sender);
+  const update = direct.tablesUpdate.collect(kernel, version);
+  const text = JSON.stringify(update);
+  return v.parse(direct.tablesUpdate.tablesUpdateSchema, JSON.parse(text));
+}
+
+/** Lets the receiver fetch the update that the sender serves. */
+export function fetchFrom(
+  sender: direct.IndexedTables,
+  receiver: direct.IndexedTables,
+): void {
+  const {tables, patches = []} = overTheWire(sender, receiver.version());
+  if (tables) receiver.activate(tables, 'router');
+  else receiver.applyPatches(patches, 'router');
+}
+
+/** Routes of one host, with different prefixes. */
+export function manyRoutes(count: number): direct.Route[] {
+  return [...Array(count).keys()].map(index => ({
+    name: `route-${index}`,
+    host: 'a.example',
+    pathPrefix: `/r${index}/`,
+    pools: [{name: 'p', weight: 1}],
+    repeat: 'idempotent',
+    isResumable: false,
+    maxRuns: 1,
+    timeoutMs: 1,
+    goalMs: 1,
+    priority: 1,
+    isPublic: false,
+  }));
+}
+
+/** Tables of which only the limits depend on the version. */
+export function largeTables(version: number, routes: number): direct.Tables {
+  const limits = {maxBodyBytes: 1, idleMs: version};
+  return {version, routes: manyRoutes(routes), pools: [], limits};
+}
