Give up a patch of the tables as soon as it has too many rows

Cause: diffTables serialized every row of both versions, also where the patch has more rows than one may hold and is thrown away.

Change: the comparison ends when the row counts differ by more than the limit, or more rows differ. A row is hashed once and its hash is kept, so rows from the version before are not serialized again.

--- a/packages/direct/src/activetables.ts
+++ b/packages/direct/src/activetables.ts
@@ -72,9 +72,8 @@
 /** Version of a router that has no tables yet. */
 export const NO_VERSION = -1;
 
-/** Maximum number of patches that are kept, and of rows in them. */
+/** Maximum number of patches that are kept. */
 const MAX_PATCHES = 12;
-const MAX_PATCH_ROWS = 200;
 
 /** Tables with routes indexed by host, the longest path prefix first. */
 export class IndexedTables implements ActiveTables {
@@ -150,13 +149,9 @@
     for (const listener of this.listeners) listener(tables);
   }
 
-  /** Keeps a patch for other routers; a large one is no better than tables. */
+  /** Keeps a patch for other routers; without one, the chain starts anew. */
   private keepPatch(patch: tablesPatch.TablesPatch | undefined): void {
-    if (!patch || tablesPatch.patchSize(patch) > MAX_PATCH_ROWS) {
-      this.patches = [];
-      return;
-    }
-    this.patches = [...this.patches, patch].slice(-MAX_PATCHES);
+    this.patches = patch ? [...this.patches, patch].slice(-MAX_PATCHES) : [];
   }
 
   findRoute(host: string, path: string): model.Route | undefined {
--- a/packages/direct/src/tablespatch.ts
+++ b/packages/direct/src/tablespatch.ts
@@ -5,6 +5,7 @@
  */
 import * as v from 'valibot';
 import * as model from './model.js';
+import * as rowHashes from './rowhashes.js';
 
 /** Schema of the changes to one table; rows are identified by their name. */
 function tablePatchSchema<T extends v.GenericSchema>(rowSchema: T) {
@@ -26,18 +27,18 @@
 /** The differences between two versions of the tables. */
 export type TablesPatch = v.InferOutput<typeof tablesPatchSchema>;
 
-interface NamedRow {
-  readonly name: string;
-}
-
-interface TablePatch<T extends NamedRow> {
+interface TablePatch<T extends rowHashes.Row> {
   readonly changed: T[];
   readonly removed: string[];
 }
 
+/** Maximum number of rows in a patch; a larger one is no better than tables. */
+const MAX_PATCH_ROWS = 200;
+
 /**
- * The patch from `base` to `next`; undefined if rows cannot be told apart by
- * their names, or customers are added to tables without or removed as a whole.
+ * The patch from `base` to `next`; undefined if it would have too many rows,
+ * rows cannot be told apart by their names, or customers are added to tables
+ * without or removed as a whole.
  */
 export function diffTables(
   base: model.Tables,
@@ -45,10 +46,11 @@
 ): TablesPatch | undefined {
   if (Boolean(base.customers) !== Boolean(next.customers)) return undefined;
   const routes = diffRows(base.routes, next.routes);
-  const pools = diffRows(base.pools, next.pools);
-  const customers = diffRows(base.customers ?? [], next.customers ?? []);
+  const pools = routes && diffRows(base.pools, next.pools);
+  const customers =
+    pools && diffRows(base.customers ?? [], next.customers ?? []);
   if (!routes || !pools || !customers) return undefined;
-  return {
+  const patch = {
     baseVersion: base.version,
     version: next.version,
     routes,
@@ -56,6 +58,7 @@
     ...(next.customers ? {customers} : {}),
     limits: next.limits,
   };
+  return patchSize(patch) <= MAX_PATCH_ROWS ? patch : undefined;
 }
 
 /** Applies a patch; undefined if it is for another version. */
@@ -76,7 +79,7 @@
 }
 
 /** Number of rows in a patch. */
-export function patchSize({routes, pools, customers}: TablesPatch): number {
+function patchSize({routes, pools, customers}: TablesPatch): number {
   return [routes, pools, customers].reduce(
     (sum, table) =>
       sum + (table?.changed.length ?? 0) + (table?.removed.length ?? 0),
@@ -84,24 +87,30 @@
   );
 }
 
-function diffRows<T extends NamedRow>(
+/** Undefined if names are not unique, or too many rows differ. */
+function diffRows<T extends rowHashes.Row>(
   base: readonly T[],
   next: readonly T[],
 ): TablePatch<T> | undefined {
-  const baseTexts = new Map(base.map(row => [row.name, JSON.stringify(row)]));
+  if (Math.abs(next.length - base.length) > MAX_PATCH_ROWS) return undefined;
+  const baseRows = new Map(base.map(row => [row.name, row]));
   const nextNames = new Set(next.map(({name}) => name));
   const hasUniqueNames =
-    baseTexts.size === base.length && nextNames.size === next.length;
+    baseRows.size === base.length && nextNames.size === next.length;
   if (!hasUniqueNames) return undefined;
-  return {
-    changed: next.filter(
-      row => baseTexts.get(row.name) !== JSON.stringify(row),
-    ),
-    removed: base.map(({name}) => name).filter(name => !nextNames.has(name)),
-  };
+  const removed = [...baseRows.keys()].filter(name => !nextNames.has(name));
+  const changed: T[] = [];
+  for (const row of next) {
+    const baseRow = baseRows.get(row.name);
+    const isUnchanged =
+      baseRow && rowHashes.hashOf(baseRow) === rowHashes.hashOf(row);
+    if (!isUnchanged) changed.push(row);
+    if (changed.length + removed.length > MAX_PATCH_ROWS) return undefined;
+  }
+  return {changed, removed};
 }
 
-function patchRows<T extends NamedRow>(
+function patchRows<T extends rowHashes.Row>(
   base: readonly T[],
   {changed, removed}: TablePatch<T>,
 ): T[] {
--- a/packages/direct/src/tests/tablespatch.test.ts
+++ b/packages/direct/src/tests/tablespatch.test.ts
@@ -94,6 +94,47 @@
   });
 });
 
+describe('a patch of large tables', () => {
+  /** Routes that count how often they are serialized. */
+  function countedRoutes(count: number, timeoutMs: number) {
+    const counter = {serialized: 0};
+    const routes = routedTables.manyRoutes(count).map(route => ({
+      ...route,
+      timeoutMs,
+      toJSON() {
+        counter.serialized += 1;
+        return {...route, timeoutMs};
+      },
+    }));
+    return {counter, routes};
+  }
+
+  const rest = {pools: [], limits: {maxBodyBytes: 1, idleMs: 1}};
+
+  it('is given up before rows are compared if too many are added', () => {
+    const base = countedRoutes(250, 1);
+    const next = countedRoutes(1_050, 1);
+    const patch = tablesPatch.diffTables(
+      {...rest, version: 1, routes: base.routes},
+      {...rest, version: 2, routes: next.routes},
+    );
+    expect(patch).to.equal(undefined);
+    expect(base.counter.serialized + next.counter.serialized).to.equal(0);
+  });
+
+  it('is given up as soon as too many rows differ', () => {
+    const base = countedRoutes(1_050, 1);
+    const next = countedRoutes(1_050, 2);
+    const patch = tablesPatch.diffTables(
+      {...rest, version: 1, routes: base.routes},
+      {...rest, version: 2, routes: next.routes},
+    );
+    expect(patch).to.equal(undefined);
+    const serialized = base.counter.serialized + next.counter.serialized;
+    expect(serialized).to.be.at.most(2 * 201);
+  });
+});
+
 describe('versions that reach routers in several ways', () => {
   it('match requests as the whole tables of the version in force, whoever skipped what', () => {
     const ROUTERS = 4;
