Send a router of another history only the rows that differ

Cause: in a quick succession of versions the routers that read the store skip different ones. A router whose version was not in another's chain of patches received the whole tables, of 1,050 routes for one changed row.

Change: a router that does not know the version answers that it needs a summary. The other one posts the 64-bit hashes of its rows, 8 bytes each, and receives the rows that it lacks, the hashes of those to drop, the limits and a fingerprint; the order of rows counts in the fingerprint where it decides. If the result has another fingerprint, it logs tables_update_mismatch and fetches the whole tables. The difference is kept for the next router with that version, for eight base versions at most, until the next version is in force. A summary has at most 128 KiB; a malformed one is answered with 400 and changes nothing. The simulation sends the summary over the requester's up link and the server's down link.

The simulation does not charge the processor for the hashes of a summary.

Those of an update of large tables in catchup.test.ts asked for an unknown version to receive whole tables; they ask for these as a router without tables does, and for a difference as well. The one of a small version after a large one now also expects its patch, since no tables would also hold if a summary were asked for. New: differences between any two histories, also where the order of rows decides, and the listener.

Not handled: a router of an older build does not understand that a summary is needed and gets no update from one of this build until its version is known there, or it reads the store.

--- a/packages/direct/src/activetables.ts
+++ b/packages/direct/src/activetables.ts
@@ -41,7 +41,7 @@
   ): boolean;
   /**
    * The patches that lead from the version to the one in force; undefined if
-   * the whole tables are needed.
+   * that version is not known.
    */
   patchesSince(version: number): readonly tablesPatch.TablesPatch[] | undefined;
   findRoute(host: string, path: string): model.Route | undefined;
--- a/packages/direct/src/auxiliarylisteners.ts
+++ b/packages/direct/src/auxiliarylisteners.ts
@@ -4,6 +4,7 @@
  */
 import * as core from '@oleanderrock/core';
 import type * as decide from '@oleanderrock/decide';
+import * as v from 'valibot';
 import * as decisions from './decisions.js';
 import * as wireProtocol from './wireprotocol.js';
 import * as fleetRegistry from './fleetregistry.js';
@@ -13,6 +14,7 @@
 import type * as model from './model.js';
 import type * as settings from './settings.js';
 import * as routerState from './routerstate.js';
+import * as tablesDifference from './tablesdifference.js';
 import * as tablesUpdate from './tablesupdate.js';
 
 const MAX_HEAD_BYTES = 16_384;
@@ -181,11 +183,13 @@
     this.tablesUpdates = new tablesUpdate.EncodedUpdates(kernel);
   }
 
-  protected serve(call: core.listener.Call): Promise<void> {
+  protected async serve(call: core.listener.Call): Promise<void> {
     const {request, response} = call;
     const url = request.url ?? '';
     const version = tablesUpdate.readTablesUrl(url);
-    if (version !== undefined) {
+    if (version !== undefined && request.method === 'POST') {
+      await this.serveDifference(call, version);
+    } else if (version !== undefined) {
       peerJson.send(response, this.tablesUpdates.encode(version));
     } else if (url === routerState.STATE_PATH) {
       const state = routerState.collect(this.kernel);
@@ -197,6 +201,30 @@
     } else {
       this.sendNotFound(call);
     }
-    return Promise.resolve();
+  }
+
+  /** Serves the difference for a router that sent a summary of its rows. */
+  private async serveDifference(
+    {request, response}: core.listener.Call,
+    version: number,
+  ): Promise<void> {
+    const body = await core.listener.readBody(
+      request,
+      tablesDifference.MAX_SUMMARY_BYTES,
+    );
+    const hashes = body.ok
+      ? v.safeParse(tablesDifference.summarySchema, body.value)
+      : undefined;
+    if (hashes?.success) {
+      const difference = this.tablesUpdates.encodeDifference(
+        version,
+        hashes.output,
+      );
+      peerJson.send(response, difference);
+      return;
+    }
+    const detail = 'the summary is not a list of hashes of rows';
+    const failure = {kind: 'bad_request' as const, detail};
+    core.listener.sendProblem(response, failure, '');
   }
 }
--- a/packages/direct/src/catchup.ts
+++ b/packages/direct/src/catchup.ts
@@ -15,6 +15,7 @@
 import * as routerState from './routerstate.js';
 import * as runState from './runstate.js';
 import * as stateSource from './statesource.js';
+import * as tablesDifference from './tablesdifference.js';
 import * as tablesUpdate from './tablesupdate.js';
 
 /**
@@ -163,20 +164,62 @@
       const {address} = peer.router;
       this.peersAhead.delete(address);
       const hadTables = this.tables.current() !== undefined;
-      const update = await this.source.fetchTables(address, signal);
+      const result = await this.fetchTables(address, signal);
       if (signal.aborted) return;
-      if (update.type === 'failed') {
-        this.logFailure(address, update.detail);
+      if (result.type === 'failed') {
+        this.logFailure(address, result.detail);
         continue;
       }
       this.lastTablesFetchMs = nowMs;
-      tablesUpdate.apply(this.kernel, update.value, address);
       // A router that has just started lacks everything else as well.
       if (!hadTables) await this.fetchState(address, signal);
       return;
     }
   }
 
+  /**
+   * Fetches an update and puts it in force; the whole tables if it does not lead
+   * to the tables of the other router.
+   */
+  private async fetchTables(
+    address: string,
+    signal: AbortSignal,
+  ): Promise<stateSource.Fetched<tablesUpdate.TablesUpdate>> {
+    const update = await this.fetchUpdate(address, signal);
+    if (update.type === 'failed' || signal.aborted) return update;
+    const isApplied =
+      !update.value.isSummaryNeeded &&
+      tablesUpdate.apply(this.kernel, update.value, address);
+    if (isApplied) return update;
+    this.kernel.find(core.LOGGER).warn('tables_update_mismatch', {
+      address,
+      version: this.tables.version(),
+    });
+    const request = {version: activeTables.NO_VERSION};
+    const whole = await this.source.fetchTables(address, request, signal);
+    if (whole.type === 'fetched' && !signal.aborted) {
+      tablesUpdate.apply(this.kernel, whole.value, address);
+    }
+    return whole;
+  }
+
+  /** Fetches an update; sends a summary if the other router needs it. */
+  private async fetchUpdate(
+    address: string,
+    signal: AbortSignal,
+  ): Promise<stateSource.Fetched<tablesUpdate.TablesUpdate>> {
+    const request = {version: this.tables.version()};
+    const update = await this.source.fetchTables(address, request, signal);
+    if (update.type === 'failed' || !update.value.isSummaryNeeded) {
+      return update;
+    }
+    const current = this.tables.current();
+    const summary = current && tablesDifference.summarize(current);
+    if (!summary || signal.aborted) return update;
+    const {version} = current;
+    return this.source.fetchTables(address, {version, summary}, signal);
+  }
+
   /**
    * One of the routers with the newest version, in this failure domain if there
    * is one; a random one, so that a router that was heard by many is not asked
--- a/packages/direct/src/jsonfetch.ts
+++ b/packages/direct/src/jsonfetch.ts
@@ -21,6 +21,8 @@
   readonly address: string;
   readonly port: number;
   readonly path: string;
+  /** Sent with a POST; if absent, the request is a GET. */
+  readonly body?: Buffer;
   readonly signal: AbortSignal;
 }
 
@@ -33,9 +35,9 @@
 export async function fetchJson(options: FetchOptions): Promise<FetchResult> {
   const relayResult = await core.relay.send({
     ...options,
-    method: 'GET',
+    method: options.body ? 'POST' : 'GET',
     headers: {'accept-encoding': peerJson.CONTENT_ENCODING},
-    body: Buffer.alloc(0),
+    body: options.body ?? Buffer.alloc(0),
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     firstByteTimeoutMs: RESPONSE_TIMEOUT_MS,
   });
--- a/packages/direct/src/rowhashes.ts
+++ b/packages/direct/src/rowhashes.ts
@@ -20,6 +20,11 @@
   return hash;
 }
 
+/** All rows of the tables. */
+export function allRows({routes, pools, customers = []}: model.Tables): Row[] {
+  return [...routes, ...pools, ...customers];
+}
+
 /**
  * The order of the rows among which the order decides: routes of one host and
  * prefix, pools of one name, and customers with the same key. Empty if there
@@ -42,6 +47,23 @@
     : JSON.stringify(contested);
 }
 
+/** Equal for tables that have the same effect, whatever the order of rows. */
+export function fingerprintOf(tables: model.Tables): string {
+  const {limits, customers} = tables;
+  const rows = allRows(tables).map(hashOf).sort();
+  const hasCustomers = customers !== undefined;
+  const {maxBodyBytes, idleMs} = limits;
+  return core.hash64(
+    JSON.stringify([
+      rows.join(''),
+      decidingOrder(tables),
+      hasCustomers,
+      maxBodyBytes,
+      idleMs,
+    ]),
+  );
+}
+
 /** The places for which several rows compete, with these rows in order. */
 function contestedPlaces<T extends Row>(
   rows: readonly T[],
--- a/packages/direct/src/statesource.ts
+++ b/packages/direct/src/statesource.ts
@@ -1,7 +1,6 @@
 /** Fetches the tables and the state of other routers. */
 import * as core from '@oleanderrock/core';
 import * as v from 'valibot';
-import * as activeTables from './activetables.js';
 import * as jsonFetch from './jsonfetch.js';
 import * as routerState from './routerstate.js';
 import type * as settings from './settings.js';
@@ -17,6 +16,7 @@
   /** Fetches the tables of the router at the address, if they are newer. */
   fetchTables(
     address: string,
+    request: tablesUpdate.TablesRequest,
     signal: AbortSignal,
   ): Promise<Fetched<tablesUpdate.TablesUpdate>>;
   /** Fetches the state of the router at the address. */
@@ -34,19 +34,16 @@
 
 /** Fetches over HTTP. */
 export class HttpStateSource implements StateSource {
-  constructor(
-    private readonly kernel: core.Kernel,
-    private readonly routerSettings: settings.Settings,
-  ) {}
+  constructor(private readonly routerSettings: settings.Settings) {}
 
   fetchTables(
     address: string,
+    {version, summary}: tablesUpdate.TablesRequest,
     signal: AbortSignal,
   ): Promise<Fetched<tablesUpdate.TablesUpdate>> {
-    const version = this.kernel.find(activeTables.ACTIVE_TABLES).version();
     const path = tablesUpdate.tablesUrl(version);
     const schema = tablesUpdate.tablesUpdateSchema;
-    return this.fetch({address, path, signal}, schema);
+    return this.fetch({address, path, signal, body: summary}, schema);
   }
 
   fetchState(
@@ -58,7 +55,7 @@
   }
 
   private async fetch<T>(
-    options: {address: string; path: string; signal: AbortSignal},
+    options: Omit<jsonFetch.FetchOptions, 'port'>,
     schema: v.GenericSchema<unknown, T>,
   ): Promise<Fetched<T>> {
     const port = this.routerSettings.peerPort;
--- a/packages/direct/src/tests/catchup.test.ts
+++ b/packages/direct/src/tests/catchup.test.ts
@@ -3,6 +3,7 @@
 import * as core from '@oleanderrock/core';
 import * as decide from '@oleanderrock/decide';
 import * as direct from '../index.js';
+import * as tablesDifference from '../tablesdifference.js';
 import * as virtualClock from './virtualclock.js';
 
 const {expect} = chai;
@@ -43,7 +44,27 @@
   }
 }
 
-function setUp(silent: readonly string[]) {
+/** Serves updates in turn and keeps the requests. */
+class ScriptedSource implements direct.StateSource {
+  readonly requests: direct.tablesUpdate.TablesRequest[] = [];
+
+  constructor(private readonly updates: direct.tablesUpdate.TablesUpdate[]) {}
+
+  fetchTables(
+    address: string,
+    request: direct.tablesUpdate.TablesRequest,
+  ): Promise<direct.Fetched<direct.tablesUpdate.TablesUpdate>> {
+    this.requests.push(request);
+    const value = this.updates.shift() ?? {};
+    return Promise.resolve({type: 'fetched', value});
+  }
+
+  fetchState(): Promise<direct.Fetched<direct.routerState.RouterState>> {
+    return Promise.resolve({type: 'failed', detail: 'not served'});
+  }
+}
+
+function setUp(silent: readonly string[], scripted?: ScriptedSource) {
   const kernel = new core.Kernel();
   const clock = new virtualClock.VirtualClock();
   kernel.register(core.LOGGER, new core.SilentLogger());
@@ -69,7 +90,7 @@
     withdraw: () => Promise.resolve(),
   });
   const source = new PartlySilentSource(clock, new Set(silent));
-  kernel.register(direct.STATE_SOURCE, source);
+  kernel.register(direct.STATE_SOURCE, scripted ?? source);
   const catchUp = new direct.StateCatchUp(kernel);
   kernel.register(direct.CATCH_UP, catchUp);
   const hear = (address: string, zone: string) =>
@@ -121,6 +142,59 @@
   });
 });
 
+describe('catching up from a router that does not know the version', () => {
+  const wanted = {...tablesOf(2), pools: [{name: 'p'}]};
+  const difference = tablesDifference.diff(1, new Set(), wanted);
+
+  async function catchUpFrom(updates: direct.tablesUpdate.TablesUpdate[]) {
+    const source = new ScriptedSource(updates);
+    const {kernel, clock, hear} = setUp([], source);
+    const tables = kernel.find(direct.ACTIVE_TABLES);
+    tables.activate(tablesOf(1), 'store');
+    await kernel.start();
+    hear('a', 'z0');
+    await clock.advance(400);
+    await kernel.stop();
+    return {requests: source.requests, tables: tables.current()};
+  }
+
+  it('sends a summary of its rows and applies the difference', async () => {
+    const {requests, tables} = await catchUpFrom([
+      {isSummaryNeeded: true},
+      {difference},
+    ]);
+    const summary = tablesDifference.summarize(tablesOf(1));
+    expect(requests).to.deep.equal([{version: 1}, {version: 1, summary}]);
+    expect(tables).to.deep.equal(wanted);
+  });
+
+  it('applies at once a difference that the other router has kept', async () => {
+    const {requests, tables} = await catchUpFrom([{difference}]);
+    expect(requests).to.deep.equal([{version: 1}]);
+    expect(tables).to.deep.equal(wanted);
+  });
+
+  it('fetches the whole tables if the difference does not lead to them', async () => {
+    const {requests, tables} = await catchUpFrom([
+      {isSummaryNeeded: true},
+      {difference: {...difference, pools: []}},
+      {tables: wanted},
+    ]);
+    expect(requests.at(-1)).to.deep.equal({version: direct.NO_VERSION});
+    expect(tables).to.deep.equal(wanted);
+  });
+
+  it('fetches the whole tables if the summary is not accepted as such', async () => {
+    const {requests, tables} = await catchUpFrom([
+      {isSummaryNeeded: true},
+      {isSummaryNeeded: true},
+      {tables: wanted},
+    ]);
+    expect(requests.at(-1)).to.deep.equal({version: direct.NO_VERSION});
+    expect(tables).to.deep.equal(wanted);
+  });
+});
+
 describe('an update of large tables', () => {
   const routes = [...Array(1_050).keys()].map(index => ({
     name: `route-${index}`,
@@ -141,10 +215,15 @@
     const tables = kernel.find(direct.ACTIVE_TABLES);
     tables.activate({...tablesOf(2), routes}, 'store');
     const updates = new direct.tablesUpdate.EncodedUpdates(kernel);
-    const encoded = updates.encode(1);
+    const whole = updates.encode(direct.NO_VERSION);
+    const difference = updates.encodeDifference(1, new Set());
     const plainBytes = JSON.stringify(routes).length;
-    expect(encoded.length).to.be.below(plainBytes / 5);
-    expect(updates.encode(1)).to.equal(encoded);
+    for (const encoded of [whole, difference]) {
+      expect(encoded.length).to.be.below(plainBytes / 5);
+      expect(encoded.length, 'holds the rows').to.be.above(plainBytes / 50);
+    }
+    expect(updates.encode(direct.NO_VERSION)).to.equal(whole);
+    expect(updates.encode(1)).to.equal(difference);
   });
 
   it('is encoded anew for the next version', () => {
@@ -152,8 +231,13 @@
     const tables = kernel.find(direct.ACTIVE_TABLES);
     tables.activate({...tablesOf(2), routes}, 'store');
     const updates = new direct.tablesUpdate.EncodedUpdates(kernel);
-    const encoded = updates.encode(1);
+    const whole = updates.encode(direct.NO_VERSION);
+    const difference = updates.encodeDifference(1, new Set());
     tables.activate({...tablesOf(3), routes: routes.slice(1)}, 'store');
-    expect(updates.encode(1)).not.to.equal(encoded);
+    const nextWhole = updates.encode(direct.NO_VERSION);
+    const nextDifference = updates.encodeDifference(1, new Set());
+    expect(nextWhole.equals(whole)).to.equal(false);
+    expect(nextDifference.equals(difference)).to.equal(false);
+    expect(updates.encode(1)).to.equal(nextDifference);
   });
 });
--- a/packages/direct/src/tests/routedtables.ts
+++ b/packages/direct/src/tests/routedtables.ts
@@ -7,6 +7,7 @@
 import * as fc from 'fast-check';
 import * as v from 'valibot';
 import * as direct from '../index.js';
+import * as tablesDifference from '../tablesdifference.js';
 
 const {expect} = chai;
 
@@ -170,26 +171,52 @@
   );
 }
 
-/** The tables and patches as another router receives them. */
+/** What a router serves, as another router receives it. */
 export function overTheWire(
   sender: direct.IndexedTables,
   version: number,
+  summary?: Buffer,
 ): direct.tablesUpdate.TablesUpdate {
-  const kernel = new core.Kernel();
-  kernel.register(direct.ACTIVE_TABLES, sender);
-  const update = direct.tablesUpdate.collect(kernel, version);
+  const kernel = kernelOf(sender);
+  const update = summary
+    ? direct.tablesUpdate.compare(
+        kernel,
+        version,
+        v.parse(tablesDifference.summarySchema, summary),
+      )
+    : direct.tablesUpdate.collect(kernel, version);
   const text = JSON.stringify(update);
   return v.parse(direct.tablesUpdate.tablesUpdateSchema, JSON.parse(text));
 }
 
-/** Lets the receiver fetch the update that the sender serves. */
+/** The update that the receiver obtains, with a summary if it is needed. */
+export function updateFor(
+  sender: direct.IndexedTables,
+  receiver: direct.IndexedTables,
+): direct.tablesUpdate.TablesUpdate {
+  const update = overTheWire(sender, receiver.version());
+  if (!update.isSummaryNeeded) return update;
+  const summary = tablesDifference.summarize(receiver.current()!);
+  return overTheWire(sender, receiver.version(), summary);
+}
+
+function kernelOf(tables: direct.IndexedTables): core.Kernel {
+  const kernel = new core.Kernel();
+  kernel.register(direct.ACTIVE_TABLES, tables);
+  return kernel;
+}
+
+/** Returns whether the whole tables were needed after another update. */
 export function fetchFrom(
   sender: direct.IndexedTables,
   receiver: direct.IndexedTables,
-): void {
-  const {tables, patches = []} = overTheWire(sender, receiver.version());
-  if (tables) receiver.activate(tables, 'router');
-  else receiver.applyPatches(patches, 'router');
+): boolean {
+  const update = updateFor(sender, receiver);
+  const kernel = kernelOf(receiver);
+  if (direct.tablesUpdate.apply(kernel, update, 'router')) return false;
+  const whole = overTheWire(sender, direct.NO_VERSION);
+  direct.tablesUpdate.apply(kernel, whole, 'router');
+  return true;
 }
 
 /** Routes of one host, with different prefixes. */
--- a/packages/direct/src/tests/simulatedfleet.ts
+++ b/packages/direct/src/tests/simulatedfleet.ts
@@ -7,6 +7,7 @@
 import * as decide from '@oleanderrock/decide';
 import * as direct from '../index.js';
 import type * as settings from '../settings.js';
+import * as simulatedSource from './simulatedsource.js';
 import * as simulatedTransfers from './simulatedtransfers.js';
 import * as virtualClock from './virtualclock.js';
 
@@ -46,6 +47,7 @@
   deliver: direct.DatagramListener | undefined;
   readonly transfers: simulatedTransfers.TransferCounters;
   readonly encoded: WeakSet<object>;
+  updates: simulatedSource.SourceRouter['updates'];
   readonly resources: simulatedTransfers.TransferResources;
 }
 
@@ -218,6 +220,7 @@
       deliver: undefined,
       transfers: simulatedTransfers.createCounters(),
       encoded: new WeakSet(),
+      updates: undefined,
       resources: simulatedTransfers.createResources(this.clock),
     };
     this.routers.push(router);
@@ -299,19 +302,14 @@
       direct.FEED_FOLLOWERS,
       new direct.StoreFeedFollowers(kernel, routerSettings),
     );
-    kernel.register(direct.STATE_SOURCE, {
-      fetchTables: peerAddress =>
-        this.fetch(router, peerAddress, peer =>
-          simulatedTransfers.servedUpdate(
-            direct.tablesUpdate.collect(peer.kernel, this.version(router)),
-          ),
-        ),
-      fetchState: peerAddress =>
-        this.fetch(router, peerAddress, peer => {
-          const value = direct.routerState.collect(peer.kernel);
-          return {value, parts: [value]};
-        }),
-    });
+    kernel.register(
+      direct.STATE_SOURCE,
+      new simulatedSource.SimulatedStateSource(router, {
+        clock: this.clock,
+        transfers: this.transfers,
+        find: peerAddress => this.byAddress.get(peerAddress),
+      }),
+    );
     kernel.register(direct.CATCH_UP, new direct.StateCatchUp(kernel));
     kernel.register(direct.DATAGRAMS, this.datagramsFor(router));
     kernel.register(
@@ -345,24 +343,6 @@
     };
   }
 
-  /** What a router serves, as another would fetch it over HTTP. */
-  private async fetch<T>(
-    router: SimulatedRouter,
-    address: string,
-    collect: (peer: SimulatedRouter) => simulatedTransfers.Served<T>,
-  ): Promise<direct.Fetched<T>> {
-    const peer = this.byAddress.get(address);
-    if (this.transfers) {
-      const sender = peer?.isCut || router.isCut ? undefined : peer;
-      return this.transfers.fetch(router, sender, () => collect(sender!));
-    }
-    await this.clock.sleep(4);
-    if (!peer?.isRunning || peer.isCut || router.isCut) {
-      return {type: 'failed', detail: 'no connection'};
-    }
-    return {type: 'fetched', value: collect(peer).value};
-  }
-
   private feedsFor(router: SimulatedRouter): direct.Feeds {
     return {
       tables: this.feedFor(router, this.tables),
--- a/packages/direct/src/tests/simulatedtransfers.ts
+++ b/packages/direct/src/tests/simulatedtransfers.ts
@@ -27,6 +27,8 @@
   failedFetches: number;
   servedWholeTables: number;
   servedBytes: number;
+  /** Bytes of the bodies of requests that it sent. */
+  requestBytes: number;
 }
 
 /** The link and the processor of a router. */
@@ -86,7 +88,13 @@
 
 /** Counters of a router that has done nothing yet. */
 export function createCounters(): TransferCounters {
-  return {fetches: 0, failedFetches: 0, servedWholeTables: 0, servedBytes: 0};
+  return {
+    fetches: 0,
+    failedFetches: 0,
+    servedWholeTables: 0,
+    servedBytes: 0,
+    requestBytes: 0,
+  };
 }
 
 type Step = 'done' | 'timeout';
@@ -101,8 +109,9 @@
 export function servedUpdate(
   value: direct.tablesUpdate.TablesUpdate,
 ): Served<direct.tablesUpdate.TablesUpdate> {
-  const {tables, patches = []} = value;
-  return {value, parts: tables ? [tables] : patches};
+  const {tables, patches = [], difference} = value;
+  const part = tables ?? difference;
+  return {value, parts: part ? [part] : patches};
 }
 
 interface Size {
@@ -119,14 +128,19 @@
     private readonly costs: TransferCosts,
   ) {}
 
-  /** Fetches what `collect` returns at the moment at which it is served. */
+  /**
+   * Fetches what `collect` returns at the moment at which it is served, with a
+   * request of the size in bytes.
+   */
   async fetch<T>(
     receiver: TransferPeer,
     sender: TransferPeer | undefined,
     collect: () => Served<T>,
+    requestBytes = 0,
   ): Promise<direct.Fetched<T>> {
     receiver.transfers.fetches += 1;
-    const result = await this.tryFetch(receiver, sender, collect);
+    receiver.transfers.requestBytes += requestBytes;
+    const result = await this.tryFetch(receiver, sender, collect, requestBytes);
     if (result.type === 'failed') receiver.transfers.failedFetches += 1;
     return result;
   }
@@ -165,6 +179,7 @@
     receiver: TransferPeer,
     sender: TransferPeer | undefined,
     collect: () => Served<T>,
+    requestBytes: number,
   ): Promise<direct.Fetched<T>> {
     await this.clock.sleep(CONNECT_MS);
     if (!sender?.isRunning) {
@@ -175,6 +190,8 @@
     let served: Served<T> | undefined;
     let size: Size = {plainBytes: 0, wireBytes: 0};
     const sendHead = async () => {
+      await receiver.resources.upLink.use(this.linkMs(requestBytes));
+      await sender.resources.downLink.use(this.linkMs(requestBytes));
       // The value is collected when the processor gets to the request.
       await sender.resources.processor.use(0);
       served = collect();
@@ -215,6 +232,7 @@
   ): void {
     transfers.servedBytes += wireBytes;
     const isWhole = parts.some(part => 'routes' in part && 'limits' in part);
+    // Patches and differences are based on another version.
     const isPatch = parts.some(part => 'baseVersion' in part);
     if (isWhole && !isPatch) transfers.servedWholeTables += 1;
   }
--- a/packages/direct/src/tests/tablespatch.test.ts
+++ b/packages/direct/src/tests/tablespatch.test.ts
@@ -238,8 +238,14 @@
     for (const version of [1, 3, 6]) {
       receiver.activate(routedTables.largeTables(version, 300), 'store');
     }
-    const {tables} = routedTables.overTheWire(sender, receiver.version());
-    expect(tables?.routes.length ?? 0, 'rows sent').to.be.at.most(10);
+    const {tables, difference} = routedTables.updateFor(sender, receiver);
+    const rows = tables?.routes.length ?? 0;
+    const differing = difference
+      ? difference.routes.length + difference.dropped.length
+      : 0;
+    expect(rows + differing, 'rows sent').to.be.at.most(10);
+    expect(routedTables.fetchFrom(sender, receiver)).to.equal(false);
+    routedTables.expectTables(receiver, routedTables.largeTables(7, 300));
   });
 
   it('holds the patches of a small version that followed a large one', () => {
@@ -247,6 +253,8 @@
     sender.activate(routedTables.largeTables(1, 300), 'store');
     sender.activate(routedTables.largeTables(2, 600), 'store');
     sender.activate(routedTables.largeTables(3, 601), 'store');
-    expect(routedTables.overTheWire(sender, 2).tables).to.equal(undefined);
+    const update = routedTables.overTheWire(sender, 2);
+    expect(update.tables).to.equal(undefined);
+    expect(update.patches).to.have.length(1);
   });
 });
--- a/packages/direct/src/tests/versionlag.ts
+++ b/packages/direct/src/tests/versionlag.ts
@@ -119,6 +119,7 @@
         failedFetches: 0,
         servedWholeTables: 0,
         servedBytes: 0,
+        requestBytes: 0,
       });
       this.seen.add(router);
     }
--- a/packages/router/src/wiredirect.ts
+++ b/packages/router/src/wiredirect.ts
@@ -139,7 +139,7 @@
   );
   kernel.register(
     direct.STATE_SOURCE,
-    new direct.HttpStateSource(kernel, routerSettings),
+    new direct.HttpStateSource(routerSettings),
   );
   kernel.register(direct.CATCH_UP, new direct.StateCatchUp(kernel));
   kernel.register(
