Answer a request head above the limit with a 431

Callers saw: a 413, kind `too_large`, "the request is larger than the limit", for a request whose body is small; the table of kinds says of it that the body is above the limit of bodies.

Cause: HPE_HEADER_OVERFLOW was mapped to the kind for bodies.

Evidence: 'answers a head above the limit with a 431' of listener.test.ts failed with [413]; it passes now.

--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -48,6 +48,7 @@
   edit_invalid: notRetryable(422, 'The edit breaks a rule of the tables'),
   poison: notRetryable(422, 'This request crashed the endpoints that ran it'),
   precondition_required: notRetryable(428, 'An edit needs If-Match'),
+  head_too_large: notRetryable(431, 'The request head is above the limit'),
   customer_limit: retryable(429, 'The customer is over its limit'),
   pool_empty: retryable(503, 'The pool has no live endpoint'),
   queue_full: retryable(503, 'The queue is full'),
--- a/packages/core/src/listener.ts
+++ b/packages/core/src/listener.ts
@@ -210,7 +210,7 @@
 ) {
   if (!socket.writable) return;
   const kind =
-    error.code === 'HPE_HEADER_OVERFLOW' ? 'too_large' : 'bad_request';
+    error.code === 'HPE_HEADER_OVERFLOW' ? 'head_too_large' : 'bad_request';
   const body = JSON.stringify(
     errors.toProblem({kind, detail: error.message}, requestId),
   );
--- a/packages/router/src/tests/notrun.test.ts
+++ b/packages/router/src/tests/notrun.test.ts
@@ -143,6 +143,7 @@
 /** Test files that cover the other kinds with `ran: no`. */
 const TESTED_ELSEWHERE: Partial<Record<core.ErrorKind, string>> = {
   draining: 'leaving.test.ts',
+  head_too_large: 'badinput.test.ts',
   hop_limit: 'owners.test.ts',
   not_owner: 'lists.test.ts',
   not_ready: 'inforce.test.ts',
