Answer a request that comes too slowly with a 408

Callers saw: a 400, `bad_request`, "Request timeout", not to be retried: for a head or body that came too slowly, and even on a connection that they had opened and not used yet, where they may take it for the answer to their next request.

Cause: ERR_HTTP_REQUEST_TIMEOUT of Node.js went the way of unparsable requests.

Evidence: these tests of listener.test.ts failed with 400, and pass now: 'sends no 400 on a connection that rests before its first request', 'answers a request whose body comes too slowly with a 408', 'answers a request whose head comes too slowly with a 408'. New: 'never serves a request that it answered with a 408, even if the rest arrives'. badinput.test.ts accepted any 4xx or none for a body that is never completed and now wants the 408.

Change: a kind `request_timeout` (408, not run, may be retried). The socket is paused with the answer, so that the request never becomes complete and is passed on. A connection on which nothing arrived is closed without bytes. The answers without a `ServerResponse` move to a module of their own.

--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -42,6 +42,7 @@
   no_route: notRetryable(404, 'No route matches the request'),
   not_found: notRetryable(404, 'There is no such row or page'),
   method_not_allowed: notRetryable(405, 'The method is not allowed here'),
+  request_timeout: retryable(408, 'The request did not arrive in time'),
   edit_conflict: notRetryable(409, 'Another edit came first'),
   precondition_failed: notRetryable(412, 'The row is at another version'),
   too_large: notRetryable(413, 'The request is larger than the limit'),
--- a/packages/core/src/listener.ts
+++ b/packages/core/src/listener.ts
@@ -9,15 +9,11 @@
 import type * as logger from './logger.js';
 import * as logQuota from './logquota.js';
 import * as mailbox from './mailbox.js';
+import * as parseErrors from './parseerrors.js';
 import * as tasks from './tasks.js';
 
 /** Default keep-alive timeout of idle connections, in ms. */
 const DEFAULT_KEEP_ALIVE_MS = 30_000;
-/** Errors of connections that break, which are no fault of a request. */
-const BROKEN_CONNECTION_CODES: ReadonlySet<string> = new Set([
-  'ECONNRESET',
-  'EPIPE',
-]);
 /** Maximum number of unreadable requests that are logged in a second. */
 const MAX_UNREADABLE_LINES_PER_SECOND = 10;
 /** Maximum number of unhandled requests that a connection may pipeline. */
@@ -84,8 +80,7 @@
       this.callsBySocket.get(request.socket)?.put({request, response});
     });
     this.server.on('clientError', (error, socket) => {
-      this.logUnreadable(error);
-      sendParseError(error, socket, this.options.createId?.() ?? '');
+      this.refuseUnreadable(error, socket as net.Socket);
     });
   }
 
@@ -162,8 +157,24 @@
     );
   }
 
-  private logUnreadable(error: Error & {code?: string}): void {
-    if (BROKEN_CONNECTION_CODES.has(error.code ?? '')) return;
+  private refuseUnreadable(
+    error: parseErrors.ParseError,
+    socket: net.Socket,
+  ): void {
+    // A connection on which nothing has arrived rests; there is no request to
+    // refuse.
+    const hasRequest = socket.bytesRead > 0;
+    if (!socket.writable || !hasRequest) {
+      socket.destroy();
+      return;
+    }
+    this.logUnreadable(error);
+    const requestId = this.options.createId?.() ?? '';
+    parseErrors.endWithProblem(socket, parseErrors.toFailure(error), requestId);
+  }
+
+  private logUnreadable(error: parseErrors.ParseError): void {
+    if (parseErrors.isBrokenConnection(error)) return;
     if (!this.unreadableQuota.consume(performance.now())) return;
     this.options.log.info('request_unreadable', {
       listener: this.options.name,
@@ -199,28 +210,6 @@
   }
 }
 
-/**
- * Writes an error response to the socket of a request that cannot be parsed or
- * whose headers exceed the limit.
- */
-function sendParseError(
-  error: Error & {code?: string},
-  socket: NodeJS.WritableStream,
-  requestId: string,
-) {
-  if (!socket.writable) return;
-  const kind =
-    error.code === 'HPE_HEADER_OVERFLOW' ? 'head_too_large' : 'bad_request';
-  const body = JSON.stringify(
-    errors.toProblem({kind, detail: error.message}, requestId),
-  );
-  const {status, title} = errors.ERROR_RESPONSES[kind];
-  socket.end(
-    `HTTP/1.1 ${status} ${title}\r\ncontent-type: application/problem+json\r\n` +
-      `content-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`,
-  );
-}
-
 /** Sends a JSON response. */
 export function sendJson(
   response: http.ServerResponse,
--- a/packages/core/src/tests/listener.test.ts
+++ b/packages/core/src/tests/listener.test.ts
@@ -67,10 +67,12 @@
   let listener: core.listener.Listener;
   let connections: Connection[];
   let serveDelayMs: number;
+  let bodySizes: number[];
 
   beforeEach(async () => {
     connections = [];
     serveDelayMs = 0;
+    bodySizes = [];
     listener = new core.listener.Listener({
       name: 'test',
       host: HOST,
@@ -80,6 +82,7 @@
       log: new core.SilentLogger(),
       serve: async ({request, response}) => {
         const body = await core.listener.readBody(request, MAX_BODY_BYTES);
+        if (body.ok) bodySizes.push(body.value.length);
         await timers.setTimeout(serveDelayMs);
         if (!body.ok) core.listener.sendProblem(response, body.failure, '');
         else core.listener.sendJson(response, 200, body.value.length);
@@ -122,6 +125,19 @@
     expect(await connection.waitFor(1)).to.deep.equal([408]);
   });
 
+  it('never serves a request that it answered with a 408, even if the rest arrives', async () => {
+    const connection = connect();
+    connection.socket.write(
+      'POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 9\r\n\r\nslow',
+    );
+    await connection.waitFor(1);
+    connection.socket.write(' rest');
+    await timers.setTimeout(AFTER_TIMEOUT_MS);
+    expect(connection.received).to.include('"ran":"no"');
+    expect(connection.statuses()).to.deep.equal([408]);
+    expect(bodySizes).to.deep.equal([]);
+  });
+
   it('answers a request whose head comes too slowly with a 408', async () => {
     const connection = connect();
     connection.socket.write('POST /a HTTP/1.1\r\nhost: h\r\n');
--- a/packages/router/src/tests/badinput.test.ts
+++ b/packages/router/src/tests/badinput.test.ts
@@ -119,7 +119,7 @@
     [
       'a body that is never completed',
       'POST /chat HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nab',
-      /^(HTTP\/1.1 4\d\d|$)/,
+      /^HTTP\/1.1 408/,
     ],
   ] as const;
 
--- a/packages/router/src/tests/notrun.test.ts
+++ b/packages/router/src/tests/notrun.test.ts
@@ -149,6 +149,7 @@
   not_ready: 'inforce.test.ts',
   stale_config: 'inforce.test.ts',
   poison: 'poison.test.ts',
+  request_timeout: 'badinput.test.ts',
   quarantined: 'direct.test.ts',
 };
 
