Pause reading a connection with many waiting requests

Callers saw: of more than 16 requests that they pipelined, those behind the 17th were never answered, and the connection stayed silent.

Cause: a call that found the connection's mailbox full was dropped.

Evidence: 'serves 16 and 24 requests that are pipelined' of listener.test.ts failed with 17 of 24 answers and passes now.

Change: a connection with 16 waiting calls is paused, and resumed when its task has taken one. Node.js resumes the socket when the body of a request is read, so the pause is repeated then. The bound is 16 calls and what one read of the socket holds (64 KiB).

--- a/packages/core/src/listener.ts
+++ b/packages/core/src/listener.ts
@@ -4,11 +4,11 @@
  */
 import * as http from 'node:http';
 import * as net from 'node:net';
+import * as connections from './connection.js';
 import * as errors from './errors.js';
 import * as headerNames from './headers.js';
 import type * as logger from './logger.js';
 import * as logQuota from './logquota.js';
-import * as mailbox from './mailbox.js';
 import * as parseErrors from './parseerrors.js';
 import * as tasks from './tasks.js';
 
@@ -16,14 +16,8 @@
 const DEFAULT_KEEP_ALIVE_MS = 30_000;
 /** Maximum number of unreadable requests that are logged in a second. */
 const MAX_UNREADABLE_LINES_PER_SECOND = 10;
-/** Maximum number of unhandled requests that a connection may pipeline. */
-const MAX_PIPELINED = 16;
-
 /** An HTTP request and the response to write. */
-export interface Call {
-  readonly request: http.IncomingMessage;
-  readonly response: http.ServerResponse;
-}
+export type Call = connections.Call;
 
 /** Options of a listener. */
 export interface ListenerOptions {
@@ -53,10 +47,7 @@
 export class Listener {
   private readonly server: http.Server;
   private readonly tasks: tasks.TaskGroup;
-  private readonly callsBySocket = new WeakMap<
-    net.Socket,
-    mailbox.Mailbox<Call>
-  >();
+  private readonly connections = new Map<net.Socket, connections.Connection>();
   private readonly unreadableQuota: logQuota.LogQuota;
   private isKeepAliveOff = false;
 
@@ -77,7 +68,7 @@
     });
     this.server.on('connection', socket => this.acceptConnection(socket));
     this.server.on('request', (request, response) => {
-      this.callsBySocket.get(request.socket)?.put({request, response});
+      this.connections.get(request.socket)?.put({request, response});
     });
     this.server.on('clientError', (error, socket) => {
       this.refuseUnreadable(error, socket as net.Socket);
@@ -149,11 +140,11 @@
 
   private acceptConnection(socket: net.Socket): void {
     socket.setKeepAlive(true, 1_000);
-    const calls = new mailbox.Mailbox<Call>(MAX_PIPELINED);
-    this.callsBySocket.set(socket, calls);
-    socket.once('close', () => calls.close());
+    const connection = new connections.Connection(socket);
+    this.connections.set(socket, connection);
+    socket.once('close', () => this.connections.delete(socket));
     this.tasks.spawn(`${this.options.name} connection`, () =>
-      this.serveConnection(calls),
+      this.serveConnection(connection),
     );
   }
 
@@ -184,9 +175,11 @@
   }
 
   /** The task of one connection: handles its requests in order of arrival. */
-  private async serveConnection(calls: mailbox.Mailbox<Call>): Promise<void> {
+  private async serveConnection(
+    connection: connections.Connection,
+  ): Promise<void> {
     for (;;) {
-      const call = await calls.take();
+      const call = await connection.take();
       if (!call) return;
       if (this.isKeepAliveOff) call.response.setHeader('connection', 'close');
       await this.handle(call);
