Refuse an unparsable request only after the responses before it

Callers saw: the 400 to bytes behind their request in place of the answer to the request itself, which had been passed on and was running: "not run" was told of the wrong one.

Cause: the 400 was written to the socket at once, whatever was in progress.

Change: a refusal closes the connection's mailbox; the task writes it when it has handled the calls before and their responses are written, then closes. A body that cannot be parsed is refused at once if its call is the current one, since the handler waits for it, and in place of the call if others are before it. A request whose response has begun (a 413) gets no second one.

--- a/packages/core/src/connection.ts
+++ b/packages/core/src/connection.ts
@@ -1,7 +1,12 @@
-/** The requests of one connection, in order of arrival. */
+/**
+ * The requests of one connection, in order of arrival, and its end if one of
+ * them cannot be read.
+ */
 import type * as http from 'node:http';
 import type * as net from 'node:net';
+import type * as errors from './errors.js';
 import * as mailbox from './mailbox.js';
+import * as parseErrors from './parseerrors.js';
 
 /**
  * Number of waiting requests from which on nothing more is read. What one read
@@ -15,9 +20,19 @@
   readonly response: http.ServerResponse;
 }
 
+/** A failure to read a request, and the request id to answer it with. */
+export interface Refusal {
+  readonly failure: errors.Failure;
+  readonly requestId: string;
+}
+
 /** A connection of a caller; its task takes the calls one after another. */
 export class Connection {
   private readonly calls = new mailbox.Mailbox<Call>();
+  /** The call that the task took last. */
+  private currentCall: Call | undefined;
+  private refusal: Refusal | undefined;
+  private isEnded = false;
 
   constructor(private readonly socket: net.Socket) {
     socket.once('close', () => this.calls.close());
@@ -31,15 +46,64 @@
     this.limitReading();
   }
 
-  /** The next call; undefined once the connection has closed. */
+  /**
+   * The next call; undefined once the connection has closed or ends with a
+   * refusal.
+   */
   async take(): Promise<Call | undefined> {
     const wasFull = this.calls.size >= MAX_WAITING;
     const call = await this.calls.take();
+    if (!call || (this.refusal && !call.request.complete)) {
+      if (this.refusal) await this.awaitResponse();
+      this.end();
+      return undefined;
+    }
+    this.currentCall = call;
     if (wasFull && this.calls.size < MAX_WAITING) this.socket.resume();
     return call;
   }
 
+  /**
+   * Ends the connection with an error response, after the responses to all
+   * requests that arrived before the unreadable one.
+   */
+  refuse(refusal: Refusal): void {
+    if (this.refusal) return;
+    this.refusal = refusal;
+    this.calls.close();
+    // The task waits for the rest of this request, which never arrives.
+    if (this.currentCall && !this.currentCall.request.complete) this.end();
+  }
+
+  private end(): void {
+    if (!this.refusal || this.isEnded || !this.socket.writable) return;
+    this.isEnded = true;
+    const {request, response} = this.currentCall ?? {};
+    if (request?.complete === false && response?.headersSent) {
+      this.socket.destroySoon();
+      return;
+    }
+    const {failure, requestId} = this.refusal;
+    parseErrors.endWithProblem(this.socket, failure, requestId);
+  }
+
+  /** Resolves when the current response was written, or cannot be. */
+  private async awaitResponse(): Promise<void> {
+    const {socket} = this;
+    const response = this.currentCall?.response;
+    if (!response || response.writableFinished || socket.destroyed) return;
+    await new Promise<void>(resolve => {
+      const finish = () => {
+        response.off('finish', finish);
+        socket.off('close', finish);
+        resolve();
+      };
+      response.once('finish', finish);
+      socket.once('close', finish);
+    });
+  }
+
   private limitReading(): void {
-    if (this.calls.size >= MAX_WAITING) this.socket.pause();
+    if (this.isEnded || this.calls.size >= MAX_WAITING) this.socket.pause();
   }
 }
--- a/packages/core/src/listener.ts
+++ b/packages/core/src/listener.ts
@@ -160,8 +160,10 @@
       return;
     }
     this.logUnreadable(error);
-    const requestId = this.options.createId?.() ?? '';
-    parseErrors.endWithProblem(socket, parseErrors.toFailure(error), requestId);
+    this.connections.get(socket)?.refuse({
+      failure: parseErrors.toFailure(error),
+      requestId: this.options.createId?.() ?? '',
+    });
   }
 
   private logUnreadable(error: parseErrors.ParseError): void {
--- a/packages/core/src/tests/listener.test.ts
+++ b/packages/core/src/tests/listener.test.ts
@@ -83,7 +83,7 @@
       serve: async ({request, response}) => {
         const body = await core.listener.readBody(request, MAX_BODY_BYTES);
         if (body.ok) bodySizes.push(body.value.length);
-        await timers.setTimeout(serveDelayMs);
+        if (serveDelayMs > 0) await timers.setTimeout(serveDelayMs);
         if (!body.ok) core.listener.sendProblem(response, body.failure, '');
         else core.listener.sendJson(response, 200, body.value.length);
       },
@@ -219,6 +219,26 @@
     expect(first).to.equal(200);
   });
 
+  it('answers a request that cannot be parsed with a 400 after the responses to all before it', async () => {
+    serveDelayMs = 50;
+    const connection = connect();
+    connection.socket.write(
+      `${post('one')}${post('two')}\x00\x01 no request\r\n\r\n`,
+    );
+    expect(await connection.waitFor(3)).to.deep.equal([200, 200, 400]);
+    await timers.setTimeout(100);
+    expect(connection.isEnded).to.equal(true);
+  });
+
+  it('answers a request whose body cannot be parsed with a 400 after the response before it', async () => {
+    serveDelayMs = 50;
+    const connection = connect();
+    const request = chunked(['body']).replace('4\r\n', 'no length\r\n');
+    connection.socket.write(`${post('one')}${request}`);
+    expect(await connection.waitFor(2)).to.deep.equal([200, 400]);
+    expect(bodySizes).to.deep.equal([3]);
+  });
+
   it('serves a request that arrives while the process was busy for longer than all time-outs', async () => {
     const connection = connect();
     await timers.setTimeout(50);
