Count request time-outs only while the process runs

Cause: Node.js checks its time-outs on a timer, which after a pause runs before the sockets are read; and it counts wall-clock time since a message began, whoever was the reason for the wait.

Time counts for a head that has begun, for the body of the current call, and before the first request; head and body have the whole time each. It does not count while a request waits behind others. A refused connection is paused and closes 500 ms later, so that unread bytes of the request do not reset it before the caller has read the answer.

--- a/packages/core/src/connection.ts
+++ b/packages/core/src/connection.ts
@@ -14,6 +14,9 @@
  */
 const MAX_WAITING = 16;
 
+/** Time for which a caller may read a refusal before its connection closes. */
+const LINGER_MS = 500;
+
 /** An HTTP request and the response to write. */
 export interface Call {
   readonly request: http.IncomingMessage;
@@ -31,10 +34,24 @@
   private readonly calls = new mailbox.Mailbox<Call>();
   /** The call that the task took last. */
   private currentCall: Call | undefined;
+  private isServing = false;
   private refusal: Refusal | undefined;
   private isEnded = false;
+  private newestCall: Call | undefined;
+  /** Time at which the refusal was first seen to be written, in ms. */
+  private endedMs: number | undefined;
+  /** The newest call and the bytes read as of the last check. */
+  private checkedCall: Call | undefined;
+  private checkedBytes = 0;
 
-  constructor(private readonly socket: net.Socket) {
+  /**
+   * @param receivingSinceMs time since which a request is awaited, in ms of the
+   *     clock that `isOverdue` is called with
+   */
+  constructor(
+    private readonly socket: net.Socket,
+    private receivingSinceMs: number,
+  ) {
     socket.once('close', () => this.calls.close());
     // Node.js resumes the socket whenever the body of a request is read.
     socket.on('resume', () => this.limitReading());
@@ -42,6 +59,7 @@
 
   /** Adds a call whose head has arrived. */
   put(call: Call): void {
+    this.newestCall = call;
     this.calls.put(call);
     this.limitReading();
   }
@@ -52,6 +70,7 @@
    */
   async take(): Promise<Call | undefined> {
     const wasFull = this.calls.size >= MAX_WAITING;
+    this.isServing = false;
     const call = await this.calls.take();
     if (!call || (this.refusal && !call.request.complete)) {
       if (this.refusal) await this.awaitResponse();
@@ -59,6 +78,7 @@
       return undefined;
     }
     this.currentCall = call;
+    this.isServing = true;
     if (wasFull && this.calls.size < MAX_WAITING) this.socket.resume();
     return call;
   }
@@ -75,6 +95,42 @@
     if (this.currentCall && !this.currentCall.request.complete) this.end();
   }
 
+  /**
+   * Whether a request has not arrived in `timeoutMs`. Each head and each body
+   * has this time, and it does not pass while the request waits for others: the
+   * router itself may not read it then.
+   *
+   * Bytes of a head which arrived with the end of the request before it count
+   * only from its next bytes on; without any, the keep-alive timeout applies.
+   */
+  isOverdue(nowMs: number, timeoutMs: number): boolean {
+    if (!this.isReceiving()) this.receivingSinceMs = nowMs;
+    return nowMs - this.receivingSinceMs > timeoutMs;
+  }
+
+  /** Closes the connection some time after a refusal was written. */
+  closeRefused(nowMs: number): void {
+    if (!this.isEnded) return;
+    this.endedMs ??= nowMs;
+    if (nowMs - this.endedMs > LINGER_MS) this.socket.destroy();
+  }
+
+  private isReceiving(): boolean {
+    const call = this.newestCall;
+    if (this.refusal) return false;
+    if (!call) return true;
+    const isNew = call !== this.checkedCall;
+    this.checkedCall = call;
+    const {bytesRead} = this.socket;
+    if (!call.request.complete) {
+      this.checkedBytes = bytesRead;
+      return !isNew && call === this.currentCall;
+    }
+    const isResting = isNew || call !== this.currentCall || this.isServing;
+    if (isResting) this.checkedBytes = bytesRead;
+    return !isResting && bytesRead > this.checkedBytes;
+  }
+
   private end(): void {
     if (!this.refusal || this.isEnded || !this.socket.writable) return;
     this.isEnded = true;
--- a/packages/core/src/listener.ts
+++ b/packages/core/src/listener.ts
@@ -10,6 +10,7 @@
 import type * as logger from './logger.js';
 import * as logQuota from './logquota.js';
 import * as parseErrors from './parseerrors.js';
+import * as requestTimeouts from './requesttimeouts.js';
 import * as tasks from './tasks.js';
 
 /** Default keep-alive timeout of idle connections, in ms. */
@@ -49,6 +50,7 @@
   private readonly tasks: tasks.TaskGroup;
   private readonly connections = new Map<net.Socket, connections.Connection>();
   private readonly unreadableQuota: logQuota.LogQuota;
+  private readonly timeouts: requestTimeouts.RequestTimeouts;
   private isKeepAliveOff = false;
 
   constructor(private readonly options: ListenerOptions) {
@@ -60,12 +62,18 @@
     );
     this.server = http.createServer({
       maxHeaderSize: options.maxHeaderBytes,
-      requestTimeout: options.requestTimeoutMs,
-      headersTimeout: options.requestTimeoutMs,
-      connectionsCheckingInterval: Math.min(1_000, options.requestTimeoutMs),
+      // The listener checks these itself.
+      requestTimeout: 0,
+      headersTimeout: 0,
       keepAliveTimeout: options.keepAliveMs ?? DEFAULT_KEEP_ALIVE_MS,
       noDelay: true,
     });
+    this.timeouts = new requestTimeouts.RequestTimeouts(
+      options.requestTimeoutMs,
+      nowMs => this.checkTimeouts(nowMs),
+    );
+    this.server.on('listening', () => this.timeouts.start());
+    this.server.on('close', () => this.timeouts.stop());
     this.server.on('connection', socket => this.acceptConnection(socket));
     this.server.on('request', (request, response) => {
       this.connections.get(request.socket)?.put({request, response});
@@ -140,7 +148,7 @@
 
   private acceptConnection(socket: net.Socket): void {
     socket.setKeepAlive(true, 1_000);
-    const connection = new connections.Connection(socket);
+    const connection = new connections.Connection(socket, this.timeouts.nowMs);
     this.connections.set(socket, connection);
     socket.once('close', () => this.connections.delete(socket));
     this.tasks.spawn(`${this.options.name} connection`, () =>
@@ -148,6 +156,14 @@
     );
   }
 
+  private checkTimeouts(nowMs: number): void {
+    for (const [socket, connection] of this.connections) {
+      connection.closeRefused(nowMs);
+      if (!connection.isOverdue(nowMs, this.options.requestTimeoutMs)) continue;
+      this.refuseUnreadable(new parseErrors.RequestTimeoutError(), socket);
+    }
+  }
+
   private refuseUnreadable(
     error: parseErrors.ParseError,
     socket: net.Socket,
--- a/packages/core/src/parseerrors.ts
+++ b/packages/core/src/parseerrors.ts
@@ -10,6 +10,15 @@
   readonly code?: string;
 }
 
+/** A request did not arrive in time. */
+export class RequestTimeoutError extends Error implements ParseError {
+  readonly code = 'ERR_HTTP_REQUEST_TIMEOUT';
+
+  constructor() {
+    super('the request did not arrive in time');
+  }
+}
+
 /** Errors of connections that break, which are no fault of a request. */
 const BROKEN_CONNECTION_CODES: ReadonlySet<string> = new Set([
   'ECONNRESET',
@@ -47,6 +56,5 @@
   socket.end(
     `HTTP/1.1 ${status} ${title}\r\ncontent-type: application/problem+json\r\n` +
       `content-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`,
-    () => socket.destroy(),
   );
 }
--- a/packages/core/src/tests/listener.test.ts
+++ b/packages/core/src/tests/listener.test.ts
@@ -68,11 +68,14 @@
   let connections: Connection[];
   let serveDelayMs: number;
   let bodySizes: number[];
+  /** Bytes read of a connection when its first request was answered. */
+  let firstBytesRead: number | undefined;
 
   beforeEach(async () => {
     connections = [];
     serveDelayMs = 0;
     bodySizes = [];
+    firstBytesRead = undefined;
     listener = new core.listener.Listener({
       name: 'test',
       host: HOST,
@@ -84,6 +87,7 @@
         const body = await core.listener.readBody(request, MAX_BODY_BYTES);
         if (body.ok) bodySizes.push(body.value.length);
         if (serveDelayMs > 0) await timers.setTimeout(serveDelayMs);
+        firstBytesRead ??= request.socket.bytesRead;
         if (!body.ok) core.listener.sendProblem(response, body.failure, '');
         else core.listener.sendJson(response, 200, body.value.length);
       },
@@ -192,6 +196,19 @@
     }
   });
 
+  it('reads a bounded part of many requests that are pipelined, and serves all', async () => {
+    serveDelayMs = 400;
+    const count = 20_000;
+    const connection = connect();
+    connection.socket.write(post('x').repeat(count));
+    await connection.waitFor(1);
+    serveDelayMs = 0;
+    // One read of the socket holds 64 KiB.
+    expect(firstBytesRead).to.be.lessThan(4 * 65_536);
+    const statuses = await connection.waitFor(count, 20_000);
+    expect(statuses).to.deep.equal(Array(count).fill(200));
+  });
+
   it('serves a request that expects a 100', async () => {
     const connection = connect();
     connection.socket.write(
