Read the rest of a chunked body above the limit

Callers saw: after a 413 to a chunked body far above the limit, no answer to the next request on the same connection, which stayed open.

Cause: leaving the loop over the body destroyed the request, but not its connection, which then read no further.

Evidence: 'answers a body far above the limit in chunks with a 413, and serves the next request' (2 MB, limit 100 KB) failed with [413] for [413, 200] and passes now. 'lets a caller send the rest of a body above the limit' passed before as well. A first try failed in the same way: it resumed the request inside the loop, where it stays paused.

--- a/packages/core/src/listener.ts
+++ b/packages/core/src/listener.ts
@@ -273,12 +273,15 @@
       `the request body is larger than ${maxBytes} bytes`,
     );
   if (declaredBytes > maxBytes) return tooLarge();
+  // The rest of a larger body is read and dropped, so that the connection can be
+  // used again.
+  const reader = request.iterator({destroyOnReturn: false});
   const chunks: Buffer[] = [];
   let receivedBytes = 0;
   try {
-    for await (const chunk of request) {
+    for await (const chunk of reader) {
       receivedBytes += (chunk as Buffer).length;
-      if (receivedBytes > maxBytes) return tooLarge();
+      if (receivedBytes > maxBytes) break;
       chunks.push(chunk as Buffer);
     }
   } catch (error) {
@@ -287,5 +290,9 @@
       `the request body is incomplete: ${errors.errorMessage(error)}`,
     );
   }
+  if (receivedBytes > maxBytes) {
+    request.resume();
+    return tooLarge();
+  }
   return errors.succeed(Buffer.concat(chunks));
 }
--- a/packages/core/src/tests/listener.test.ts
+++ b/packages/core/src/tests/listener.test.ts
@@ -87,7 +87,7 @@
         const body = await core.listener.readBody(request, MAX_BODY_BYTES);
         if (body.ok) bodySizes.push(body.value.length);
         if (serveDelayMs > 0) await timers.setTimeout(serveDelayMs);
-        firstBytesRead ??= request.socket.bytesRead;
+        firstBytesRead ??= response.socket?.bytesRead;
         if (!body.ok) core.listener.sendProblem(response, body.failure, '');
         else core.listener.sendJson(response, 200, body.value.length);
       },
@@ -178,6 +178,26 @@
     }
   });
 
+  it('answers a body far above the limit in chunks with a 413, and serves the next request', async () => {
+    const connection = connect();
+    connection.socket.write(
+      chunked(Array<string>(40).fill('x'.repeat(50_000))),
+    );
+    expect(await connection.waitFor(1)).to.deep.equal([413]);
+    connection.socket.write(post('next'));
+    expect(await connection.waitFor(2)).to.deep.equal([413, 200]);
+  });
+
+  it('lets a caller send the rest of a body above the limit, and serves the next request', async () => {
+    const connection = connect();
+    const request = chunked(['x'.repeat(MAX_BODY_BYTES), 'x', 'rest']);
+    connection.socket.write(request.slice(0, -14));
+    expect(await connection.waitFor(1)).to.deep.equal([413]);
+    connection.socket.write(request.slice(-14));
+    connection.socket.write(post('next'));
+    expect(await connection.waitFor(2)).to.deep.equal([413, 200]);
+  });
+
   it('serves the next request of a connection after a body above the limit', async () => {
     const connection = connect();
     connection.socket.write(post('x'.repeat(MAX_BODY_BYTES + 1)));
