Serve a request that arrived before the keep-alive timeout was seen

Callers saw: a connection that closed without an answer to a request which had arrived well before the keep-alive timeout, when the router was paused or busy.

Cause: Node.js destroys the connection in a timer, which after a pause runs before the sockets are read.

Evidence: 'serves a request that arrives on a kept connection while the process was busy for longer than the keep-alive timeout' failed with [200] for [200, 200] and passes now; 'closes a kept connection after the keep-alive timeout' passed before and after.

Change: the listener closes it after a turn of reads, if nothing has arrived.

--- a/packages/core/src/listener.ts
+++ b/packages/core/src/listener.ts
@@ -78,6 +78,11 @@
     this.server.on('request', (request, response) => {
       this.connections.get(request.socket)?.put({request, response});
     });
+    // Without this listener, Node.js destroys a connection at its keep-alive
+    // timeout.
+    this.server.on('timeout', (socket: net.Socket) =>
+      closeUnlessPending(socket),
+    );
     this.server.on('clientError', (error, socket) => {
       this.refuseUnreadable(error, socket as net.Socket);
     });
@@ -221,6 +226,17 @@
   }
 }
 
+/**
+ * Closes an idle connection, unless the next turn of reads shows that a request
+ * has arrived. It may have arrived while the process was paused.
+ */
+function closeUnlessPending(socket: net.Socket): void {
+  const {bytesRead} = socket;
+  setImmediate(() => {
+    if (socket.bytesRead === bytesRead) socket.destroy();
+  });
+}
+
 /** Sends a JSON response. */
 export function sendJson(
   response: http.ServerResponse,
--- a/packages/core/src/tests/listener.test.ts
+++ b/packages/core/src/tests/listener.test.ts
@@ -287,6 +287,30 @@
     expect(await connection.waitFor(1)).to.deep.equal([200]);
   });
 
+  it('serves a request that arrives on a kept connection while the process was busy for longer than the keep-alive timeout', async () => {
+    // Node.js keeps a connection a second longer than it promises.
+    listener.setKeepAliveTimeout(300);
+    const connection = connect();
+    connection.socket.write(post('one'));
+    await connection.waitFor(1);
+    await timers.setTimeout(50);
+    connection.socket.write(post('two'));
+    const busyUntilMs = Date.now() + AFTER_TIMEOUT_MS + 1_000;
+    while (Date.now() < busyUntilMs) {
+      // The process does not run.
+    }
+    expect(await connection.waitFor(2)).to.deep.equal([200, 200]);
+  });
+
+  it('closes a kept connection after the keep-alive timeout', async () => {
+    listener.setKeepAliveTimeout(300);
+    const connection = connect();
+    connection.socket.write(post('one'));
+    await connection.waitFor(1);
+    await timers.setTimeout(AFTER_TIMEOUT_MS + 1_000);
+    expect(connection.isEnded).to.equal(true);
+  });
+
   it('serves a request whose body arrives in part before the process was busy for longer than all time-outs', async () => {
     const connection = connect();
     const request = post('first and rest');
