Leave a connection alone that writes its last response

No caller was seen to lose one: the new test 'completes the last response of a connection if the bytes behind its request cannot be parsed' (20 MB, a caller that does not read) passed before this change as well.

--- a/packages/core/src/listener.ts
+++ b/packages/core/src/listener.ts
@@ -176,10 +176,9 @@
     // A connection on which nothing has arrived rests; there is no request to
     // refuse.
     const hasRequest = socket.bytesRead > 0;
-    if (!socket.writable || !hasRequest) {
-      socket.destroy();
-      return;
-    }
+    if (!hasRequest) socket.destroy();
+    // Otherwise the last response may still be on its way.
+    if (!socket.writable) return;
     this.logUnreadable(error);
     this.connections.get(socket)?.refuse({
       failure: parseErrors.toFailure(error),
--- a/packages/core/src/tests/listener.test.ts
+++ b/packages/core/src/tests/listener.test.ts
@@ -67,6 +67,8 @@
   let listener: core.listener.Listener;
   let connections: Connection[];
   let serveDelayMs: number;
+  /** Size of the responses, in bytes; 0 for the size of the request's body. */
+  let responseBytes: number;
   let bodySizes: number[];
   /** Bytes read of a connection when its first request was answered. */
   let firstBytesRead: number | undefined;
@@ -74,6 +76,7 @@
   beforeEach(async () => {
     connections = [];
     serveDelayMs = 0;
+    responseBytes = 0;
     bodySizes = [];
     firstBytesRead = undefined;
     listener = new core.listener.Listener({
@@ -89,7 +92,11 @@
         if (serveDelayMs > 0) await timers.setTimeout(serveDelayMs);
         firstBytesRead ??= response.socket?.bytesRead;
         if (!body.ok) core.listener.sendProblem(response, body.failure, '');
-        else core.listener.sendJson(response, 200, body.value.length);
+        else if (responseBytes === 0) {
+          core.listener.sendJson(response, 200, body.value.length);
+        } else {
+          core.listener.sendJson(response, 200, 'x'.repeat(responseBytes));
+        }
       },
     });
     await listener.listen();
@@ -267,6 +274,19 @@
     expect(connection.isEnded).to.equal(true);
   });
 
+  it('completes the last response of a connection if the bytes behind its request cannot be parsed', async () => {
+    responseBytes = 20_000_000;
+    const connection = connect();
+    connection.socket.pause();
+    connection.socket.write(post('last', 'connection: close\r\n'));
+    await timers.setTimeout(200);
+    connection.socket.write('\x00\x01 no request\r\n\r\n');
+    await timers.setTimeout(200);
+    connection.socket.resume();
+    expect(await connection.waitFor(2)).to.deep.equal([200]);
+    expect(connection.received.length).to.be.greaterThan(responseBytes);
+  });
+
   it('answers a request whose body cannot be parsed with a 400 after the response before it', async () => {
     serveDelayMs = 50;
     const connection = connect();
