Count a caller that leaves within its body as gone

Operators saw: `bad_request` in metrics, trails and `refused` lines of a router for callers that left before the end of their body, and for bodies that the router itself cut off when it stopped. Callers saw nothing of it.

Cause: the error of the broken connection was taken for a fault of the body.

Change: the kind is `caller_gone`.

--- a/packages/core/src/listener.ts
+++ b/packages/core/src/listener.ts
@@ -276,7 +276,10 @@
 /** The complete body, or why it could not be read. */
 export type BodyResult = errors.Result<Buffer>;
 
-/** Reads a request body of up to `maxBytes`. */
+/**
+ * Reads a request body of up to `maxBytes`. A body is only incomplete once its
+ * connection has closed, so that the failure can no longer be sent.
+ */
 export async function readBody(
   request: http.IncomingMessage,
   maxBytes: number,
@@ -301,7 +304,7 @@
     }
   } catch (error) {
     return errors.fail(
-      'bad_request',
+      'caller_gone',
       `the request body is incomplete: ${errors.errorMessage(error)}`,
     );
   }
--- a/packages/core/src/tests/listener.test.ts
+++ b/packages/core/src/tests/listener.test.ts
@@ -70,6 +70,7 @@
   /** Size of the responses, in bytes; 0 for the size of the request's body. */
   let responseBytes: number;
   let bodySizes: number[];
+  let failures: core.ErrorKind[];
   /** Bytes read of a connection when its first request was answered. */
   let firstBytesRead: number | undefined;
 
@@ -78,6 +79,7 @@
     serveDelayMs = 0;
     responseBytes = 0;
     bodySizes = [];
+    failures = [];
     firstBytesRead = undefined;
     listener = new core.listener.Listener({
       name: 'test',
@@ -89,6 +91,7 @@
       serve: async ({request, response}) => {
         const body = await core.listener.readBody(request, MAX_BODY_BYTES);
         if (body.ok) bodySizes.push(body.value.length);
+        else failures.push(body.failure.kind);
         if (serveDelayMs > 0) await timers.setTimeout(serveDelayMs);
         firstBytesRead ??= response.socket?.bytesRead;
         if (!body.ok) core.listener.sendProblem(response, body.failure, '');
@@ -236,6 +239,15 @@
     expect(statuses).to.deep.equal(Array(count).fill(200));
   });
 
+  it('reports no fault of the request if its caller leaves before the end of its body', async () => {
+    const connection = connect();
+    connection.socket.write(post('first and rest').slice(0, -4));
+    await timers.setTimeout(50);
+    connection.socket.destroy();
+    await timers.setTimeout(100);
+    expect(failures).to.deep.equal(['caller_gone']);
+  });
+
   it('serves a request that expects a 100', async () => {
     const connection = connect();
     connection.socket.write(
