Condemn of several parts under the same crashes only the one furthest on

Of parts with the same evidence, the one furthest on in the prompt is in the fewest sound requests. It is condemned first and explains its crashes; another part needs one crash that no condemned key explains. So if the guess is wrong, the next crash puts it right. Routers wait 150 ms after a crash until all have told of it. The new tests failed before; the test that wanted both parts refused at once is replaced by two stricter ones (the sound part is free; the deadly one is refused after its next crash alone). Times in the tests moved by the 150 ms.

--- a/packages/decide/src/crashevidence.ts
+++ b/packages/decide/src/crashevidence.ts
@@ -38,6 +38,9 @@
 /** Crashes closer to each other than this count as one, in ms. */
 const MIN_SPACING_MS = 300;
 
+/** Time in which all routers have told of a crash, in ms. */
+const SETTLE_MS = 150;
+
 /** Shortest time from the first crash until a part is condemned, in ms. */
 const MIN_STAND_MS = 1_000;
 
@@ -136,6 +139,7 @@
     }
     const [first] = crashes;
     if (!first || nowMs - first.atMs < MIN_STAND_MS) return false;
+    if (nowMs - crashes.at(-1)!.atMs < SETTLE_MS) return false;
     const moments = countSpaced(crashes);
     if (moments >= PART_CRASHES) return true;
     return moments >= MANY_PART_MOMENTS && crashes.length >= MANY_PART_CRASHES;
--- a/packages/decide/src/crashtracker.ts
+++ b/packages/decide/src/crashtracker.ts
@@ -154,9 +154,10 @@
     keys: readonly string[],
     nowMs: number,
   ): CrashVerdict {
+    this.settleSuspects(nowMs);
     let verdict: CrashVerdict = {type: 'free'};
     for (const key of keys) {
-      if (!this.isCondemned(key, nowMs)) continue;
+      if (!this.quarantine.has(key, nowMs)) continue;
       if (!this.quarantine.admits(key, requestId, nowMs)) {
         return {type: 'refused', key};
       }
@@ -245,11 +246,7 @@
   }
 
   takeNews(nowMs: number): CrashNews {
-    for (const [key] of [...this.suspects]) {
-      const isSettled =
-        this.isCondemned(key, nowMs) || !this.evidence.isSuspect(key, nowMs);
-      if (isSettled) this.suspects.delete(key);
-    }
+    this.settleSuspects(nowMs);
     const crashes = this.unsentCrashes;
     const proofs = [...this.unsentProofs].map(([key, atMs]) => ({key, atMs}));
     this.unsentCrashes = [];
@@ -284,11 +281,27 @@
     const keys = new Set(candidates.flatMap(request => request.keys));
     const provedMs = (key: string) =>
       this.proofs.get(key) ?? Number.NEGATIVE_INFINITY;
+    const depth = (key: string) =>
+      Math.max(...candidates.map(request => request.keys.indexOf(key)));
     // Whole requests last, since each is seen by one router mostly.
     const rank = (key: string) => (crashKeys.isWholeRequest(key) ? 1 : 0);
+    const compareProofs = (a: string, b: string) =>
+      Math.sign(provedMs(a) - provedMs(b)) || 0;
     return [...keys]
-      .sort((a, b) => rank(a) - rank(b) || (provedMs(a) < provedMs(b) ? -1 : 1))
-      .slice(0, MAX_NOTE_KEYS);
+      .sort((a, b) => rank(a) - rank(b) || compareProofs(a, b))
+      .slice(0, MAX_NOTE_KEYS)
+      .sort((a, b) => rank(a) - rank(b) || depth(b) - depth(a));
+  }
+
+  /**
+   * Condemns the suspects whose evidence suffices, the parts furthest on in
+   * their prompts first: they are in the fewest other requests.
+   */
+  private settleSuspects(nowMs: number): void {
+    for (const [key] of [...this.suspects]) {
+      if (!this.evidence.isSuspect(key, nowMs)) this.suspects.delete(key);
+      else if (this.evidence.condemns(key, nowMs)) this.condemn(key, nowMs);
+    }
   }
 
   /** Adds what a crash tells of its keys; returns whether it was new. */
@@ -328,15 +341,21 @@
     }
   }
 
-  private isCondemned(key: string, nowMs: number): boolean {
-    if (this.quarantine.has(key, nowMs)) return true;
-    if (!this.evidence.condemns(key, nowMs)) return false;
+  /** Condemns a key, unless condemned ones explain all its crashes. */
+  private condemn(key: string, nowMs: number): void {
+    const crashes = this.evidence.crashesOf(key);
+    const isExplained = crashes.every(crash => {
+      const cause = this.explained.get(String(crash));
+      return cause !== undefined && cause !== key;
+    });
+    if (isExplained) return;
+    this.suspects.delete(key);
+    if (this.quarantine.has(key, nowMs)) return;
     const lastCrashMs = this.evidence.lastCrashMs(key) ?? nowMs;
     this.quarantine.condemn(key, lastCrashMs);
     if (!crashKeys.isWholeRequest(key)) this.evidence.explainBy(key);
-    for (const crash of this.evidence.crashesOf(key)) this.explain(crash, key);
+    for (const crash of crashes) this.explain(crash, key);
     this.reportChange(key, 'condemned');
-    return true;
   }
 
   /** A whole request explains no crash, since one of its parts may be why. */
@@ -351,7 +370,12 @@
     if (atMs <= provedMs) return false;
     this.proofs.set(key, atMs);
     const wasCondemned = this.quarantine.recordProof(key, atMs);
-    if (wasCondemned) this.reportChange(key, 'cleared');
+    if (wasCondemned) {
+      this.reportChange(key, 'cleared');
+      for (const [crash, cause] of [...this.explained]) {
+        if (cause === key) this.explained.delete(crash);
+      }
+    }
     return this.evidence.dropUntil(key, atMs) || wasCondemned;
   }
 
