--- a/packages/decide/src/crashevidence.ts
+++ b/packages/decide/src/crashevidence.ts
@@ -38,8 +38,8 @@
 /** Crashes closer to each other than this count as one, in ms. */
 const MIN_SPACING_MS = 300;
 
-/** Time in which all routers have told of a crash, in ms. */
-const SETTLE_MS = 150;
+/** Time in which the routers of a small fleet have told of a crash, in ms. */
+const SETTLE_MS = 60;
 
 /** Shortest time from the first crash until a part is condemned, in ms. */
 const MIN_STAND_MS = 1_000;
