Keep the connection of a refused body, so that its caller reads the 413

Callers saw: a connection that was reset while they still sent a body above the limit, so that they may not read the 413 (write EPIPE); always, their connection closed.

Cause: the answer carried `connection: close`, and the connection was destroyed with the rest of the body unread. The listener reads and drops that rest, so the header is not needed; Node.js keeps the rest apart from the next request.

Evidence: 'answers a body above the limit with a 413, and the next request on its connection' of badinput.test.ts (4 MB, limit 1 MB) failed with [413] for [413, 200] and passes now, with all of badinput and admin.

Change: both headers are removed.

--- a/packages/router/src/admin.ts
+++ b/packages/router/src/admin.ts
@@ -55,7 +55,6 @@
     const result = await this.dispatch(request, id);
     if (!result.ok) {
       // The unread rest of a body must not be parsed as the next request.
-      if (!request.complete) response.setHeader('connection', 'close');
       core.listener.sendProblem(response, result.failure, id);
       return;
     }
--- a/packages/router/src/entrylistener.ts
+++ b/packages/router/src/entrylistener.ts
@@ -124,8 +124,6 @@
       this.routerSettings.maxBodyBytes,
     );
     if (!body.ok) {
-      // The rest of the body is not read, so the connection must end.
-      response.setHeader('connection', 'close');
       answer.refuse(body.failure);
       return;
     }
--- a/packages/router/src/tests/badinput.test.ts
+++ b/packages/router/src/tests/badinput.test.ts
@@ -130,6 +130,17 @@
     });
   }
 
+  it('answers a body above the limit with a 413, and the next request on its connection', async () => {
+    const body = 'x'.repeat(4 << 20);
+    const received = await sendRaw(
+      router.port,
+      `POST /chat HTTP/1.1\r\nhost: a\r\ncontent-length: ${body.length}\r\n\r\n` +
+        `${body}GET /health HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n`,
+    );
+    const heads = [...received.matchAll(/HTTP\/1\.1 (\d+)/g)];
+    expect(heads.map(([, status]) => status)).to.deep.equal(['413', '200']);
+  });
+
   it('answers malformed paths with an error and keeps serving', async () => {
     const paths = [
       ['/%zz', 404],
