--- a/packages/direct/src/tests/simulatedfleet.ts
+++ b/packages/direct/src/tests/simulatedfleet.ts
@@ -8,6 +8,7 @@
 import * as direct from '../index.js';
 import type * as settings from '../settings.js';
 import * as simulatedSource from './simulatedsource.js';
+import * as simulatedTopic from './simulatedtopic.js';
 import * as simulatedTransfers from './simulatedtransfers.js';
 import * as virtualClock from './virtualclock.js';
 
@@ -51,29 +52,6 @@
   readonly resources: simulatedTransfers.TransferResources;
 }
 
-type Row<T> = direct.FeedRecord<T>;
-
-/** One topic of the simulated store. */
-class SimulatedTopic<T> {
-  readonly rows: Array<Row<T>> = [];
-  private readonly waiters = new Set<() => void>();
-
-  put(key: string, value: T | undefined): void {
-    this.rows.push({key, offset: this.rows.length, value});
-    for (const wake of this.waiters) wake();
-    this.waiters.clear();
-  }
-
-  latest(): Array<Row<T>> {
-    const newest = new Map(this.rows.map(row => [row.key, row]));
-    return [...newest.values()].filter(({value}) => value !== undefined);
-  }
-
-  waitForMore(): Promise<void> {
-    return new Promise(resolve => this.waiters.add(resolve));
-  }
-}
-
 /** Bytes of IP and UDP headers in each datagram. */
 const HEADER_BYTES = 28;
 
@@ -91,9 +69,9 @@
 export class SimulatedFleet {
   readonly clock = new virtualClock.VirtualClock();
   readonly routers: SimulatedRouter[] = [];
-  readonly tables = new SimulatedTopic<direct.Tables>();
-  readonly endpoints = new SimulatedTopic<direct.Endpoint>();
-  readonly listed = new SimulatedTopic<direct.Router>();
+  readonly tables = new simulatedTopic.SimulatedTopic<direct.Tables>();
+  readonly endpoints = new simulatedTopic.SimulatedTopic<direct.Endpoint>();
+  readonly listed = new simulatedTopic.SimulatedTopic<direct.Router>();
   isStoreDown = false;
   private readonly random: core.Random;
   private readonly transfers: simulatedTransfers.Transfers | undefined;
@@ -363,7 +341,7 @@
 
   private feedFor<T>(
     router: SimulatedRouter,
-    topic: SimulatedTopic<T>,
+    topic: simulatedTopic.SimulatedTopic<T>,
   ): direct.Feed<T> {
     return {
       readLatest: async () => {
@@ -392,7 +370,7 @@
 
   private async receive<T>(
     router: SimulatedRouter,
-    records: ReadonlyArray<Row<T>>,
+    records: ReadonlyArray<simulatedTopic.Row<T>>,
   ): Promise<void> {
     const values = records.map(({value}) => value);
     await this.transfers?.receiveFromStore(router, values);
--- /dev/null
+++ b/packages/direct/src/tests/simulatedtopic.ts
@@ -0,0 +1,26 @@
+/** Test support: a topic of the store with the newest record of each key. */
+import type * as direct from '../index.js';
+
+/** A record of a topic. */
+export type Row<T> = direct.FeedRecord<T>;
+
+/** One topic of the simulated store. */
+export class SimulatedTopic<T> {
+  readonly rows: Array<Row<T>> = [];
+  private readonly waiters = new Set<() => void>();
+
+  put(key: string, value: T | undefined): void {
+    this.rows.push({key, offset: this.rows.length, value});
+    for (const wake of this.waiters) wake();
+    this.waiters.clear();
+  }
+
+  latest(): Array<Row<T>> {
+    const newest = new Map(this.rows.map(row => [row.key, row]));
+    return [...newest.values()].filter(({value}) => value !== undefined);
+  }
+
+  waitForMore(): Promise<void> {
+    return new Promise(resolve => this.waiters.add(resolve));
+  }
+}
