--- a/packages/decide/src/tests/crashtracker.test.ts
+++ b/packages/decide/src/tests/crashtracker.test.ts
@@ -109,6 +109,19 @@
     expect(router.verdict(['w1'], 3)).to.equal('refused');
   });
 
+  it('condemns a part although many requests beside it have parts of their own', () => {
+    const router = new Router();
+    for (let index = 0; index < 6; index++) {
+      const beside = [...Array(9).keys()].map(other => {
+        const name = `${index}x${other}`;
+        return [`w${name}`, `pa${name}`, `pb${name}`, `pc${name}`];
+      });
+      const requests = [...beside, [`w${index}`, 'pdeadly']];
+      router.crash(`e${index}`, requests, index * APART_MS);
+    }
+    expect(router.verdict(['wnew', 'pdeadly'], 5_000)).to.equal('refused');
+  });
+
   it('condemns no part by one moment at which many endpoints crash', () => {
     const router = new Router();
     for (let index = 0; index < 20; index++) {
--- a/packages/direct/src/tests/catchup.test.ts
+++ b/packages/direct/src/tests/catchup.test.ts
@@ -21,6 +21,13 @@
 /** Routers of which some never respond. */
 class PartlySilentSource implements direct.StateSource {
   readonly asked: string[] = [];
+  stateFetches = 0;
+  /** How long a fetch from a silent router takes to fail, in ms. */
+  silenceMs = SILENCE_MS;
+  /** How long a fetch of state takes, in ms. */
+  stateMs = 0;
+  /** Version of the tables that it serves. */
+  served = 2;
 
   constructor(
     private readonly clock: core.Clock,
@@ -32,15 +39,17 @@
   ): Promise<direct.Fetched<direct.tablesUpdate.TablesUpdate>> {
     this.asked.push(address);
     if (this.silent.has(address)) {
-      await this.clock.sleep(SILENCE_MS);
+      await this.clock.sleep(this.silenceMs);
       return {type: 'failed', detail: 'no answer'};
     }
     await this.clock.sleep(5);
-    return {type: 'fetched', value: {tables: tablesOf(2)}};
+    return {type: 'fetched', value: {tables: tablesOf(this.served)}};
   }
 
-  fetchState(): Promise<direct.Fetched<direct.routerState.RouterState>> {
-    return Promise.resolve({type: 'failed', detail: 'not served'});
+  async fetchState(): Promise<direct.Fetched<direct.routerState.RouterState>> {
+    this.stateFetches += 1;
+    await this.clock.sleep(this.stateMs);
+    return {type: 'failed', detail: 'not served'};
   }
 }
 
@@ -93,11 +102,11 @@
   kernel.register(direct.STATE_SOURCE, scripted ?? source);
   const catchUp = new direct.StateCatchUp(kernel);
   kernel.register(direct.CATCH_UP, catchUp);
-  const hear = (address: string, zone: string) =>
+  const hear = (address: string, zone: string, version = 2) =>
     catchUp.onDigest(
       {name: address, address, zone},
       {
-        version: 2,
+        version,
         endpointsFingerprint: 0,
         membersFingerprint: 0,
         uptimeS: 60,
@@ -131,6 +140,61 @@
     await kernel.stop();
   });
 
+  it('does not wait for a slow fetch of state', async () => {
+    const {kernel, clock, source, hear, version} = setUp([]);
+    kernel.find(direct.ACTIVE_TABLES).activate(tablesOf(2), 'store');
+    source.stateMs = 6_000;
+    await kernel.start();
+    // Its members differ, so the state is fetched from it.
+    hear('slow', 'z0');
+    await clock.advance(300);
+    source.served = 3;
+    hear('near', 'z0', 3);
+    await clock.advance(1_000);
+    expect(version()).to.equal(3);
+    await kernel.stop();
+  });
+
+  it('asks another router if the response of the first takes long', async () => {
+    const {kernel, clock, source, hear, version} = setUp(['near']);
+    kernel.find(direct.ACTIVE_TABLES).activate(tablesOf(1), 'store');
+    // Bytes arrive all the time, so only the limit for the body ends it.
+    source.silenceMs = 5_000;
+    await kernel.start();
+    hear('near', 'z0');
+    hear('far', 'z1');
+    await clock.advance(2_000);
+    expect(version()).to.equal(2);
+    await kernel.stop();
+  });
+
+  it('fetches endpoints that differ for long although members change', async () => {
+    const {kernel, clock, source, hear} = setUp([]);
+    kernel.find(direct.ACTIVE_TABLES).activate(tablesOf(2), 'store');
+    const endpoints = kernel.find(direct.ENDPOINT_REGISTRY);
+    const value = {
+      id: 'e1',
+      pool: 'pool',
+      address: '10.9.0.1',
+      port: 80,
+      zone: 'z0',
+      isDraining: false,
+    };
+    endpoints.applyFeedRecord({key: 'e1', offset: 1, value}, 0);
+    await kernel.start();
+    await clock.advance(20_000);
+    // The endpoint is removed at the others; a router leaves every 300 ms.
+    for (let epoch = 2; epoch < 12; epoch++) {
+      const router = {name: `m${epoch}`, address: '10.0.0.9', zone: 'z0'};
+      const note = {router, epoch, phase: 'ready' as const, isStoreLost: false};
+      kernel.find(direct.MEMBERSHIP).applyNote(note, clock.nowMs());
+      hear('a', 'z0');
+      await clock.advance(300);
+    }
+    expect(source.stateFetches).to.be.above(0);
+    await kernel.stop();
+  });
+
   it('does not ask again once it has them', async () => {
     const {kernel, clock, source, hear} = setUp([]);
     kernel.find(direct.ACTIVE_TABLES).activate(tablesOf(2), 'store');
--- a/packages/direct/src/tests/simulatedfleet.ts
+++ b/packages/direct/src/tests/simulatedfleet.ts
@@ -73,6 +73,8 @@
   readonly endpoints = new simulatedTopic.SimulatedTopic<direct.Endpoint>();
   readonly listed = new simulatedTopic.SimulatedTopic<direct.Router>();
   isStoreDown = false;
+  /** Number of fetches of state by all routers. */
+  stateFetches = 0;
   private readonly random: core.Random;
   private readonly transfers: simulatedTransfers.Transfers | undefined;
   private readonly byAddress = new Map<string, SimulatedRouter>();
@@ -286,6 +288,9 @@
         clock: this.clock,
         transfers: this.transfers,
         find: peerAddress => this.byAddress.get(peerAddress),
+        onStateFetch: () => {
+          this.stateFetches += 1;
+        },
       }),
     );
     kernel.register(direct.CATCH_UP, new direct.StateCatchUp(kernel));
--- a/packages/direct/src/tests/simulatedsource.ts
+++ b/packages/direct/src/tests/simulatedsource.ts
@@ -27,6 +27,7 @@
       readonly clock: virtualClock.VirtualClock;
       readonly transfers: simulatedTransfers.Transfers | undefined;
       readonly find: (address: string) => SourceRouter | undefined;
+      readonly onStateFetch: () => void;
     },
   ) {
     router.updates = new direct.tablesUpdate.KeptUpdates(
@@ -48,6 +49,7 @@
     address: string,
   ): Promise<direct.Fetched<direct.routerState.RouterState>> {
     return this.fetch(address, ({kernel}) => {
+      this.network.onStateFetch();
       const value = direct.routerState.collect(kernel);
       return {value, parts: [value]};
     });
