Delay removals after a rest of a reader only if the store was lost meanwhile

What callers would see: requests sent to an engine later than 3 s after its leaving was confirmed (DRAIN), where readers of the store are replaced twice.

--- a/packages/direct/src/feedfollowers.ts
+++ b/packages/direct/src/feedfollowers.ts
@@ -132,6 +132,11 @@
         this.endpointsHandler.graceRemainingMs !== undefined ||
         (this.mustRead() && !this.hasEndpoints()),
       idleCheckMs,
+      isLostElsewhere: () =>
+        this.kernel
+          .find(decisions.MEMBERSHIP)
+          .live()
+          .some(({isStoreLost}) => isStoreLost),
     });
     this.routersFollower = new follower.Follower(kernel, {
       name: 'routers',
--- a/packages/direct/src/follower.ts
+++ b/packages/direct/src/follower.ts
@@ -72,6 +72,8 @@
   readonly isNeeded: () => boolean;
   /** Time until the next check if it does not have to, in ms. */
   readonly idleCheckMs: () => number;
+  /** Whether other routers cannot reach the store now. */
+  readonly isLostElsewhere?: () => boolean;
 }
 
 /**
@@ -130,15 +132,16 @@
 
   /** Waits until the feed is needed again. */
   private async idle(signal: AbortSignal): Promise<void> {
-    const {isNeeded, idleCheckMs, handler} = this.options;
+    const {isNeeded, idleCheckMs, handler, isLostElsewhere} = this.options;
     const wasReading = this.isReading;
+    let wasOutage = this.isLost;
     this.isReading = false;
     this.failures = 0;
     while (!signal.aborted && !isNeeded()) {
       await this.sleep(idleCheckMs(), signal);
+      wasOutage ||= isLostElsewhere?.() ?? false;
     }
-    // The store may have been unavailable in the meantime.
-    if (wasReading) handler.onRecovered();
+    if (wasReading && wasOutage) handler.onRecovered();
   }
 
   private async readLatest(signal: AbortSignal): Promise<number | undefined> {
