Never tell that a request did not run after an endpoint crashed under it

What callers saw: 503, which says that the request has not run, for a request that may be repeated, if its first endpoint crashed or fell silent under it and the next one refused it. Non-idempotent requests were never sent on after that and got a 502.

Cause: a crashed endpoint is left out of the count of runs, which limits sends to engines that still run; the same count decided whether a refusal may say "not run". A request now remembers apart from that whether it may have run.

--- a/packages/direct/src/dispatcher.ts
+++ b/packages/direct/src/dispatcher.ts
@@ -49,8 +49,10 @@
 /** The state of a request between sends. */
 interface DispatchProgress {
   sendCount: number;
-  /** Number of sends after which the request may have run. */
+  /** Number of sends after which the request may still run, or has run. */
   possibleRuns: number;
+  /** Whether an endpoint may have run the request, one that crashed included. */
+  mayHaveRun: boolean;
   readonly triedIds: Set<string>;
   /** Id of the event after which a stream resumes. */
   lastEventId?: string;
@@ -78,6 +80,7 @@
     const progress: DispatchProgress = {
       sendCount: 0,
       possibleRuns: 0,
+      mayHaveRun: false,
       triedIds: new Set(),
       lastFailure: {
         kind: 'pool_empty',
@@ -163,6 +166,7 @@
       })
       .with({type: 'failed_run'}, ({status}) => {
         progress.possibleRuns += 1;
+        progress.mayHaveRun = true;
         const detail = `${endpoint.id} answered ${status}`;
         progress.lastFailure = {kind: 'endpoint_broke', detail};
         return undefined;
@@ -170,6 +174,7 @@
       .with({type: 'broken'}, ({cause, detail}) => {
         // A crashed endpoint no longer runs the request.
         if (cause !== 'dead') progress.possibleRuns += 1;
+        progress.mayHaveRun = true;
         progress.lastFailure = brokenFailure(
           `${endpoint.id}: ${detail}`,
           cause,
@@ -275,7 +280,7 @@
     }
     const isNotRun =
       core.ERROR_RESPONSES[progress.lastFailure.kind].ran === 'no';
-    const mayHaveRunBefore = progress.possibleRuns > 0 && isNotRun;
+    const mayHaveRunBefore = progress.mayHaveRun && isNotRun;
     const failure: core.Failure = mayHaveRunBefore
       ? {kind: 'endpoint_broke', detail: progress.lastFailure.detail}
       : progress.lastFailure;
