Fetch endpoints that differ for long although members change

What callers would see: requests to an endpoint that leaves, from routers that missed the news of it while many routers were killed or restarted.

Test: "fetches endpoints that differ for long although members change" failed with no fetch in 3 s and passes.

--- a/packages/direct/src/catchup.ts
+++ b/packages/direct/src/catchup.ts
@@ -81,12 +81,25 @@
   readonly localVersion: number;
 }
 
-/** A difference between this router's knowledge and that of others. */
-interface Difference {
-  /** Fingerprint of what this router knows. */
-  readonly localFingerprint: number;
-  /** Monotonic time since which this router's knowledge is unchanged, in ms. */
-  readonly sinceMs: number;
+/** What this router knows of one kind, and since when it is unchanged. */
+class LastingDifference {
+  private localFingerprint: number | undefined;
+  private sinceMs = 0;
+  private isDifferent = false;
+
+  /** Compares this router's fingerprint with that of another router. */
+  compare(local: number, remote: number, nowMs: number): void {
+    if (this.localFingerprint !== local) {
+      this.localFingerprint = local;
+      this.sinceMs = nowMs;
+    }
+    this.isDifferent = local !== remote;
+  }
+
+  /** Time for which this router's knowledge differs unchanged, in ms. */
+  durationMs(nowMs: number): number | undefined {
+    return this.isDifferent ? nowMs - this.sinceMs : undefined;
+  }
 }
 
 /** Fetches state from the registered source. */
@@ -94,7 +107,8 @@
   /** By address; the router heard last comes last. */
   private readonly peersAhead = new Map<string, PeerAhead>();
   private wait: Wait | undefined;
-  private difference: Difference | undefined;
+  private readonly endpointsDifference = new LastingDifference();
+  private readonly membersDifference = new LastingDifference();
   private differingAddress: string | undefined;
   private lastTablesFetchMs = Number.NEGATIVE_INFINITY;
   private lastDifferenceFetchMs = Number.NEGATIVE_INFINITY;
@@ -168,10 +182,9 @@
       .find(endpointRegistry.ENDPOINT_REGISTRY)
       .fingerprint();
     const members = this.kernel.find(decisions.MEMBERSHIP).fingerprint();
-    const localFingerprint = (endpoints ^ members) >>> 0;
-    if (this.difference?.localFingerprint !== localFingerprint) {
-      this.difference = {localFingerprint, sinceMs: this.nowMs()};
-    }
+    const nowMs = this.nowMs();
+    this.endpointsDifference.compare(endpoints, endpointsFingerprint, nowMs);
+    this.membersDifference.compare(members, membersFingerprint, nowMs);
     const isEqual =
       endpoints === endpointsFingerprint && members === membersFingerprint;
     this.differingAddress = isEqual ? undefined : address;
@@ -269,13 +282,16 @@
   }
 
   private async fetchIfDifferent(signal: AbortSignal): Promise<void> {
-    const {difference, differingAddress} = this;
-    if (!difference || differingAddress === undefined) return;
+    const {differingAddress} = this;
+    if (differingAddress === undefined) return;
     const nowMs = this.nowMs();
     const uptimeS = this.kernel.find(runState.RUN_STATE).uptimeS();
     const isStarting = uptimeS < STARTING_UPTIME_S;
-    const unchangedMs = nowMs - difference.sinceMs;
-    if (!isStarting && unchangedMs < LASTING_DIFFERENCE_MS) return;
+    const durationMs = Math.max(
+      this.endpointsDifference.durationMs(nowMs) ?? 0,
+      this.membersDifference.durationMs(nowMs) ?? 0,
+    );
+    if (!isStarting && durationMs < LASTING_DIFFERENCE_MS) return;
     const minIntervalMs = isStarting
       ? STARTING_FETCH_INTERVAL_MS
       : DIFFERENCE_FETCH_INTERVAL_MS;
