Limit a whole response of another router to two seconds

Since a body is cut only if no bytes arrive, a router with a squeezed link could keep another from asking the next one for 5 s (found by the review). Responses are compressed now, so 2 s are enough for the largest.

--- a/packages/direct/src/jsonfetch.ts
+++ b/packages/direct/src/jsonfetch.ts
@@ -11,7 +11,7 @@
  * ms: a large state takes long over the link of a small instance.
  */
 const IDLE_TIMEOUT_MS = 1_000;
-const BODY_TIMEOUT_MS = 5_000;
+const BODY_TIMEOUT_MS = 2_000;
 
 /** Maximum size of a body, before and after it is decompressed, in bytes. */
 const MAX_BODY_BYTES = 16 * 1_024 * 1_024;
