Collect urgent news only if the budget lets it be sent

What it costs: in a large fleet urgent news goes to a few routers that pass it on, a fixed number of times.

The limit is asked first, and may be overdrawn by one digest.

--- a/packages/decide/src/budget.ts
+++ b/packages/decide/src/budget.ts
@@ -28,6 +28,18 @@
     return true;
   }
 
+  /** Whether any bytes are available. */
+  hasAvailable(nowMs: number): boolean {
+    this.refill(nowMs);
+    return this.availableBytes > 0;
+  }
+
+  /** Takes `bytes` out of the bucket, also those that are yet to be refilled. */
+  spend(bytes: number, nowMs: number): void {
+    this.refill(nowMs);
+    this.availableBytes -= bytes;
+  }
+
   private refill(nowMs: number): void {
     const elapsedMs = nowMs - (this.refilledAtMs ?? nowMs);
     const refillBytes = (elapsedMs * this.options.bytesPerSecond) / 1_000;
--- a/packages/direct/src/gossip.ts
+++ b/packages/direct/src/gossip.ts
@@ -185,9 +185,12 @@
       .urgentReceivers(this.fleet.digestPeers());
     if (names.length === 0) return;
     const nowMs = this.nowMs();
+    // News that is collected counts as sent.
+    if (!this.isComplete && !this.urgentBudget.hasAvailable(nowMs)) return;
     const bytes = this.encode(this.news.collect(this.isComplete, nowMs));
-    const size = bytes.length * names.length;
-    if (!this.isComplete && !this.urgentBudget.trySpend(size, nowMs)) return;
+    if (!this.isComplete) {
+      this.urgentBudget.spend(bytes.length * names.length, nowMs);
+    }
     this.send(bytes, names);
   }
 
