Keep the part that crashes engines among many parts of their own beside it

Of the keys that ran at a crash, a router kept 24, whole requests and ties in order of arrival, also for itself: next to nine requests with three parts of their own each, the deadly part was dropped at every crash (found by the review).

A router keeps up to 256 keys of a crash for itself, and tells others first of those that were under earlier crashes. Test: "condemns a part although many requests beside it have parts of their own" failed (free after six crashes) and passes.

--- a/packages/decide/src/crashtracker.ts
+++ b/packages/decide/src/crashtracker.ts
@@ -94,7 +94,10 @@
 const MAX_PROOFS = 4_096;
 const MAX_UNSENT = 64;
 
-/** Maximum number of keys in one note. */
+/** Maximum number of keys of one crash that this router keeps. */
+const MAX_OWN_KEYS = 256;
+
+/** Maximum number of keys in one note to other routers. */
 export const MAX_NOTE_KEYS = 24;
 
 /** Age at which a note of another router is ignored, in ms. */
@@ -224,7 +227,7 @@
       const {reporter} = this;
       const note = {crash, reporter, atMs: nowMs, keys};
       this.addEvidence(note, nowMs);
-      this.queueCrash(note);
+      this.queueCrash({...note, keys: keys.slice(0, MAX_NOTE_KEYS)});
       this.options.onNews?.();
     }
     return {crash, candidates, begun, keys};
@@ -274,7 +277,10 @@
     ].reduce((sum, {size}) => sum + size, 0);
   }
 
-  /** Keys of the candidates, those that were never proved sound first. */
+  /**
+   * Keys of the candidates: those under earlier crashes first, then those that
+   * were never proved sound.
+   */
   private candidateKeys(
     candidates: readonly trackedRequests.TrackedRequest[],
   ): readonly string[] {
@@ -284,12 +290,14 @@
     const depth = (key: string) =>
       Math.max(...candidates.map(request => request.keys.indexOf(key)));
     // Whole requests last, since each is seen by one router mostly.
-    const rank = (key: string) => (crashKeys.isWholeRequest(key) ? 1 : 0);
+    const rank = (key: string) =>
+      (crashKeys.isWholeRequest(key) ? 1 : 0) -
+      2 * this.evidence.crashesOf(key).length;
     const compareProofs = (a: string, b: string) =>
       Math.sign(provedMs(a) - provedMs(b)) || 0;
     return [...keys]
       .sort((a, b) => rank(a) - rank(b) || compareProofs(a, b))
-      .slice(0, MAX_NOTE_KEYS)
+      .slice(0, MAX_OWN_KEYS)
       .sort((a, b) => rank(a) - rank(b) || depth(b) - depth(a));
   }
 
