--- a/packages/direct/src/endpointselector.ts
+++ b/packages/direct/src/endpointselector.ts
@@ -87,8 +87,8 @@
 
   /**
    * The healthy endpoints without those that a request must avoid, since one
-   * more crash would not tell it from another that runs there. If all would be avoided, returns all
-   * healthy ones.
+   * more crash would not tell it from another that runs there. If all would be
+   * avoided, returns all healthy ones.
    */
   private usableIds(
     {crashKeys}: routedRequest.RoutedRequest,
