Fetch newer tables and other state in tasks of their own

The red test shows the kin of the reported fault: a router that is fetching state over a busy link leaves a newer version unfetched, by the time-outs for up to 3.3 s, and endpoints that come and go by the dozen are what makes states differ.

Cause: one task fetched tables and state one after the other. The class is a queue in which an urgent item waits behind a slow one.

Change: StateCatchUp and TablesCatchUp are a task each, FleetCatchUp owns both.

The test's source now heeds the signal of a fetch, as the product's does; else the stop of the router waits for virtual time that does not pass. Its check is unchanged.

--- a/packages/direct/src/tests/catchup.test.ts
+++ b/packages/direct/src/tests/catchup.test.ts
@@ -46,9 +46,12 @@
     return {type: 'fetched', value: {tables: tablesOf(this.served)}};
   }
 
-  async fetchState(): Promise<direct.Fetched<direct.routerState.RouterState>> {
+  async fetchState(
+    address: string,
+    signal: AbortSignal,
+  ): Promise<direct.Fetched<direct.routerState.RouterState>> {
     this.stateFetches += 1;
-    await this.clock.sleep(this.stateMs);
+    await this.clock.sleep(this.stateMs, signal);
     return {type: 'failed', detail: 'not served'};
   }
 }
@@ -100,7 +103,7 @@
   });
   const source = new PartlySilentSource(clock, new Set(silent));
   kernel.register(direct.STATE_SOURCE, scripted ?? source);
-  const catchUp = new direct.StateCatchUp(kernel);
+  const catchUp = new direct.FleetCatchUp(kernel);
   kernel.register(direct.CATCH_UP, catchUp);
   const hear = (address: string, zone: string, version = 2) =>
     catchUp.onDigest(
--- a/packages/direct/src/tests/catchupwaits.test.ts
+++ b/packages/direct/src/tests/catchupwaits.test.ts
@@ -34,7 +34,7 @@
   /** Times of the fetches, in ms. */
   readonly fetchTimesMs: number[] = [];
   isReader = false;
-  readonly catchUp: direct.StateCatchUp;
+  readonly catchUp: direct.FleetCatchUp;
   private readonly kernel = new core.Kernel();
 
   constructor() {
@@ -66,7 +66,7 @@
       fetchTables: () => this.fetch(),
       fetchState: () => this.fetch(),
     });
-    this.catchUp = new direct.StateCatchUp(kernel);
+    this.catchUp = new direct.FleetCatchUp(kernel);
     kernel.register(direct.CATCH_UP, this.catchUp);
     const limits = {maxBodyBytes: 1, idleMs: 1};
     const tables = {version: 1, routes: [], pools: [], limits};
--- a/packages/direct/src/tests/simulatedfleet.ts
+++ b/packages/direct/src/tests/simulatedfleet.ts
@@ -293,7 +293,7 @@
         },
       }),
     );
-    kernel.register(direct.CATCH_UP, new direct.StateCatchUp(kernel));
+    kernel.register(direct.CATCH_UP, new direct.FleetCatchUp(kernel));
     kernel.register(direct.DATAGRAMS, this.datagramsFor(router));
     kernel.register(
       direct.GOSSIP,
--- a/packages/router/src/wiredirect.ts
+++ b/packages/router/src/wiredirect.ts
@@ -141,7 +141,7 @@
     direct.STATE_SOURCE,
     new direct.HttpStateSource(routerSettings),
   );
-  kernel.register(direct.CATCH_UP, new direct.StateCatchUp(kernel));
+  kernel.register(direct.CATCH_UP, new direct.FleetCatchUp(kernel));
   kernel.register(
     direct.DATAGRAMS,
     new direct.UdpDatagrams(kernel, routerSettings),
