Ask a second router for newer tables if the first is slow

A router asked the next one only after the first had failed, by the time-outs up to 3.3 s, so one peer on a busy link could take the whole bound of 3 s by itself.

Cause: a fetch without a hedge under a limit that sums up three time-outs.

Change: after 600 ms without a result a second router is asked at the same time, at most two at once; the first that serves wins and the other fetch is aborted. 600 ms is above the usual time of a fetch of large tables over a small instance's link, so that few fetches are made twice and a whole fleet that catches up at once does not load its links twice.

Before: "asks another router if the response of the first takes long" red (listed). After: 17 of 17 tests of catch*.test.js green, and the 13 of largetables.test.js (141 routers at 10 Mbit/s, storms, restarts, cuts) green as before.

--- a/packages/direct/src/tablescatchup.ts
+++ b/packages/direct/src/tablescatchup.ts
@@ -1,7 +1,8 @@
 /**
  * Fetches newer tables if digests show that routers have them: from one of
- * them, and from the next if that fails. A router that reads the store itself
- * first waits for the store to deliver the tables.
+ * them, from the next if that fails, and from a second one at the same time if
+ * the first is slow. A router that reads the store itself first waits for the
+ * store to deliver the tables.
  */
 import * as core from '@oleanderrock/core';
 import * as activeTables from './activetables.js';
@@ -33,6 +34,16 @@
  */
 const TABLES_FETCH_INTERVAL_MS = 150;
 
+/**
+ * Time after which a second router is asked while the first has not delivered,
+ * in ms: longer than most fetches of large tables over a small instance's link,
+ * so that few are made twice.
+ */
+const HEDGE_DELAY_MS = 600;
+
+/** Maximum number of routers that are asked at the same time. */
+const MAX_CONCURRENT_FETCHES = 2;
+
 /** Maximum number of routers with newer tables that are remembered. */
 const MAX_PEERS_AHEAD = 8;
 
@@ -133,14 +144,45 @@
     wait: Wait,
     signal: AbortSignal,
   ): Promise<string | undefined> {
-    for (;;) {
-      const peer = this.choosePeerAhead();
-      if (!peer || signal.aborted) return undefined;
-      const address = await this.fetchFrom(peer, wait, signal);
-      if (address !== undefined) return address;
+    const controller = new AbortController();
+    const anySignal = AbortSignal.any([signal, controller.signal]);
+    const fetches = new Set<Promise<string | undefined>>();
+    try {
+      for (;;) {
+        const peer =
+          fetches.size < MAX_CONCURRENT_FETCHES && this.choosePeerAhead();
+        if (peer) {
+          const fetch = this.fetchFrom(peer, wait, anySignal);
+          fetches.add(fetch);
+          void fetch.then(() => fetches.delete(fetch));
+        }
+        if (fetches.size === 0 || signal.aborted) return undefined;
+        const address = await this.firstOf(fetches, anySignal);
+        if (address !== undefined) return address;
+      }
+    } finally {
+      controller.abort();
     }
   }
 
+  /**
+   * The address of the router that serves the first of the fetches to end;
+   * undefined if that one failed, or none ends within the hedge delay.
+   */
+  private async firstOf(
+    fetches: ReadonlySet<Promise<string | undefined>>,
+    signal: AbortSignal,
+  ): Promise<string | undefined> {
+    const timer = new AbortController();
+    const delay = this.clock.sleep(
+      HEDGE_DELAY_MS,
+      AbortSignal.any([signal, timer.signal]),
+    );
+    const first = await Promise.race([...fetches, delay]);
+    timer.abort();
+    return first ?? undefined;
+  }
+
   /** Returns the router's address if it served newer tables. */
   private async fetchFrom(
     {router: {address}, version}: PeerAhead,
