Ask one router of the fleet before each send to an endpoint with a limit

Cause: nothing read the header. The class: a bound for the whole fleet that no router can keep by what it knows by itself.

Weighed: an equal share for each router (a bucket of one token each is a burst of 141 at once, and a share is one request in 23 s); shares by demand (sums up only while views agree); a home that grants permits. The last one has exact sums and one count an endpoint, and costs two small datagrams a send to endpoints that name a limit, none to others.

Change: - Limits are read from each answer, end with the first that names none, and travel as urgent news and in the state that a new router fetches. Malformed values are ignored; 0 leaves a probe each 2 s. - The home of an endpoint, by rendezvous over the ready routers, spaces permits evenly, with half a second saved up; it starts with none. Without a reply in 100 ms nothing is sent. A permit holds 400 ms, so that a router that was paused does not act on an old one. - First sends, retries and resumed streams all ask, in the selector. After two denials a request goes to an endpoint without a limit; if there is none it waits for its turn, at most 0.5 s and 0.3 of what is left, else it is refused as not run, with the time until the next permit. - A datagram's first byte is its topic, since permits share the port of digests.

The selector's result is a promise now; the three tests that replace it follow, with their checks unchanged.

--- a/packages/direct/src/attempt.ts
+++ b/packages/direct/src/attempt.ts
@@ -32,6 +32,8 @@
    * before it processes the prompt.
    */
   readonly contextSource?: model.Endpoint;
+  /** Monotonic time until which the request may be sent, in ms. */
+  readonly permitUntilMs?: number;
 }
 
 /**
@@ -49,7 +51,7 @@
   | {readonly type: 'not_sent'; readonly detail: string}
   /**
    * The endpoint announced before the first byte was sent that it accepts no
-   * further requests.
+   * further requests, or the permit to send to it has run out.
    */
   | {readonly type: 'withheld'}
   /** The endpoint reports that it did not run the request. */
@@ -144,9 +146,10 @@
   }
 
   private relayOptions(
-    {request, endpoint, timeoutMs, lastEventId, contextSource}: AttemptOptions,
+    options: AttemptOptions,
     activeAttempt: ActiveAttempt,
   ): core.relay.RelayOptions {
+    const {request, endpoint, timeoutMs, lastEventId, contextSource} = options;
     const {route, customer, priority} = request;
     const requestHead = {
       endpointId: endpoint.id,
@@ -177,11 +180,17 @@
       connectTimeoutMs: Math.min(liveness.CONNECT_TIMEOUT_MS, timeoutMs),
       firstByteTimeoutMs: timeoutMs,
       checkHead: response => this.checkHead(response, request),
-      mayDispatch: () => endpointNotices.isWilling(this.kernel, endpoint),
+      mayDispatch: () => this.mayDispatch(options),
       signal: activeAttempt.signal,
     };
   }
 
+  private mayDispatch({endpoint, permitUntilMs}: AttemptOptions): boolean {
+    const isPermitted =
+      permitUntilMs === undefined || this.nowMs() <= permitUntilMs;
+    return isPermitted && endpointNotices.isWilling(this.kernel, endpoint);
+  }
+
   /**
    * Checks that the response carries the request's id and, if it is a success,
    * the endpoint's seal. Returns what is wrong with the head; undefined if
--- a/packages/direct/src/datagrams.ts
+++ b/packages/direct/src/datagrams.ts
@@ -3,15 +3,26 @@
 import * as core from '@oleanderrock/core';
 import type * as settings from './settings.js';
 
+/** Topics; on the wire, the index is the first byte of a datagram. */
+const TOPICS = ['digest', 'permit'] as const;
+
+/** What a datagram is for. */
+export type DatagramTopic = (typeof TOPICS)[number];
+
+const TOPIC_BYTES: Readonly<Record<DatagramTopic, Buffer>> = {
+  digest: Buffer.from([TOPICS.indexOf('digest')]),
+  permit: Buffer.from([TOPICS.indexOf('permit')]),
+};
+
 /** Handles a received datagram. */
 export type DatagramListener = (bytes: Buffer, senderAddress: string) => void;
 
 /** Transport of datagrams between routers. */
 export interface Datagrams {
   /** Sends a datagram to a router; it may be lost. */
-  send(bytes: Buffer, address: string): void;
-  /** Sets the function that handles received datagrams. */
-  onReceive(listener: DatagramListener): void;
+  send(topic: DatagramTopic, bytes: Buffer, address: string): void;
+  /** Sets the function that handles received datagrams of the topic. */
+  onReceive(topic: DatagramTopic, listener: DatagramListener): void;
 }
 
 /** The contract under which the transport is registered. */
@@ -23,6 +34,7 @@
 /** Datagrams over UDP; all routers use the same port. */
 export class UdpDatagrams implements Datagrams, core.Lifecycle {
   private readonly socket = dgram.createSocket('udp4');
+  private readonly listeners = new Map<DatagramTopic, DatagramListener>();
 
   constructor(
     private readonly kernel: core.Kernel,
@@ -39,20 +51,37 @@
       });
     });
     this.socket.on('error', error => this.logError(error));
+    this.socket.on('message', (bytes, {address: senderAddress}) =>
+      this.receive(bytes, senderAddress),
+    );
   }
 
   stop(): Promise<void> {
     return new Promise(resolve => this.socket.close(() => resolve()));
   }
 
-  send(bytes: Buffer, address: string): void {
-    this.socket.send(bytes, this.routerSettings.gossipPort, address, error => {
+  send(topic: DatagramTopic, bytes: Buffer, address: string): void {
+    const {gossipPort} = this.routerSettings;
+    const parts = [TOPIC_BYTES[topic], bytes];
+    this.socket.send(parts, gossipPort, address, error => {
       if (error) this.logError(error);
     });
   }
 
-  onReceive(listener: DatagramListener): void {
-    this.socket.on('message', (bytes, {address}) => listener(bytes, address));
+  onReceive(topic: DatagramTopic, listener: DatagramListener): void {
+    this.listeners.set(topic, listener);
+  }
+
+  private receive(bytes: Buffer, senderAddress: string): void {
+    const topic = TOPICS[bytes[0] ?? TOPICS.length];
+    const listener = topic && this.listeners.get(topic);
+    if (listener) listener(bytes.subarray(1), senderAddress);
+    else {
+      const {length} = bytes;
+      this.kernel
+        .find(core.LOGGER)
+        .warn('datagram_unreadable', {bytes: length});
+    }
   }
 
   private logError(error: Error): void {
--- a/packages/direct/src/decisions.ts
+++ b/packages/direct/src/decisions.ts
@@ -28,6 +28,21 @@
   ['recordLeaving', 'recordHoldOff', 'isWilling', 'earliestWillingMs'],
 );
 
+/**
+ * The contract under which the limits are registered that endpoints name for
+ * all routers together.
+ */
+export const ENDPOINT_LIMITS = core.contract<decide.EndpointLimits>(
+  'endpoint-limits',
+  ['recordResponse', 'applyNote', 'limitOf', 'takeNews', 'all'],
+);
+
+/** The contract under which the granter of send permits is registered. */
+export const PERMIT_GRANTER = core.contract<decide.PermitGranter>(
+  'permit-granter',
+  ['decide'],
+);
+
 /**
  * The contract under which the load of endpoints over the fleet is registered.
  */
--- a/packages/direct/src/digest.ts
+++ b/packages/direct/src/digest.ts
@@ -10,7 +10,7 @@
 import type * as fleetRegistry from './fleetregistry.js';
 import type * as model from './model.js';
 
-const FORMAT_VERSION = 4;
+const FORMAT_VERSION = 5;
 
 const countSchema = v.pipe(v.number(), v.integer(), v.minValue(0));
 
@@ -106,6 +106,18 @@
   countsSchema,
   /** Notes about other routers. */
   v.array(memberSchema),
+  /**
+   * Limits that endpoints named: hash of the endpoint, its start time, requests
+   * a second or null if there is no limit any more, and age.
+   */
+  v.array(
+    v.tuple([
+      countSchema,
+      v.nullable(v.number()),
+      v.nullable(v.pipe(v.number(), v.finite(), v.minValue(0))),
+      countSchema,
+    ]),
+  ),
 ]);
 
 type EncodedDigest = v.InferOutput<typeof digestSchema>;
@@ -120,6 +132,7 @@
   readonly proofs: readonly decide.ProofNote[];
   readonly placements: readonly decide.PrefixLocation[];
   readonly failures: readonly decide.FailureNote[];
+  readonly limits: readonly decide.LimitNote[];
   readonly members: readonly decide.MemberNote[];
 }
 
@@ -192,6 +205,12 @@
       ageOf(observedAtMs),
     ]),
     news.members.map(encodeMember),
+    news.limits.map(({id, bornMs = null, perSecond = null, observedAtMs}) => [
+      endpointRegistry.endpointHash(id),
+      bornMs,
+      perSecond,
+      ageOf(observedAtMs),
+    ]),
   ];
   return msgpackr.pack(encoded);
 }
@@ -234,6 +253,7 @@
     reports,
     failures,
     members,
+    limits,
   ] = parsed.output;
   const note = decodeMember(sender);
   const timeOf = (age: number) => nowMs - age * AGE_UNIT_MS;
@@ -257,6 +277,7 @@
         return prefixes.map(prefix => ({prefix, endpoint}));
       }),
       failures: decodeFailures(failures, findIdByHash, nowMs),
+      limits: decodeLimits(limits, findIdByHash, timeOf),
       members: members.map(decodeMember),
     },
   };
@@ -385,6 +406,25 @@
   return failures;
 }
 
+function decodeLimits(
+  encoded: EncodedDigest[15],
+  findIdByHash: FindIdByHash,
+  timeOf: (age: number) => number,
+): decide.LimitNote[] {
+  return encoded.flatMap(([hash, bornMs, perSecond, age]) => {
+    const id = findIdByHash(hash);
+    if (id === undefined) return [];
+    return [
+      {
+        id,
+        bornMs: bornMs ?? undefined,
+        perSecond: perSecond ?? undefined,
+        observedAtMs: timeOf(age),
+      },
+    ];
+  });
+}
+
 function unpackOrUndefined(bytes: Buffer): unknown {
   try {
     return msgpackr.unpack(bytes);
--- a/packages/direct/src/dispatcher.ts
+++ b/packages/direct/src/dispatcher.ts
@@ -88,9 +88,10 @@
       },
     };
     while (this.maySend(request, delivery, progress)) {
-      const choice = this.kernel
-        .find(endpointSelector.ENDPOINT_SELECTOR)
-        .select(request, progress.triedIds);
+      const choice = await this.selectEndpoint(request, progress);
+      if (delivery.callerGone.aborted) {
+        return failedOutcome('caller_gone', 'the caller left', progress);
+      }
       if (!choice || !this.spendRetryBudget(request, progress)) break;
       const outcome = await this.sendOnce(request, delivery, choice, progress);
       if (outcome) return outcome;
@@ -98,6 +99,24 @@
     return this.concludeWithFailure(request, delivery, progress);
   }
 
+  private async selectEndpoint(
+    request: routedRequest.RoutedRequest,
+    progress: DispatchProgress,
+  ): Promise<endpointSelector.EndpointChoice | undefined> {
+    const selection = await this.kernel
+      .find(endpointSelector.ENDPOINT_SELECTOR)
+      .select(request, progress.triedIds);
+    if (selection.type === 'selected') return selection.choice;
+    if (selection.type === 'limited' && progress.sendCount === 0) {
+      progress.lastFailure = {
+        kind: 'saturated',
+        detail: `all endpoints of ${request.pool} have reached their limits`,
+        retryAfterMs: Math.ceil(selection.retryInMs),
+      };
+    }
+    return undefined;
+  }
+
   /**
    * Sends the request to one endpoint; returns the outcome if that ended the
    * request.
@@ -105,9 +124,10 @@
   private async sendOnce(
     request: routedRequest.RoutedRequest,
     delivery: responseDelivery.ResponseDelivery,
-    {endpoint, placement, contextSource}: endpointSelector.EndpointChoice,
+    choice: endpointSelector.EndpointChoice,
     progress: DispatchProgress,
   ): Promise<routedRequest.RequestOutcome | undefined> {
+    const {endpoint, placement, contextSource, permitUntilMs} = choice;
     progress.placement = {...placement, contextSource: contextSource?.id};
     progress.sendCount += 1;
     progress.triedIds.add(endpoint.id);
@@ -118,6 +138,7 @@
       lastEventId: delivery.lastEventId,
       callerGone: delivery.callerGone,
       contextSource,
+      permitUntilMs,
     });
     const deliveryResult =
       result.type === 'response'
@@ -300,6 +321,7 @@
     {pool}: routedRequest.RoutedRequest,
     failure: core.Failure,
   ): core.Failure {
+    if (failure.retryAfterMs !== undefined) return failure;
     const holdOffMs = endpointNotices.holdOffMs(this.kernel, pool);
     if (holdOffMs === undefined) {
       return {...failure, retryAfterMs: RETRY_AFTER_MS};
--- a/packages/direct/src/endpointnotices.ts
+++ b/packages/direct/src/endpointnotices.ts
@@ -1,7 +1,9 @@
 /**
  * Applies the notices in endpoints' responses: reads them from response heads,
- * and selects the endpoints that accept requests. Only this router's own
- * responses count, so that no error of another router can empty a pool here.
+ * and selects the endpoints that accept requests. Whether an endpoint leaves or
+ * wants no requests for a time is told by this router's own responses only, so
+ * that no error of another router can empty a pool here; a limit, which leaves
+ * some requests, is also told by other routers.
  */
 import * as core from '@oleanderrock/core';
 import * as decisions from './decisions.js';
@@ -28,6 +30,7 @@
   if (head.isLeaving && notices.recordLeaving(endpoint)) {
     log.info('endpoint_leaving', {endpoint: id, pool});
   }
+  recordLimit(kernel, endpoint, head);
   if (head.holdOffMs === undefined) return;
   const nowMs = kernel.find(core.CLOCK).nowMs();
   if (notices.recordHoldOff(endpoint, nowMs + head.holdOffMs, nowMs)) {
@@ -36,6 +39,29 @@
   }
 }
 
+/** A refusal without a limit does not end one, since it may come from a queue. */
+function recordLimit(
+  kernel: core.Kernel,
+  {id, pool, bornMs}: model.Endpoint,
+  {namedLimit, isNotRun}: wireProtocol.EndpointResponseHead,
+): void {
+  if (namedLimit.type === 'unreadable') return;
+  if (namedLimit.type === 'none' && isNotRun) return;
+  const limits = kernel.find(decisions.ENDPOINT_LIMITS);
+  const previousPerSecond = limits.limitOf({id, bornMs});
+  const perSecond =
+    namedLimit.type === 'limit' ? namedLimit.perSecond : undefined;
+  const observedAtMs = kernel.find(core.CLOCK).nowMs();
+  limits.recordResponse({id, bornMs, perSecond, observedAtMs});
+  if (perSecond === previousPerSecond) return;
+  kernel.find(core.LOGGER).info('endpoint_limit', {
+    endpoint: id,
+    pool,
+    per_second: perSecond ?? 'none',
+    was: previousPerSecond ?? 'none',
+  });
+}
+
 /** Whether the endpoint accepts requests of this router. */
 export function isWilling(
   kernel: core.Kernel,
--- a/packages/direct/src/endpointselector.ts
+++ b/packages/direct/src/endpointselector.ts
@@ -1,7 +1,8 @@
 /**
  * Selects the endpoint for a request from its health, its load, the suspect
- * requests that run there and the homes of the prompt's prefix, and decides
- * whether the prompt's context is copied there from another endpoint.
+ * requests that run there, the homes of the prompt's prefix and the limit that
+ * it named, and decides whether the prompt's context is copied there from
+ * another endpoint.
  */
 import * as core from '@oleanderrock/core';
 import type * as decide from '@oleanderrock/decide';
@@ -12,6 +13,7 @@
 import * as fleetRegistry from './fleetregistry.js';
 import type * as model from './model.js';
 import * as activeTables from './activetables.js';
+import * as sendPermits from './sendpermits.js';
 
 /** The endpoint selected for a request. */
 export interface EndpointChoice {
@@ -23,15 +25,31 @@
    * it processes the prompt.
    */
   readonly contextSource?: model.Endpoint;
+  /**
+   * Monotonic time until which the request may be sent, in ms; absent if the
+   * endpoint named no limit.
+   */
+  readonly permitUntilMs?: number;
 }
 
+/** The result of a selection. */
+export type Selection =
+  | {readonly type: 'selected'; readonly choice: EndpointChoice}
+  /** There is no usable endpoint. */
+  | {readonly type: 'none'}
+  /** The limits of all usable endpoints are used up for so long. */
+  | {readonly type: 'limited'; readonly retryInMs: number};
+
 /** Selects endpoints. */
 export interface EndpointSelector {
-  /** Selects an endpoint not in `triedIds`; undefined if there is none. */
+  /**
+   * Selects an endpoint not in `triedIds`. Waits for the turn of the request if
+   * all usable endpoints have a limit; never rejects.
+   */
   select(
     request: routedRequest.RoutedRequest,
     triedIds: ReadonlySet<string>,
-  ): EndpointChoice | undefined;
+  ): Promise<Selection>;
 }
 
 /** The contract under which the endpoint selector is registered. */
@@ -40,16 +58,91 @@
   ['select'],
 );
 
+/**
+ * Number of denied permits after which a request goes to an endpoint without a
+ * limit, since each question takes time.
+ */
+const MAX_DENIALS = 2;
+
+/**
+ * Longest wait for a permit if all endpoints have a limit, in ms and as a share
+ * of the remaining time.
+ */
+const MAX_WAIT_MS = 500;
+const MAX_WAIT_SHARE = 0.3;
+
+/** Which endpoints are candidates, by their limits. */
+type LimitFilter = 'not_held_back' | 'unlimited' | 'any';
+
 /** Selects by the placement strategy registered with the kernel. */
 export class PlacementEndpointSelector implements EndpointSelector {
   constructor(private readonly kernel: core.Kernel) {}
 
-  select(
+  async select(
+    request: routedRequest.RoutedRequest,
+    triedIds: ReadonlySet<string>,
+  ): Promise<Selection> {
+    const excludedIds = new Set(triedIds);
+    let retryInMs: number | undefined;
+    for (let denials = 0; ; denials++) {
+      const filter = denials < MAX_DENIALS ? 'not_held_back' : 'unlimited';
+      const choice = this.choose(request, excludedIds, filter);
+      if (!choice) break;
+      const permit = await this.permits.acquire(choice.endpoint, 0);
+      if (permit.type !== 'denied') {
+        return this.confirm(request, choice, permit);
+      }
+      retryInMs = Math.min(retryInMs ?? permit.retryInMs, permit.retryInMs);
+      excludedIds.add(choice.endpoint.id);
+    }
+    return this.waitForTurn(request, triedIds, retryInMs);
+  }
+
+  /** Waits for a permit of one of the endpoints, since all have a limit. */
+  private async waitForTurn(
     request: routedRequest.RoutedRequest,
     triedIds: ReadonlySet<string>,
+    knownRetryInMs: number | undefined,
+  ): Promise<Selection> {
+    const remainingMs = request.deadlineMs - this.nowMs();
+    const maxWaitMs = Math.max(
+      0,
+      Math.min(MAX_WAIT_MS, remainingMs * MAX_WAIT_SHARE),
+    );
+    const choice = this.choose(request, triedIds, 'any');
+    if (!choice) return {type: 'none'};
+    const permit = await this.permits.acquire(choice.endpoint, maxWaitMs);
+    if (permit.type !== 'denied') return this.confirm(request, choice, permit);
+    const retryInMs = Math.min(
+      knownRetryInMs ?? permit.retryInMs,
+      permit.retryInMs,
+    );
+    return {type: 'limited', retryInMs};
+  }
+
+  /** Returns the choice once the request may be sent. */
+  private async confirm(
+    request: routedRequest.RoutedRequest,
+    choice: EndpointChoice,
+    permit: Exclude<sendPermits.SendPermit, {type: 'denied'}>,
+  ): Promise<Selection> {
+    if (permit.type === 'granted') {
+      const delayMs = permit.fromMs - this.nowMs();
+      if (delayMs > 0) await this.kernel.find(core.CLOCK).sleep(delayMs);
+    }
+    this.recordPlacement(request, choice.endpoint.id, this.nowMs());
+    const permitUntilMs =
+      permit.type === 'granted' ? permit.untilMs : undefined;
+    return {type: 'selected', choice: {...choice, permitUntilMs}};
+  }
+
+  private choose(
+    request: routedRequest.RoutedRequest,
+    excludedIds: ReadonlySet<string>,
+    filter: LimitFilter,
   ): EndpointChoice | undefined {
-    const nowMs = this.kernel.find(core.CLOCK).nowMs();
-    const candidates = this.listCandidates(request, triedIds, nowMs);
+    const nowMs = this.nowMs();
+    const candidates = this.listCandidates(request, excludedIds, filter, nowMs);
     const homes = this.findHomes(request, nowMs);
     const placementRequest = this.buildPlacementRequest(request, homes, nowMs);
     const placement = this.kernel
@@ -63,20 +156,20 @@
       homes,
       nowMs,
     );
-    this.recordPlacement(request, endpoint.id, nowMs);
     return {endpoint, placement, contextSource};
   }
 
   private listCandidates(
     request: routedRequest.RoutedRequest,
-    triedIds: ReadonlySet<string>,
+    excludedIds: ReadonlySet<string>,
+    filter: LimitFilter,
     nowMs: number,
   ): decide.DirectCandidate[] {
-    const poolEndpoints = endpointNotices.willingEndpoints(
-      this.kernel,
-      request.pool,
-    );
-    const ids = poolEndpoints.map(({id}) => id).filter(id => !triedIds.has(id));
+    const ids = endpointNotices
+      .willingEndpoints(this.kernel, request.pool)
+      .filter(endpoint => this.passes(endpoint, filter))
+      .map(({id}) => id)
+      .filter(id => !excludedIds.has(id));
     const load = this.kernel.find(decisions.FLEET_LOAD);
     return this.usableIds(request, ids, nowMs).map(id => ({
       id,
@@ -85,6 +178,13 @@
     }));
   }
 
+  private passes(endpoint: model.Endpoint, filter: LimitFilter): boolean {
+    if (filter === 'any') return true;
+    return filter === 'unlimited'
+      ? !this.permits.isLimited(endpoint)
+      : this.permits.heldBackMs(endpoint) === 0;
+  }
+
   /**
    * The healthy endpoints without those that a request must avoid, since one
    * more crash would not tell it from another that runs there. If all would be
@@ -162,6 +262,14 @@
       .recordPlacement({prefix, endpoint: endpointId}, nowMs);
   }
 
+  private get permits(): sendPermits.SendPermits {
+    return this.kernel.find(sendPermits.SEND_PERMITS);
+  }
+
+  private nowMs(): number {
+    return this.kernel.find(core.CLOCK).nowMs();
+  }
+
   private get endpoints(): endpointRegistry.EndpointRegistry {
     return this.kernel.find(endpointRegistry.ENDPOINT_REGISTRY);
   }
--- a/packages/direct/src/gossip.ts
+++ b/packages/direct/src/gossip.ts
@@ -60,6 +60,7 @@
   proofs: [],
   placements: [],
   failures: [],
+  limits: [],
   members: [],
 };
 
@@ -93,7 +94,7 @@
   start(): Promise<void> {
     this.kernel
       .find(datagrams.DATAGRAMS)
-      .onReceive((bytes, address) => this.receive(bytes, address));
+      .onReceive('digest', (bytes, address) => this.receive(bytes, address));
     this.kernel
       .find(activeTables.ACTIVE_TABLES)
       .onChange(() => this.sendSoon());
@@ -261,7 +262,7 @@
     const transport = this.kernel.find(datagrams.DATAGRAMS);
     for (const address of addresses) {
       if (address !== this.routerSettings.address) {
-        transport.send(bytes, address);
+        transport.send('digest', bytes, address);
       }
     }
   }
--- a/packages/direct/src/gossipnews.ts
+++ b/packages/direct/src/gossipnews.ts
@@ -17,6 +17,7 @@
 const MAX_CRASHES = 4;
 const MAX_PROOFS = 16;
 const MAX_FAILURES = 12;
+const MAX_LIMITS = 16;
 
 /** Maximum number of items of one kind that wait to be sent. */
 const MAX_QUEUED = 512;
@@ -35,6 +36,9 @@
 /** Number of digests that carry a crash or a proof if each goes to all. */
 const CRASH_REPEATS_TO_ALL = 3;
 
+/** Number of digests that carry a limit if each goes to all. */
+const LIMIT_REPEATS_TO_ALL = 2;
+
 /** Number of digests that carry a note about a router if each goes to all. */
 const MEMBER_REPEATS_TO_ALL = 2;
 
@@ -54,6 +58,9 @@
   private readonly failures = new decide.BoundedRumorQueue<decide.FailureNote>(
     MAX_QUEUED,
   );
+  private readonly limits = new decide.BoundedRumorQueue<decide.LimitNote>(
+    MAX_QUEUED,
+  );
 
   constructor(private readonly kernel: core.Kernel) {}
 
@@ -84,6 +91,7 @@
         isForAll ? MAX_PLACEMENTS_TO_ALL : MAX_PLACEMENTS,
       ),
       failures: this.failures.take(MAX_FAILURES).filter(isFresh),
+      limits: this.limits.take(MAX_LIMITS),
       members: this.members.take(MAX_MEMBERS),
     };
   }
@@ -103,7 +111,14 @@
     const areCrashesNew = this.applyCrashes(news, isPassedOn, nowMs);
     this.applyPlacements(news, isPassedOn, nowMs);
     const areFailuresNew = this.applyFailures(news, isPassedOn, nowMs);
-    return areEndpointsNew || areMembersNew || areCrashesNew || areFailuresNew;
+    const areLimitsNew = this.applyLimits(news, isPassedOn);
+    return (
+      areEndpointsNew ||
+      areMembersNew ||
+      areCrashesNew ||
+      areFailuresNew ||
+      areLimitsNew
+    );
   }
 
   /** Queues what this router's own services have to tell. */
@@ -120,6 +135,10 @@
       this.crashes.add(crashNoteKey(note), note, crashRepeats);
     }
     for (const note of proofs) this.proofs.add(note.key, note, crashRepeats);
+    const limitRepeats = isForAll ? LIMIT_REPEATS_TO_ALL : SAMPLED_REPEATS;
+    for (const note of this.kernel.find(decisions.ENDPOINT_LIMITS).takeNews()) {
+      this.limits.add(note.id, note, limitRepeats);
+    }
     const failures = this.kernel.find(decisions.ENDPOINT_HEALTH).takeFailures();
     // In a small fleet the counts of outcomes tell all routers the failures.
     if (isForAll) return;
@@ -209,6 +228,20 @@
     }
     return isUrgent;
   }
+
+  private applyLimits(
+    news: digestCodec.DigestNews,
+    isPassedOn: boolean,
+  ): boolean {
+    const limits = this.kernel.find(decisions.ENDPOINT_LIMITS);
+    const newNotes = news.limits.filter(note => limits.applyNote(note));
+    if (isPassedOn) {
+      for (const note of newNotes) {
+        this.limits.add(note.id, note, SAMPLED_REPEATS);
+      }
+    }
+    return newNotes.length > 0;
+  }
 }
 
 function crashNoteKey({crash, reporter, keys}: decide.CrashNote): string {
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -30,6 +30,8 @@
 export * as run from './run.js';
 export * as settings from './settings.js';
 export * as routerState from './routerstate.js';
+export * from './sendpermits.js';
+export * as permitMessage from './permitmessage.js';
 export * from './statesource.js';
 export * as tablesUpdate from './tablesupdate.js';
 export * from './activetables.js';
--- a/packages/direct/src/routerstate.ts
+++ b/packages/direct/src/routerstate.ts
@@ -28,6 +28,13 @@
   keys: v.pipe(v.array(v.string()), v.maxLength(decide.MAX_NOTE_KEYS)),
 });
 
+const limitSchema = v.object({
+  id: v.string(),
+  bornMs: v.optional(v.number()),
+  perSecond: v.optional(v.pipe(v.number(), v.minValue(0))),
+  ageMs: v.number(),
+});
+
 /** Schema of the state on the wire. */
 export const stateSchema = v.object({
   endpoints: v.array(
@@ -41,6 +48,8 @@
   members: v.array(memberSchema),
   /** Crashes under condemned keys. */
   crashes: v.optional(v.array(crashSchema), []),
+  /** Limits that endpoints named. */
+  limits: v.optional(v.array(limitSchema), []),
 });
 
 /** The endpoint records and members known to a router. */
@@ -62,6 +71,12 @@
       .map(({crash, reporter, atMs, keys}) => {
         return {crash, reporter, ageMs: nowMs - atMs, keys: [...keys]};
       }),
+    limits: kernel
+      .find(decisions.ENDPOINT_LIMITS)
+      .all()
+      .map(({observedAtMs, ...note}) => {
+        return {...note, ageMs: nowMs - observedAtMs};
+      }),
   };
 }
 
@@ -70,7 +85,7 @@
  */
 export function merge(
   kernel: core.Kernel,
-  {members, endpointsOffset, endpoints: records, crashes}: RouterState,
+  {members, endpointsOffset, endpoints: records, crashes, limits}: RouterState,
 ): void {
   const nowMs = kernel.find(core.CLOCK).nowMs();
   const endpoints = kernel.find(endpointRegistry.ENDPOINT_REGISTRY);
@@ -84,4 +99,8 @@
   for (const {ageMs, ...note} of crashes) {
     tracker.applyCrash({...note, atMs: nowMs - ageMs}, nowMs);
   }
+  const endpointLimits = kernel.find(decisions.ENDPOINT_LIMITS);
+  for (const {ageMs, ...note} of limits) {
+    endpointLimits.applyNote({...note, observedAtMs: nowMs - ageMs});
+  }
 }
--- a/packages/direct/src/tests/endpointnotices.test.ts
+++ b/packages/direct/src/tests/endpointnotices.test.ts
@@ -22,6 +22,7 @@
   isNotRun: false,
   isMisdirected: false,
   isLeaving: true,
+  namedLimit: {type: 'none'},
 };
 
 /** Logger that records the events of level `info`. */
@@ -48,6 +49,7 @@
       direct.ENDPOINT_NOTICES,
       new decide.RecentEndpointNotices(),
     );
+    kernel.register(direct.ENDPOINT_LIMITS, new decide.NewestEndpointLimits());
   };
 
   beforeEach(setUp);
--- a/packages/direct/src/tests/notrunafterrun.test.ts
+++ b/packages/direct/src/tests/notrunafterrun.test.ts
@@ -48,7 +48,12 @@
     kernel.register(direct.ENDPOINT_SELECTOR, {
       select: (request: unknown, triedIds: ReadonlySet<string>) => {
         const endpoint = endpoints.find(({id}) => !triedIds.has(id));
-        return endpoint && {endpoint, placement: {endpoint, reason: 'load'}};
+        const placement = {endpoint, reason: 'load'};
+        return Promise.resolve(
+          endpoint
+            ? {type: 'selected', choice: {endpoint, placement}}
+            : {type: 'none'},
+        );
       },
     } as unknown as direct.EndpointSelector);
     kernel.register(direct.ATTEMPT_SENDER, {
--- a/packages/direct/src/tests/simulatedfleet.ts
+++ b/packages/direct/src/tests/simulatedfleet.ts
@@ -45,7 +45,7 @@
   receivedBytes: number;
   sentDatagrams: number;
   storeCalls: number;
-  deliver: direct.DatagramListener | undefined;
+  readonly deliver: Map<direct.DatagramTopic, direct.DatagramListener>;
   readonly transfers: simulatedTransfers.TransferCounters;
   readonly encoded: WeakSet<object>;
   updates: simulatedSource.SourceRouter['updates'];
@@ -122,7 +122,7 @@
   /** Ends a router without notice. */
   kill(router: SimulatedRouter): void {
     router.isRunning = false;
-    router.deliver = undefined;
+    router.deliver.clear();
     void router.kernel.stop();
   }
 
@@ -197,7 +197,7 @@
       receivedBytes: 0,
       sentDatagrams: 0,
       storeCalls: 0,
-      deliver: undefined,
+      deliver: new Map(),
       transfers: simulatedTransfers.createCounters(),
       encoded: new WeakSet(),
       updates: undefined,
@@ -248,6 +248,13 @@
       direct.ENDPOINT_NOTICES,
       new decide.RecentEndpointNotices(),
     );
+    kernel.register(
+      direct.ENDPOINT_LIMITS,
+      new decide.NewestEndpointLimits({
+        onNews: () => kernel.find(direct.GOSSIP).sendSoon(),
+      }),
+    );
+    kernel.register(direct.PERMIT_GRANTER, new decide.PacedPermitGranter());
     kernel.register(direct.FLEET_LOAD, new decide.SummedFleetLoad());
     kernel.register(direct.PREFIX_HOMES, new decide.SharedPrefixHomes());
     kernel.register(
@@ -299,14 +306,15 @@
       direct.GOSSIP,
       new direct.DigestGossip(kernel, routerSettings),
     );
+    kernel.register(direct.SEND_PERMITS, new direct.HomeSendPermits(kernel));
   }
 
   private datagramsFor(router: SimulatedRouter): direct.Datagrams {
     return {
-      onReceive: listener => {
-        router.deliver = listener;
+      onReceive: (topic, listener) => {
+        router.deliver.set(topic, listener);
       },
-      send: (bytes, address) => {
+      send: (topic, bytes, address) => {
         router.sentBytes += bytes.length + HEADER_BYTES;
         router.sentDatagrams += 1;
         const receiver = this.byAddress.get(address);
@@ -320,7 +328,7 @@
           const current = this.byAddress.get(address);
           if (!current?.isRunning || current.isCut) return;
           current.receivedBytes += bytes.length + HEADER_BYTES;
-          current.deliver?.(bytes, router.address);
+          current.deliver.get(topic)?.(bytes, router.address);
         });
       },
     };
--- a/packages/direct/src/wireprotocol.ts
+++ b/packages/direct/src/wireprotocol.ts
@@ -45,6 +45,16 @@
   readonly contextFrom?: string;
 }
 
+/**
+ * What a response says of the requests a second that its endpoint takes from
+ * all routers together.
+ */
+export type NamedLimit =
+  | {readonly type: 'none'}
+  | {readonly type: 'limit'; readonly perSecond: number}
+  /** The value is malformed, so what was said before still holds. */
+  | {readonly type: 'unreadable'};
+
 /** Head of an endpoint's response. */
 export interface EndpointResponseHead {
   readonly requestId?: string;
@@ -64,6 +74,7 @@
    * does not say so.
    */
   readonly holdOffMs?: number;
+  readonly namedLimit: NamedLimit;
   /**
    * Requests that run or wait at the endpoint; absent if it does not report its
    * load.
--- a/packages/router/src/tests/directholdoff.test.ts
+++ b/packages/router/src/tests/directholdoff.test.ts
@@ -105,6 +105,7 @@
       isNotRun: true,
       isMisdirected: false,
       isLeaving: false,
+      namedLimit: {type: 'none'},
       holdOffMs: 100,
     });
     const {arrivalCount} = full;
--- a/packages/router/src/tests/directnotices.test.ts
+++ b/packages/router/src/tests/directnotices.test.ts
@@ -153,13 +153,14 @@
     const notices = kernel.find(direct.ENDPOINT_NOTICES);
     let first: string | undefined;
     // The notice arrives after the selection, while the router connects.
-    selector.select = (request, triedIds) => {
-      const choice = select(request, triedIds);
-      if (choice && first === undefined) {
-        first = choice.endpoint.id;
-        queueMicrotask(() => notices.recordLeaving(choice.endpoint));
+    selector.select = async (request, triedIds) => {
+      const selection = await select(request, triedIds);
+      if (selection.type === 'selected' && first === undefined) {
+        const {endpoint} = selection.choice;
+        first = endpoint.id;
+        queueMicrotask(() => notices.recordLeaving(endpoint));
       }
-      return choice;
+      return selection;
     };
     const response = await fleet.call('/book/a');
     expect(response.status).to.equal(200);
--- a/packages/router/src/wiredirect.ts
+++ b/packages/router/src/wiredirect.ts
@@ -37,6 +37,13 @@
     }),
   );
   kernel.register(direct.ENDPOINT_NOTICES, new decide.RecentEndpointNotices());
+  kernel.register(
+    direct.ENDPOINT_LIMITS,
+    new decide.NewestEndpointLimits({
+      onNews: () => kernel.find(direct.GOSSIP).sendSoon(),
+    }),
+  );
+  kernel.register(direct.PERMIT_GRANTER, new decide.PacedPermitGranter());
   kernel.register(direct.FLEET_LOAD, new decide.SummedFleetLoad());
   kernel.register(direct.PREFIX_HOMES, new decide.SharedPrefixHomes());
   kernel.register(
@@ -150,6 +157,7 @@
     direct.GOSSIP,
     new direct.DigestGossip(kernel, routerSettings),
   );
+  kernel.register(direct.SEND_PERMITS, new direct.HomeSendPermits(kernel));
   kernel.register(
     direct.HOME_RECOVERY,
     new direct.HomeRecovery(kernel, routerSettings),
