--- a/packages/direct/src/routerstate.ts
+++ b/packages/direct/src/routerstate.ts
@@ -74,6 +74,7 @@
     limits: kernel
       .find(decisions.ENDPOINT_LIMITS)
       .all()
+      .filter(({id}) => endpoints.find(id) !== undefined)
       .map(({observedAtMs, ...note}) => {
         return {...note, ageMs: nowMs - observedAtMs};
       }),
--- a/packages/direct/src/sendpermits.ts
+++ b/packages/direct/src/sendpermits.ts
@@ -158,8 +158,7 @@
       timeout.abort();
     });
     this.send({type: 'question', id, ...question}, address);
-    const timeoutMs = REPLY_TIMEOUT_MS + question.maxWaitMs;
-    await this.kernel.find(core.CLOCK).sleep(timeoutMs, timeout.signal);
+    await this.kernel.find(core.CLOCK).sleep(REPLY_TIMEOUT_MS, timeout.signal);
     this.pending.delete(id);
     return reply;
   }
