Limit the crashes in a digest by their keys instead of to four

Cause: a digest carried at most four notes of crashes, so the notes of many reporters wait behind each other.

Change: at most 12 notes with 96 keys in all, which is what four of the largest had; a queue of rumors takes a limit on the cost of a message.

--- a/packages/decide/src/rumors.ts
+++ b/packages/decide/src/rumors.ts
@@ -5,6 +5,12 @@
  * stops.
  */
 
+/** Limit on the items of one message beside their number. */
+export interface CostLimit<T> {
+  readonly maxCost: number;
+  costOf(item: T): number;
+}
+
 /** News to pass on in the next messages. */
 export interface RumorQueue<T> {
   /**
@@ -13,8 +19,11 @@
    * @param repeats number of messages that carry the item
    */
   add(key: string, item: T, repeats: number): void;
-  /** The news for the next message, at most `maxItems`. */
-  take(maxItems: number): readonly T[];
+  /**
+   * The news for the next message, at most `maxItems`, and as many as the limit
+   * allows, but at least one.
+   */
+  take(maxItems: number, limit?: CostLimit<T>): readonly T[];
   /** Number of items that are still to be sent. */
   readonly size: number;
 }
@@ -43,10 +52,13 @@
     this.append(key, {item, sendsLeft: repeats});
   }
 
-  take(maxItems: number): readonly T[] {
+  take(maxItems: number, limit?: CostLimit<T>): readonly T[] {
     const batch: Array<readonly [string, Rumor<T>]> = [];
+    let cost = 0;
     for (const entry of this.rumors) {
       if (batch.length >= maxItems) break;
+      cost += limit?.costOf(entry[1].item) ?? 0;
+      if (limit && batch.length > 0 && cost > limit.maxCost) break;
       batch.push(entry);
     }
     for (const [key, {item, sendsLeft}] of batch) {
--- a/packages/decide/src/tests/rumors.test.ts
+++ b/packages/decide/src/tests/rumors.test.ts
@@ -81,4 +81,13 @@
     );
     fc.assert(property, PROPERTY_OPTIONS);
   });
+
+  it('keeps a message within the limit on its items, and sends a large one alone', () => {
+    const queue = new rumors.BoundedRumorQueue<number>(8);
+    for (const cost of [9, 3, 4, 2]) queue.add(String(cost), cost, 1);
+    const limit = {maxCost: 7, costOf: (item: number) => item};
+    expect(queue.take(8, limit)).to.deep.equal([9]);
+    expect(queue.take(8, limit)).to.deep.equal([3, 4]);
+    expect(queue.take(8, limit)).to.deep.equal([2]);
+  });
 });
--- a/packages/direct/src/gossipnews.ts
+++ b/packages/direct/src/gossipnews.ts
@@ -14,11 +14,17 @@
 const MAX_MEMBERS = 12;
 const MAX_PLACEMENTS = 16;
 const MAX_PLACEMENTS_TO_ALL = 64;
-const MAX_CRASHES = 4;
+const MAX_CRASHES = 12;
 const MAX_PROOFS = 16;
 const MAX_FAILURES = 12;
 const MAX_LIMITS = 16;
 
+/** Limit on the keys of the crashes in one digest; most notes have few. */
+const CRASH_KEYS: decide.CostLimit<decide.CrashNote> = {
+  maxCost: 96,
+  costOf: ({keys}) => keys.length,
+};
+
 /** Maximum number of items of one kind that wait to be sent. */
 const MAX_QUEUED = 512;
 
@@ -85,7 +91,7 @@
       endpointChanges: this.kernel
         .find(endpointRegistry.ENDPOINT_REGISTRY)
         .recentChanges(nowMs),
-      crashes: this.crashes.take(MAX_CRASHES),
+      crashes: this.crashes.take(MAX_CRASHES, CRASH_KEYS),
       proofs: this.proofs.take(MAX_PROOFS),
       placements: this.placements.take(
         isForAll ? MAX_PLACEMENTS_TO_ALL : MAX_PLACEMENTS,
