--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -20,16 +20,24 @@
 const PAUSE_MS = 200;
 /** The engines in trouble spoil 5 in 100 of their answers. */
 const EVERY_NTH = 20;
+/** Response-time goal of the streams; callers wait for four times as long. */
+const GOAL_MS = 1_500;
 const STEP_MS = 60;
 const EVENTS = 4;
 const WORK_MS = 20;
 const DESK_TIMEOUT_MS = 1_500;
-/** Time after `timeoutMs` by which there has to be an answer, in ms. */
+/**
+ * Time after `timeoutMs` by which there has to be an answer, and after a caller
+ * has left by which its engine is let go, in ms.
+ */
 const SLACK_MS = 500;
 const CONTACT_MS = 3_000;
 
 const deployment = new Deployment(import.meta.dirname);
 
+/** When the channels of endless answers closed at their engine, by id. */
+const closedMs = new Map();
+
 async function handleStream({engine, request, response, run}) {
   run();
   response.writeHead(200, {
@@ -64,11 +72,12 @@
     `i-${name}`,
     everyNth,
   ]);
-  child.stdout.on('data', text =>
-    deployment.record.add('endless_answer_closed', {
-      after_ms: String(text).trim().split(' ').at(-1),
-    }),
-  );
+  child.stdout.on('data', text => {
+    for (const [, id] of String(text).matchAll(/closed (\w+)/g)) {
+      closedMs.set(id, performance.now());
+      deployment.record.add('endless_answer_closed', {id});
+    }
+  });
   deployment.register(`i-${name}`, {
     service: 'oleander-pool',
     address: `${host}:${port}`,
@@ -91,7 +100,7 @@
   const storeAddress = await deployment.startStore();
   deployment.configure({
     routes: [
-      createRoute({name: 'chat', pathPrefix: '/chat/'}),
+      createRoute({name: 'chat', pathPrefix: '/chat/', goalMs: GOAL_MS}),
       createRoute({
         name: 'desk',
         pathPrefix: '/desk/',
@@ -121,7 +130,12 @@
   const streams = [];
   const calls = [];
   const endMs = performance.now() + TRAFFIC_MS;
-  const stream = {prefix: '/chat/', deadlineMs: 15_000, isStream: true};
+  const stream = {
+    prefix: '/chat/',
+    deadlineMs: 15_000,
+    gapMs: 4 * GOAL_MS,
+    isStream: true,
+  };
   const call = {prefix: '/desk/', deadlineMs: 20_000};
   await Promise.all(
     Array.from({length: CALLERS}, (_, index) => [
@@ -134,11 +148,21 @@
   const unanswered = overdue.filter(
     ({tookMs}) => tookMs > DESK_TIMEOUT_MS + SLACK_MS,
   );
+  const left = streams.filter(({outcome}) => outcome === 'left');
+  const endless = left.filter(({id}) => closedMs.has(id));
+  const kept = endless.filter(
+    ({id, sentMs, tookMs}) => closedMs.get(id) - sentMs - tookMs > SLACK_MS,
+  );
+  for (const {id, sentMs, tookMs} of kept) {
+    const afterMs = Math.round(closedMs.get(id) - sentMs - tookMs);
+    deployment.record.add('engine_kept_at_work', {id, after_ms: afterMs});
+  }
   const longestMs = Math.max(...calls.map(({tookMs}) => tookMs));
   deployment.finish(
-    unanswered.length > overdue.length / 2,
+    unanswered.length > overdue.length / 2 || kept.length > endless.length / 4,
     `${calls.length} calls, ${overdue.length} unanswered at timeoutMs, ` +
       `${unanswered.length} of them half a second later, ` +
-      `longest ${longestMs} ms; ${streams.length} streams`,
+      `longest ${longestMs} ms; ${streams.length} streams, ${endless.length} ` +
+      `without end, ${kept.length} kept half a second after the caller left`,
   );
 });
--- a/review/harness/endless.mjs
+++ b/review/harness/endless.mjs
@@ -2,6 +2,7 @@
  * Stand-in for a model engine in trouble, a process of its own: the body of one
  * in `everyNth` of its answers goes on with bytes that are no events, without
  * end, until the caller closes. The bytes come at the speed of a machine's link.
+ * It prints the id of each such answer when its channel closes.
  *
  * Arguments: address, port, id of the engine, everyNth (0: never).
  */
@@ -16,31 +17,28 @@
 const GARBAGE_INTERVAL_MS = 10;
 let count = 0;
 
-function answer(response, isEndless) {
+function answer(id, response, isEndless) {
   let number = 0;
   const timer = setInterval(() => {
     number += 1;
     response.write(eventText(number));
     if (number < EVENTS && !isEndless) return;
     clearInterval(timer);
-    if (isEndless) pour(response);
+    if (isEndless) pour(id, response);
     else response.end();
   }, STEP_MS);
   response.once('close', () => clearInterval(timer));
 }
 
-function pour(response) {
+function pour(id, response) {
   let isFull = false;
   response.on('drain', () => (isFull = false));
   const timer = setInterval(() => {
     if (!isFull) isFull = !response.write(GARBAGE);
   }, GARBAGE_INTERVAL_MS);
-  const startMs = performance.now();
   response.once('close', () => {
     clearInterval(timer);
-    process.stdout.write(
-      `endless ${Math.round(performance.now() - startMs)}\n`,
-    );
+    process.stdout.write(`closed ${id}\n`);
   });
 }
 
@@ -56,6 +54,7 @@
     'response-seal': `seal.${engineId}`,
     'content-type': 'text/event-stream',
   });
-  answer(response, Number(everyNth) > 0 && count % Number(everyNth) === 0);
+  const isEndless = Number(everyNth) > 0 && count % Number(everyNth) === 0;
+  answer(request.headers['attempt-id'], response, isEndless);
 });
 server.listen(Number(port), host, () => process.stdout.write('listening\n'));
