--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -15,7 +15,9 @@
 } from '../harness/deployment.mjs';
 import {Engine, eventText} from '../harness/engine.mjs';
 
-const CALLERS = 12;
+const STREAM_CALLERS = 16;
+const DESK_CALLERS = 8;
+const ROUTERS = 2;
 const TRAFFIC_MS = 45_000;
 const PAUSE_MS = 200;
 /** The engines in trouble spoil 5 in 100 of their answers. */
@@ -124,7 +126,7 @@
   ]);
   for (const engine of engines) await engine.start();
   for (const name of ['c', 'd']) await startTroubledEngine(name);
-  await deployment.startRouters(3, storeAddress);
+  await deployment.startRouters(ROUTERS, storeAddress);
   await sleep(CONTACT_MS + 1_000);
 
   const streams = [];
@@ -137,12 +139,14 @@
     isStream: true,
   };
   const call = {prefix: '/desk/', deadlineMs: 20_000};
-  await Promise.all(
-    Array.from({length: CALLERS}, (_, index) => [
+  await Promise.all([
+    ...Array.from({length: STREAM_CALLERS}, (_, index) =>
       sendUntil(endMs, index, stream, streams),
+    ),
+    ...Array.from({length: DESK_CALLERS}, (_, index) =>
       sendUntil(endMs, index, call, calls),
-    ]).flat(),
-  );
+    ),
+  ]);
 
   const overdue = calls.filter(({tookMs}) => tookMs > DESK_TIMEOUT_MS);
   const unanswered = overdue.filter(
