--- a/review/harness/deployment.mjs
+++ b/review/harness/deployment.mjs
@@ -227,7 +227,7 @@
       router.fields.bootstrap = 'false';
       setTimeout(() => {
         if (!this.#isStopping) this.#startRouter(router);
-      }, RESTART_DELAY_MS);
+      }, router.restartDelayMs ?? RESTART_DELAY_MS);
     });
   }
 
