--- a/review/harness/deployment.mjs
+++ b/review/harness/deployment.mjs
@@ -28,6 +28,9 @@
 const RESTART_DELAY_MS = 500;
 
 const READY_TIMEOUT_MS = 20_000;
+
+/** Time after which a case gives up, in ms. */
+const MAX_CASE_MS = 115_000;
 const ZONES = ['zone-a', 'zone-b', 'zone-c'];
 
 export const sleep = ms => new Promise(resolve => setTimeout(resolve, ms));
@@ -66,6 +69,7 @@
   constructor(caseFolder) {
     this.record = new Record(caseFolder);
     process.on('exit', () => this.#killAll());
+    setTimeout(() => process.exit(2), MAX_CASE_MS).unref();
     for (const signal of ['SIGINT', 'SIGTERM']) {
       process.on(signal, () => process.exit(2));
     }
@@ -227,7 +231,7 @@
       router.fields.bootstrap = 'false';
       setTimeout(() => {
         if (!this.#isStopping) this.#startRouter(router);
-      }, router.restartDelayMs ?? RESTART_DELAY_MS);
+      }, RESTART_DELAY_MS);
     });
   }
 
