--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -4,15 +4,15 @@
  * channel, when the next request has come. The copy carries the id of the
  * request that it answers. Streams that may not be resumed must run once.
  */
-import {Caller} from '../harness/caller.mjs';
+import {Caller} from '../caller.mjs';
 import {
   Deployment,
   createRoute,
   isTroubled,
   runCase,
   sleep,
-} from '../harness/deployment.mjs';
-import {Engine, eventText} from '../harness/engine.mjs';
+} from '../deployment.mjs';
+import {Engine, eventText} from '../engine.mjs';
 
 const CALLERS = 15;
 const REQUESTS_PER_CALLER = 60;
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -3,15 +3,15 @@
  * can't be read, since no port has that number. The entry names no engine to
  * use, and the other engines hold.
  */
-import {Caller} from '../harness/caller.mjs';
+import {Caller} from '../caller.mjs';
 import {
   Deployment,
   createRoute,
   isTroubled,
   runCase,
   sleep,
-} from '../harness/deployment.mjs';
-import {Engine} from '../harness/engine.mjs';
+} from '../deployment.mjs';
+import {Engine} from '../engine.mjs';
 
 const CALLERS = 30;
 /** Time for which the callers send, and when the entry is written, in ms. */
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -3,7 +3,7 @@
  * with bytes that are no events, without end, until the caller closes. Requests
  * of another route and service pass through the same routers meanwhile.
  */
-import {Caller} from '../harness/caller.mjs';
+import {Caller} from '../caller.mjs';
 import {
   Deployment,
   ROOT,
@@ -12,8 +12,8 @@
   isTroubled,
   runCase,
   sleep,
-} from '../harness/deployment.mjs';
-import {Engine, eventText} from '../harness/engine.mjs';
+} from '../deployment.mjs';
+import {Engine, eventText} from '../engine.mjs';
 
 const STREAM_CALLERS = 16;
 const DESK_CALLERS = 8;
@@ -66,7 +66,7 @@
 async function startTroubledEngine(name) {
   const host = deployment.nextAddress();
   const port = await freePort(host);
-  const file = `${ROOT}/review/harness/endless.mjs`;
+  const file = `${ROOT}/review/endless.mjs`;
   const everyNth = isTroubled ? EVERY_NTH : 0;
   const child = await deployment.startProgram(file, [
     host,
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -4,16 +4,16 @@
  * `contactMs` after that, a key is taken away. Requests with that key that are
  * sent later than `configMs` after the confirmation must not run.
  */
-import {Caller} from '../harness/caller.mjs';
+import {Caller} from '../caller.mjs';
 import {
   Deployment,
   createRoute,
   isTroubled,
   runCase,
   sleep,
-} from '../harness/deployment.mjs';
-import {Engine} from '../harness/engine.mjs';
-import {SilencingProxy} from '../harness/proxy.mjs';
+} from '../deployment.mjs';
+import {Engine} from '../engine.mjs';
+import {SilencingProxy} from '../proxy.mjs';
 
 const CALLERS = 6;
 const PAUSE_MS = 100;
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 # checks that each of them can be read.
 set -eu
 cd "$(dirname "$0")"
-for file in harness/*.mjs [1-5]/*.mjs; do
+for file in ./*.mjs [1-5]/*.mjs; do
   [ -f "$file" ] || continue
   node --check "$file"
 done
--- a/review/harness/deployment.mjs
+++ b/review/deployment.mjs
@@ -15,7 +15,7 @@
 
 export const ROOT = path.resolve(
   path.dirname(url.fileURLToPath(import.meta.url)),
-  '../..',
+  '..',
 );
 
 /** Host name of all routes. */
