Believe a refusal only if it carries the request's id

Cause: the check of a response's head returned early for heads that say "not run", before it compared the ids. A late copy of a refusal on a kept connection was taken for the answer to the next request, which ran there and was sent elsewhere as well. Loads, limits and notices were read from such heads too.

Change: one decision, responsecheck.ts, ahead of all that reads a head. A promise needs the request's id; only a new connection may bring one without it, where no earlier request exists. Otherwise the outcome is unknown and the connection is closed. attempt_failed names the id and the connection's earlier requests.

--- a/packages/core/src/relay.ts
+++ b/packages/core/src/relay.ts
@@ -18,7 +18,7 @@
   /**
    * Checks that a response head belongs to this request. `isReused` states if
    * the connection carried requests before. Returns the reason for rejecting
-   * the response, or undefined to accept it.
+   * the response, which closes the connection, or undefined to accept it.
    */
   readonly checkHead?: (
     response: http.IncomingMessage,
@@ -60,6 +60,8 @@
 export interface ResponseHead {
   readonly type: 'head';
   readonly response: http.IncomingMessage;
+  /** Number of requests that the connection carried before this one. */
+  readonly earlierRequests: number;
 }
 
 /** A failed request. */
@@ -78,6 +80,16 @@
 
 class TimeoutError extends Error {}
 
+/** Number of requests that each open connection has carried. */
+const requestCounts = new WeakMap<net.Socket, number>();
+
+/** Counts a request; returns the number of those before it. */
+function countRequest(socket: net.Socket): number {
+  const earlierRequests = requestCounts.get(socket) ?? 0;
+  requestCounts.set(socket, earlierRequests + 1);
+  return earlierRequests;
+}
+
 /**
  * Destroys `target` with a `TimeoutError` after `delayMs`, unless the returned
  * function is called before.
@@ -172,8 +184,10 @@
     options.connectTimeoutMs,
     'no connection',
   );
+  let earlierRequests: number;
   try {
     const socket = await awaitConnection(request);
+    earlierRequests = countRequest(socket);
     socket.setNoDelay(true);
     socket.setKeepAlive(true, 1_000);
   } catch (error) {
@@ -193,12 +207,13 @@
       'the request may no longer be dispatched',
     );
   }
-  return awaitHead(request, options);
+  return awaitHead(request, options, earlierRequests);
 }
 
 async function awaitHead(
   request: http.ClientRequest,
   options: RelayOptions,
+  earlierRequests: number,
 ): Promise<ResponseHead | RelayFailure> {
   const cancelResponseTimeout = startTimeout(
     request,
@@ -212,12 +227,12 @@
   request.end(options.body);
   try {
     const response = await awaitResponse(request);
-    const rejection = options.checkHead?.(response, request.reusedSocket);
+    const rejection = options.checkHead?.(response, earlierRequests > 0);
     if (!rejection) {
       // Without this, a connection reset would look like the regular end of a
       // response that has no content-length.
       request.once('error', error => response.destroy(error));
-      return {type: 'head', response};
+      return {type: 'head', response, earlierRequests};
     }
     request.destroy();
     return relayFailure('sent', 'protocol', rejection);
--- a/packages/direct/src/attempt.ts
+++ b/packages/direct/src/attempt.ts
@@ -15,6 +15,7 @@
 import * as liveness from './liveness.js';
 import type * as model from './model.js';
 import * as requestWatch from './requestwatch.js';
+import * as responseCheck from './responsecheck.js';
 
 /** Options of an attempt. */
 export interface AttemptOptions {
@@ -45,6 +46,16 @@
 export type FailureCause =
   'broken' | 'protocol' | 'timeout' | 'silent' | 'dead';
 
+/** A response that states that the endpoint did not run the request. */
+export interface EndpointRefusal {
+  readonly type: 'not_run';
+  readonly status: number;
+  /** Request id in the response's head. */
+  readonly headId?: string;
+  /** Number of requests that the connection carried before this one. */
+  readonly earlierRequests: number;
+}
+
 /** The result of an attempt. */
 export type AttemptResult =
   /** No byte was sent; another endpoint may be tried. */
@@ -55,7 +66,7 @@
    */
   | {readonly type: 'withheld'}
   /** The endpoint reports that it did not run the request. */
-  | {readonly type: 'not_run'; readonly status: number}
+  | EndpointRefusal
   | {
       readonly type: 'broken';
       readonly cause: FailureCause;
@@ -112,7 +123,7 @@
       activeAttempt.release();
       return result;
     }
-    const {response} = relayResult;
+    const {response, earlierRequests} = relayResult;
     const status = response.statusCode ?? 0;
     const head = this.protocol.readEndpointResponse(status, response.headers);
     activeAttempt.recordActivity();
@@ -133,7 +144,7 @@
       this.kernel.find(connections.CONNECTION_POOL).remove(options.endpoint.id);
       this.health.recordUnreachable(options.endpoint.id, this.nowMs());
     }
-    return {type: 'not_run', status};
+    return {type: 'not_run', status, headId: head.requestId, earlierRequests};
   }
 
   private recordLoad(
@@ -179,7 +190,8 @@
       agent,
       connectTimeoutMs: Math.min(liveness.CONNECT_TIMEOUT_MS, timeoutMs),
       firstByteTimeoutMs: timeoutMs,
-      checkHead: response => this.checkHead(response, request),
+      checkHead: (response, isReused) =>
+        this.checkHead(response, isReused, request),
       mayDispatch: () => this.mayDispatch(options),
       signal: activeAttempt.signal,
     };
@@ -191,24 +203,14 @@
     return isPermitted && endpointNotices.isWilling(this.kernel, endpoint);
   }
 
-  /**
-   * Checks that the response carries the request's id and, if it is a success,
-   * the endpoint's seal. Returns what is wrong with the head; undefined if
-   * it is valid.
-   */
   private checkHead(
     response: http.IncomingMessage,
-    request: routedRequest.RoutedRequest,
+    isReused: boolean,
+    {head: {requestId}}: routedRequest.RoutedRequest,
   ): string | undefined {
     const status = response.statusCode ?? 0;
     const head = this.protocol.readEndpointResponse(status, response.headers);
-    if (head.isNotRun) return undefined;
-    if (head.requestId !== request.head.requestId) {
-      return `the response carries the id ${head.requestId ?? 'none'}`;
-    }
-    const isSuccess = status >= 200 && status < 300;
-    if (isSuccess && !head.isSealed) return 'the response has no seal';
-    return undefined;
+    return responseCheck.rejectionOf({status, head, isReused}, requestId);
   }
 
   private async classifyError(
--- a/packages/direct/src/dispatcher.ts
+++ b/packages/direct/src/dispatcher.ts
@@ -225,6 +225,7 @@
         endpoint: id,
         result: result.type,
         detail: 'detail' in result ? result.detail : result.status,
+        ...(result.type === 'not_run' ? refusalFields(result) : {}),
       });
     }
   }
@@ -354,6 +355,11 @@
   }
 }
 
+/** Log fields that tell why a refusal was taken for that of the request. */
+function refusalFields({headId, earlierRequests}: attempt.EndpointRefusal) {
+  return {head_id: headId ?? 'none', earlier_requests: earlierRequests};
+}
+
 function refusedFailure(detail: string): core.Failure {
   return {kind: 'endpoint_refused', detail};
 }
--- /dev/null
+++ b/packages/direct/src/responsecheck.ts
@@ -0,0 +1,38 @@
+/**
+ * Decides whether the head of a response belongs to a request, before anything
+ * in it is believed. A connection that carried requests before may bring a late
+ * copy of an earlier response, so only the request's id ties a response to it.
+ */
+import type * as wireProtocol from './wireprotocol.js';
+
+/** Lowest status that can be passed on; those below it end no request. */
+const MIN_STATUS = 200;
+
+/** A head that was received for a request. */
+export interface ReceivedHead {
+  readonly status: number;
+  readonly head: wireProtocol.EndpointResponseHead;
+  /** Whether the connection carried requests before. */
+  readonly isReused: boolean;
+}
+
+/** Returns why the head is not a valid one for the request, if it is not. */
+export function rejectionOf(
+  {status, head, isReused}: ReceivedHead,
+  requestId: string,
+): string | undefined {
+  if (status < MIN_STATUS) return `the response has the status ${status}`;
+  const isSuccess = status < 300;
+  if (head.isNotRun && isSuccess) {
+    return 'the response is a success that states it did not run the request';
+  }
+  // An endpoint that knows nothing of the request may refuse it without its id.
+  const mayLackId = head.isNotRun && !isReused;
+  const isForeign =
+    head.requestId === undefined ? !mayLackId : head.requestId !== requestId;
+  if (isForeign) {
+    return `the response carries the id ${head.requestId ?? 'none'}`;
+  }
+  if (isSuccess && !head.isSealed) return 'the response has no seal';
+  return undefined;
+}
--- a/packages/direct/src/tests/notrunafterrun.test.ts
+++ b/packages/direct/src/tests/notrunafterrun.test.ts
@@ -15,7 +15,7 @@
     });
     const results = [
       {type: 'broken', cause: 'dead', detail: 'crashed'},
-      {type: 'not_run', status: 503},
+      {type: 'not_run', status: 503, earlierRequests: 0},
     ];
     kernel.register(core.CLOCK, new core.SystemClock());
     kernel.register(core.LOGGER, new core.SilentLogger());
--- a/packages/standins/src/hostedendpoint.ts
+++ b/packages/standins/src/hostedendpoint.ts
@@ -20,6 +20,15 @@
   | {readonly type: 'foreign'}
   /** Sends less of the body than the Content-Length states. */
   | {readonly type: 'truncate'; readonly body?: string}
+  /**
+   * Writes text on the connection, such as a late copy of an earlier answer,
+   * and then behaves as `next` says.
+   */
+  | {
+      readonly type: 'precede';
+      readonly text: string;
+      readonly next: Behaviour;
+    }
   /** Answers without the header `response-seal`. */
   | {readonly type: 'unsealed'}
   /** Answers without a length: the connection is closed, or reset early. */
@@ -157,7 +166,9 @@
       this.chooseBehaviour?.(run) ??
       this.defaultBehaviour;
     if (behaviour.type === 'shed') {
-      response.writeHead(503, {'not-executed': '1'}).end();
+      const id = String(run.headers['attempt-id']);
+      const headers = {'attempt-id': id, 'not-executed': '1'};
+      response.writeHead(503, headers).end();
       return;
     }
     this.runs.push(run);
@@ -195,6 +206,10 @@
       case 'foreign':
         response.writeHead(200, {...headers, 'attempt-id': 'other'}).end('no');
         break;
+      case 'precede':
+        response.socket?.write(behaviour.text);
+        await this.answer(behaviour.next, run, response);
+        break;
       case 'unsealed':
         response.writeHead(200, {'attempt-id': id}).end('no');
         break;
