Keep running whatever record, name or event others write

Cause: http.request threw for the entry after the attempt was recorded, so the attempt stayed in the request watch; its check of the endpoint threw as well, in a promise without a handler, which ends the process. The class is a throw between "recorded" and "released", and rejections that nobody handles.

Change: one schema for endpoints wherever they are read (IPv4 address, port, id of visible ASCII, bounded names); malformed items of a state or digest are left out; relay.send never rejects; attempts are always released; detached promises log their failure; service tasks run again; one record or datagram that fails does not hold up the next; unhandled errors are logged and the process goes on.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -26,3 +26,4 @@
 export * from './tables.js';
 export * from './tasks.js';
 export * from './taskservice.js';
+export * from './validitems.js';
--- a/packages/core/src/relay.ts
+++ b/packages/core/src/relay.ts
@@ -38,6 +38,8 @@
 
 /** Stage at which a request failed. */
 export type RelayStage =
+  /** The request cannot be written as HTTP; no byte was sent. */
+  | 'request'
   /** Connecting failed; no byte was sent. */
   | 'connect'
   /** `mayDispatch` returned false; no byte was sent. */
@@ -151,6 +153,7 @@
   return {'content-length': String(body.length)};
 }
 
+/** Throws if the address, path or a header cannot be written. */
 function createRequest(options: RelayOptions): http.ClientRequest {
   return http.request({
     host: options.address,
@@ -173,11 +176,16 @@
   response.once('end', () => socket.destroy());
 }
 
-/** Sends the request and waits for the response head. */
+/** Sends the request and waits for the response head; never rejects. */
 export async function send(
   options: RelayOptions,
 ): Promise<ResponseHead | RelayFailure> {
-  const request = createRequest(options);
+  let request: http.ClientRequest;
+  try {
+    request = createRequest(options);
+  } catch (error) {
+    return relayFailure('request', 'protocol', errors.errorMessage(error));
+  }
   request.on('error', () => undefined);
   const cancelConnectTimeout = startTimeout(
     request,
--- a/packages/core/src/tasks.ts
+++ b/packages/core/src/tasks.ts
@@ -4,11 +4,33 @@
  * failures and stops them together.
  */
 import * as events from 'node:events';
+import type * as clocks from './clock.js';
+import * as errors from './errors.js';
 import type * as logger from './logger.js';
 
 /** Function that a task runs; it must return soon after `signal` aborts. */
 export type TaskBody = (signal: AbortSignal) => Promise<void>;
 
+/** Pause before a service's task that failed runs again, in ms. */
+const RESTART_DELAY_MS = 500;
+
+/**
+ * Runs an operation whose end nobody waits for. If it fails, the error is logged
+ * with its name.
+ */
+export function detach(
+  log: logger.Logger,
+  name: string,
+  operation: () => Promise<unknown>,
+): void {
+  operation().catch(error => logFailure(log, name, error));
+}
+
+function logFailure(log: logger.Logger, name: string, error: unknown): void {
+  const reason = errors.errorMessage(error);
+  log.error('task_failed', {task: name, reason});
+}
+
 /** A group of running tasks that are stopped together. */
 export class TaskGroup {
   private readonly runningTasks = new Set<Promise<void>>();
@@ -37,6 +59,24 @@
     void task.then(() => this.runningTasks.delete(task));
   }
 
+  /**
+   * Starts the task of a service, which runs until the group stops; if it
+   * throws, the error is logged and the task runs again.
+   */
+  supervise(name: string, clock: clocks.Clock, body: TaskBody): void {
+    this.spawn(name, async signal => {
+      while (!signal.aborted) {
+        try {
+          return await body(signal);
+        } catch (error) {
+          if (signal.aborted) return;
+          logFailure(this.log, name, error);
+          await clock.sleep(RESTART_DELAY_MS, signal);
+        }
+      }
+    });
+  }
+
   /** Aborts the signal; resolves when all tasks have returned. */
   async stop(): Promise<void> {
     this.controller.abort();
@@ -48,8 +88,7 @@
       await body(this.controller.signal);
     } catch (error) {
       if (this.controller.signal.aborted) return;
-      const reason = error instanceof Error ? error.message : String(error);
-      this.log.error('task_failed', {task: name, reason});
+      logFailure(this.log, name, error);
     }
   }
 }
--- a/packages/core/src/taskservice.ts
+++ b/packages/core/src/taskservice.ts
@@ -1,4 +1,5 @@
 /** Base class of services that consist of one long-lived task. */
+import * as clocks from './clock.js';
 import type * as kernels from './kernel.js';
 import * as logger from './logger.js';
 import * as tasks from './tasks.js';
@@ -15,7 +16,8 @@
   }
 
   start(): Promise<void> {
-    this.tasks.spawn(this.taskName, signal => this.run(signal));
+    const clock = this.kernel.find(clocks.CLOCK);
+    this.tasks.supervise(this.taskName, clock, signal => this.run(signal));
     return Promise.resolve();
   }
 
@@ -23,6 +25,9 @@
     return this.tasks.stop();
   }
 
-  /** Body of the task; must return soon after `signal` aborts. */
+  /**
+   * Body of the task, which runs again if it throws; must return soon after
+   * `signal` aborts.
+   */
   protected abstract run(signal: AbortSignal): Promise<void>;
 }
--- a/packages/core/src/tests/relay.test.ts
+++ b/packages/core/src/tests/relay.test.ts
@@ -71,6 +71,33 @@
   });
 });
 
+describe('a request that cannot be written', () => {
+  const valid = {
+    address: '127.0.0.1',
+    port: 1,
+    method: 'GET',
+    path: '/',
+    headers: {},
+    body: Buffer.alloc(0),
+    connectTimeoutMs: 1_000,
+    firstByteTimeoutMs: 1_000,
+  };
+  const invalid = [
+    {port: 99_999},
+    {headers: {name: 'line\nbreak'}},
+    {headers: {name: '\u6e2c'}},
+    {path: '/a b'},
+    {method: 'G T'},
+  ];
+  for (const fields of invalid) {
+    it(`fails without a throw: ${JSON.stringify(fields)}`, async () => {
+      const result = await core.relay.send({...valid, ...fields});
+      const stage = result.type === 'error' ? result.error.stage : 'none';
+      expect(stage).to.equal('request');
+    });
+  }
+});
+
 async function writeSlowly(
   response: http.ServerResponse,
   {pieces, pauseMs, hasEnd}: Writing,
--- a/packages/direct/src/attempt.ts
+++ b/packages/direct/src/attempt.ts
@@ -111,17 +111,25 @@
 
   async send(options: AttemptOptions): Promise<AttemptResult> {
     const activeAttempt = new ActiveAttempt(this.kernel, options);
+    let result: AttemptResult | undefined;
+    try {
+      result = await this.sendTracked(options, activeAttempt);
+      return result;
+    } finally {
+      // A response is released once it is complete or abandoned.
+      if (result?.type !== 'response') activeAttempt.release();
+    }
+  }
+
+  private async sendTracked(
+    options: AttemptOptions,
+    activeAttempt: ActiveAttempt,
+  ): Promise<AttemptResult> {
     const relayResult = await core.relay.send(
       this.relayOptions(options, activeAttempt),
     );
     if (relayResult.type === 'error') {
-      const result = await this.classifyError(
-        options,
-        activeAttempt,
-        relayResult.error,
-      );
-      activeAttempt.release();
-      return result;
+      return this.classifyError(options, activeAttempt, relayResult.error);
     }
     const {response, earlierRequests} = relayResult;
     const status = response.statusCode ?? 0;
@@ -139,7 +147,6 @@
       return {type: 'response', response: activeAttempt.openResponse(response)};
     }
     response.resume();
-    activeAttempt.release();
     if (head.isMisdirected) {
       this.kernel.find(connections.CONNECTION_POOL).remove(options.endpoint.id);
       this.health.recordUnreachable(options.endpoint.id, this.nowMs());
@@ -219,6 +226,7 @@
     error: core.relay.RelayError,
   ): Promise<AttemptResult> {
     const {stage, detail} = error;
+    if (stage === 'request') return {type: 'not_sent', detail};
     if (
       stage === 'connect' &&
       activeAttempt.abortCause() === undefined &&
--- a/packages/direct/src/datagrams.ts
+++ b/packages/direct/src/datagrams.ts
@@ -75,18 +75,21 @@
   private receive(bytes: Buffer, senderAddress: string): void {
     const topic = TOPICS[bytes[0] ?? TOPICS.length];
     const listener = topic && this.listeners.get(topic);
-    if (listener) listener(bytes.subarray(1), senderAddress);
-    else {
-      const {length} = bytes;
-      this.kernel
-        .find(core.LOGGER)
-        .warn('datagram_unreadable', {bytes: length});
+    if (!listener) {
+      const fields = {bytes: bytes.length};
+      this.kernel.find(core.LOGGER).warn('datagram_unreadable', fields);
+      return;
+    }
+    try {
+      listener(bytes.subarray(1), senderAddress);
+    } catch (error) {
+      // One datagram must not end the process, nor those after it.
+      this.logError(error);
     }
   }
 
-  private logError(error: Error): void {
-    this.kernel.find(core.LOGGER).warn('datagram_failed', {
-      detail: error.message,
-    });
+  private logError(error: unknown): void {
+    const detail = core.errorMessage(error);
+    this.kernel.find(core.LOGGER).warn('datagram_failed', {detail});
   }
 }
--- a/packages/direct/src/digest.ts
+++ b/packages/direct/src/digest.ts
@@ -9,6 +9,7 @@
 import * as endpointChanges from './endpointchanges.js';
 import * as endpointRegistry from './endpointregistry.js';
 import type * as fleetRegistry from './fleetregistry.js';
+import * as model from './model.js';
 
 const FORMAT_VERSION = 5;
 
@@ -256,7 +257,9 @@
       }),
       failures: decodeFailures(failures, findIdByHash, nowMs),
       limits: decodeLimits(limits, findIdByHash, timeOf),
-      members: members.map(decodeMember),
+      members: members
+        .map(decodeMember)
+        .filter(({router}) => v.is(model.routerSchema, router)),
     },
   };
 }
--- a/packages/direct/src/dispatcher.ts
+++ b/packages/direct/src/dispatcher.ts
@@ -235,8 +235,7 @@
     delivery: responseDelivery.ResponseDelivery,
     progress: DispatchProgress,
   ): boolean {
-    // Only an event stream can be resumed with another endpoint's response.
-    if (delivery.hasBegun && request.route.repeat !== 'stream') return false;
+    if (!delivery.canResume) return false;
     if (progress.sendCount >= MAX_SENDS) return false;
     if (progress.sendCount > 0 && this.isQuarantined(request)) return false;
     if (this.remainingMs(request) < MIN_SEND_TIME_MS) return false;
--- a/packages/direct/src/endpointchanges.ts
+++ b/packages/direct/src/endpointchanges.ts
@@ -4,7 +4,7 @@
  */
 import * as v from 'valibot';
 import * as endpointRegistry from './endpointregistry.js';
-import type * as model from './model.js';
+import * as model from './model.js';
 
 const countSchema = v.pipe(v.number(), v.integer(), v.minValue(0));
 
@@ -50,8 +50,8 @@
 }
 
 /**
- * Decodes a change; undefined if it is that a lifetime drains which is not known
- * here, and so gets no requests.
+ * Decodes a change; undefined if its endpoint cannot be used, or if it is that a
+ * lifetime drains which is not known here, and so gets no requests.
  */
 export function decode(
   change: EncodedChange,
@@ -61,7 +61,9 @@
   const [key, offset] = change;
   if (typeof key === 'string') {
     const encoded = change[2] as EncodedEndpoint | null;
-    return {key, offset, value: decodeEndpoint(key, encoded)};
+    if (!encoded) return {key, offset, value: undefined};
+    const value = decodeEndpoint(key, encoded);
+    return value && {key, offset, value};
   }
   const id = findIdByHash(key);
   const known = id === undefined ? undefined : findEndpoint(id);
@@ -79,11 +81,19 @@
 
 function decodeEndpoint(
   id: string,
-  encoded: EncodedEndpoint | null,
+  encoded: EncodedEndpoint,
 ): model.Endpoint | undefined {
-  if (!encoded) return undefined;
   const [pool, address, port, zone, drainingFlag, bornMs] = encoded;
   const isDraining = drainingFlag === 1;
   const startTime = bornMs === null ? {} : {bornMs};
-  return {id, pool, address, port, zone, isDraining, ...startTime};
+  const parsed = v.safeParse(model.endpointSchema, {
+    id,
+    pool,
+    address,
+    port,
+    zone,
+    isDraining,
+    ...startTime,
+  });
+  return parsed.success ? parsed.output : undefined;
 }
--- a/packages/direct/src/eventsplitter.ts
+++ b/packages/direct/src/eventsplitter.ts
@@ -6,18 +6,29 @@
 
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
+/** Text that a header can carry. */
+const HEADER_VALUE = /^[\t\x20-\x7e\x80-\xff]+$/;
 const EMPTY_BUFFER = Buffer.alloc(0);
 
 /** Splits one caller's event stream, across all endpoints that continue it. */
 export class EventSplitter {
   private pending: Buffer = EMPTY_BUFFER;
   private lastSeenId: string | undefined;
+  private hasPassedEvents = false;
 
-  /** The id of the last complete event. */
+  /**
+   * The id of the last complete event; undefined if there is none that a request
+   * can carry.
+   */
   get lastEventId(): string | undefined {
     return this.lastSeenId;
   }
 
+  /** Whether another endpoint can continue the stream after the last event. */
+  get canResume(): boolean {
+    return !this.hasPassedEvents || this.lastSeenId !== undefined;
+  }
+
   /** Adds bytes and returns all events that are now complete. */
   push(chunk: Buffer): Buffer {
     const bytes =
@@ -25,7 +36,10 @@
     const end = endOfLastEvent(bytes);
     this.pending = bytes.subarray(end);
     const completeEvents = bytes.subarray(0, end);
-    if (completeEvents.length > 0) this.readId(completeEvents);
+    if (completeEvents.length > 0) {
+      this.hasPassedEvents = true;
+      this.readId(completeEvents);
+    }
     return completeEvents;
   }
 
@@ -54,7 +68,8 @@
     if (index < -1) return;
     const start = index + '\nid:'.length;
     const end = text.indexOf('\n', start);
-    this.lastSeenId = text.slice(start, end < 0 ? undefined : end).trim();
+    const id = text.slice(start, end < 0 ? undefined : end).trim();
+    this.lastSeenId = HEADER_VALUE.test(id) ? id : undefined;
   }
 }
 
--- a/packages/direct/src/feedfollowers.ts
+++ b/packages/direct/src/feedfollowers.ts
@@ -155,10 +155,13 @@
       this.endpointsFollower,
       this.routersFollower,
     ];
+    const clock = this.kernel.find(core.CLOCK);
     for (const feedFollower of followers) {
-      this.tasks.spawn('feed', signal => feedFollower.run(signal));
+      this.tasks.supervise('feed', clock, signal => feedFollower.run(signal));
     }
-    this.tasks.spawn('announce', signal => this.announceIfReader(signal));
+    this.tasks.supervise('announce', clock, signal =>
+      this.announceIfReader(signal),
+    );
     return Promise.resolve();
   }
 
--- a/packages/direct/src/follower.ts
+++ b/packages/direct/src/follower.ts
@@ -176,7 +176,7 @@
       if (signal.aborted) break;
       if (result.ok) {
         this.handleSuccess();
-        for (const record of result.page.records) handler.onRecord(record);
+        for (const record of result.page.records) this.handle(record);
         fromOffset = result.page.nextOffset;
         handler.onOffset(fromOffset);
         this.nextOffset = fromOffset;
@@ -197,6 +197,20 @@
     return 'stopped';
   }
 
+  /** Handles a record; one that fails does not hold up those after it. */
+  private handle(record: feeds.FeedRecord<T>): void {
+    try {
+      this.options.handler.onRecord(record);
+    } catch (error) {
+      this.log.error('record_failed', {
+        feed: this.options.name,
+        key: record.key,
+        offset: record.offset,
+        reason: core.errorMessage(error),
+      });
+    }
+  }
+
   private handleSuccess(): void {
     this.failures = 0;
     if (!this.isLost) return;
--- a/packages/direct/src/gossip.ts
+++ b/packages/direct/src/gossip.ts
@@ -101,7 +101,8 @@
     this.kernel
       .find(endpointRegistry.ENDPOINT_REGISTRY)
       .onChange(() => this.sendSoon());
-    this.tasks.spawn('gossip', signal => this.run(signal));
+    const clock = this.kernel.find(core.CLOCK);
+    this.tasks.supervise('gossip', clock, signal => this.run(signal));
     return Promise.resolve();
   }
 
--- a/packages/direct/src/liveness.ts
+++ b/packages/direct/src/liveness.ts
@@ -62,7 +62,10 @@
     const result = this.probe(endpoint);
     const check = {result, atMs: Number.POSITIVE_INFINITY};
     this.checks.set(endpoint.id, check);
-    void result.then(() => this.recordCheckEnd(check));
+    core.detach(this.kernel.find(core.LOGGER), 'liveness', async () => {
+      await result;
+      this.recordCheckEnd(check);
+    });
     return result;
   }
 
--- a/packages/direct/src/model.ts
+++ b/packages/direct/src/model.ts
@@ -5,6 +5,29 @@
  */
 import * as v from 'valibot';
 
+/**
+ * Maximum length of a name in a record; names travel in digests, which have to
+ * fit into a datagram.
+ */
+const MAX_NAME_LENGTH = 255;
+
+/** Name of a pool, failure domain or router. */
+const nameSchema = v.pipe(v.string(), v.maxLength(MAX_NAME_LENGTH));
+
+/** Requests carry the id in a header, so it consists of visible ASCII. */
+const endpointIdSchema = v.pipe(nameSchema, v.regex(/^[\x21-\x7e]+$/));
+
+const addressSchema = v.pipe(v.string(), v.ipv4());
+
+const MAX_PORT = 65_535;
+
+const portSchema = v.pipe(
+  v.number(),
+  v.integer(),
+  v.minValue(1),
+  v.maxValue(MAX_PORT),
+);
+
 /** Whether requests of a route may be retried. */
 export const repeatSchema = v.picklist([
   /** Requests may run more than once. */
@@ -94,11 +117,11 @@
 /** Schema of the record that an endpoint publishes. */
 export const endpointSchema = v.object({
   /** Id of one lifetime of the endpoint, from its start to its end. */
-  id: v.string(),
-  pool: v.string(),
-  address: v.string(),
-  port: v.number(),
-  zone: v.string(),
+  id: endpointIdSchema,
+  pool: nameSchema,
+  address: addressSchema,
+  port: portSchema,
+  zone: nameSchema,
   isDraining: v.boolean(),
   /** Wall-clock time of the endpoint's start, in ms. */
   bornMs: v.optional(v.number()),
@@ -109,10 +132,10 @@
 
 /** Schema of the record that a router publishes. */
 export const routerSchema = v.object({
-  name: v.string(),
-  /** IP address; all routers use the same ports. */
-  address: v.string(),
-  zone: v.string(),
+  name: nameSchema,
+  /** All routers use the same ports. */
+  address: addressSchema,
+  zone: nameSchema,
 });
 
 /** A router of the fleet. */
--- a/packages/direct/src/requestwatch.ts
+++ b/packages/direct/src/requestwatch.ts
@@ -105,7 +105,8 @@
     }
     if (nowMs - entry.lastCheckMs < RECHECK_INTERVAL_MS) return;
     entry.lastCheckMs = nowMs;
-    void this.check(entry);
+    const log = this.kernel.find(core.LOGGER);
+    core.detach(log, 'request-check', () => this.check(entry));
   }
 
   private async check(entry: WatchEntry): Promise<void> {
--- a/packages/direct/src/responsedelivery.ts
+++ b/packages/direct/src/responsedelivery.ts
@@ -53,6 +53,14 @@
     return this.splitter.lastEventId;
   }
 
+  /** Whether another endpoint's response can continue what the caller has. */
+  get canResume(): boolean {
+    return (
+      !this.hasBegun ||
+      (this.request.route.repeat === 'stream' && this.splitter.canResume)
+    );
+  }
+
   /** Aborts a response that cannot be completed. */
   abort(): void {
     this.outgoing.abort();
@@ -84,6 +92,11 @@
         incoming.recordBegun();
       }
       return await this.checkForCrash(result, endpoint);
+    } catch (error) {
+      // The head or body cannot be passed on.
+      incoming.response.destroy();
+      const detail = core.errorMessage(error);
+      return {type: 'broken', cause: 'protocol', detail};
     } finally {
       incoming.release();
     }
--- a/packages/direct/src/routerstate.ts
+++ b/packages/direct/src/routerstate.ts
@@ -37,7 +37,7 @@
 
 /** Schema of the state on the wire. */
 export const stateSchema = v.object({
-  endpoints: v.array(
+  endpoints: core.validItems(
     v.object({
       key: v.string(),
       offset: v.number(),
@@ -45,11 +45,11 @@
     }),
   ),
   endpointsOffset: v.number(),
-  members: v.array(memberSchema),
+  members: core.validItems(memberSchema),
   /** Crashes under condemned keys. */
-  crashes: v.optional(v.array(crashSchema), []),
+  crashes: v.optional(core.validItems(crashSchema), []),
   /** Limits that endpoints named. */
-  limits: v.optional(v.array(limitSchema), []),
+  limits: v.optional(core.validItems(limitSchema), []),
 });
 
 /** The endpoint records and members known to a router. */
--- a/packages/direct/src/run.ts
+++ b/packages/direct/src/run.ts
@@ -54,11 +54,15 @@
   log.info('leaving', {in_flight: ownState.inFlight()});
   kernel.find(gossip.GOSSIP).sendSoon();
   kernel.find(callerListener.CALLER_LISTENER).disableKeepAlive();
-  void kernel.find(feedFollowers.FEED_FOLLOWERS).withdraw();
+  core.detach(log, 'withdraw', () =>
+    kernel.find(feedFollowers.FEED_FOLLOWERS).withdraw(),
+  );
   const graceMs = routerSettings.graceS * 1_000;
   await clock.sleep(graceMs * ACCEPT_FRACTION);
   ownState.stopAccepting();
-  void kernel.find(callerListener.CALLER_LISTENER).drain(graceMs);
+  core.detach(log, 'drain', () =>
+    kernel.find(callerListener.CALLER_LISTENER).drain(graceMs),
+  );
   while (
     ownState.inFlight() > 0 &&
     clock.nowMs() - startMs < graceMs * DRAIN_FRACTION
--- a/packages/router/src/direct.ts
+++ b/packages/router/src/direct.ts
@@ -12,6 +12,9 @@
 
 const SETTINGS_FILE_VARIABLE = 'OLEANDERROCK_CONFIG';
 
+/** Maximum number of unexpected errors that are logged in a second. */
+const MAX_ERROR_LINES_PER_SECOND = 5;
+
 const {SETTINGS, toSettings, applyChanges} = direct.settings;
 
 type Flags = Record<string, string | undefined>;
@@ -70,6 +73,7 @@
   } catch (error) {
     return reportProblems([core.errorMessage(error)]);
   }
+  keepRunningOnErrors(kernel);
   const watchAbort = new AbortController();
   if (file) {
     watchSettingsFile(kernel, routerSettings, {
@@ -90,6 +94,27 @@
   process.exit(0);
 }
 
+/**
+ * Logs errors that no part has handled and goes on: ending the process would
+ * break off all requests in flight, and the cause may come again at once.
+ */
+function keepRunningOnErrors(kernel: core.Kernel): void {
+  const log = kernel.find(core.LOGGER);
+  const quota = new core.LogQuota(
+    'unexpected_error',
+    MAX_ERROR_LINES_PER_SECOND,
+    log,
+  );
+  const report = (error: unknown) => {
+    if (!quota.consume(performance.now())) return;
+    const reason = core.errorMessage(error);
+    const stack = error instanceof Error ? error.stack : undefined;
+    log.error('unexpected_error', {reason, stack});
+  };
+  process.on('uncaughtException', report);
+  process.on('unhandledRejection', report);
+}
+
 interface WatchOptions {
   readonly flags: Flags;
   readonly file: core.SettingsFile;
--- a/packages/router/src/tests/directfleet.ts
+++ b/packages/router/src/tests/directfleet.ts
@@ -124,6 +124,11 @@
     return this.ports.entry;
   }
 
+  /** Port at which all routers receive datagrams. */
+  get gossipPort(): number {
+    return this.ports.gossip;
+  }
+
   /** Address of the router with this index. */
   address(router: number): string {
     return `127.0.0.${FIRST_ROUTER_BYTE + router}`;
