Take no other text for the id of an event

What callers saw: nothing known; by a property test of the splitter. After events without an id, a stream that broke was resumed with a part of its first line as the id, such as "a: token" of "data: token".

Cause: -1 stood both for "no line with an id" and for "an id on the first line".

Change: the index of the line itself, -1 if there is none. The test failed before (lastEventId 'a: token' where none is expected) and passes now.

--- a/packages/direct/src/eventsplitter.ts
+++ b/packages/direct/src/eventsplitter.ts
@@ -6,6 +6,7 @@
 
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
+const ID_FIELD = 'id:';
 /** Text that a header can carry. */
 const HEADER_VALUE = /^[\t\x20-\x7e\x80-\xff]+$/;
 const EMPTY_BUFFER = Buffer.alloc(0);
@@ -60,19 +61,22 @@
 
   private readId(events: Buffer): void {
     const text = events.toString('latin1');
-    // -1 stands for an id on the first line, -2 for none.
-    const index = Math.max(
-      text.lastIndexOf('\nid:'),
-      text.startsWith('id:') ? -1 : -2,
-    );
-    if (index < -1) return;
-    const start = index + '\nid:'.length;
+    const lineStart = startOfLastId(text);
+    if (lineStart < 0) return;
+    const start = lineStart + ID_FIELD.length;
     const end = text.indexOf('\n', start);
     const id = text.slice(start, end < 0 ? undefined : end).trim();
     this.lastSeenId = HEADER_VALUE.test(id) ? id : undefined;
   }
 }
 
+/** Index of the last line that holds an id; -1 if there is none. */
+function startOfLastId(text: string): number {
+  const index = text.lastIndexOf(`\n${ID_FIELD}`);
+  if (index >= 0) return index + 1;
+  return text.startsWith(ID_FIELD) ? 0 : -1;
+}
+
 function isLineEnd(byte: number): boolean {
   return byte === LINE_FEED || byte === CARRIAGE_RETURN;
 }
--- a/packages/direct/src/tests/eventsplitter.test.ts
+++ b/packages/direct/src/tests/eventsplitter.test.ts
@@ -24,4 +24,19 @@
       expect(splitter.isInsideEvent, JSON.stringify(text)).to.equal(isInside);
     }
   });
+
+  it('keeps the last id over events without one, and takes no other text for an id', () => {
+    const splitter = new direct.EventSplitter();
+    const steps: ReadonlyArray<readonly [string, string | undefined]> = [
+      ['data: token\n\n', undefined],
+      [': comment\n\n', undefined],
+      ['id: 1\ndata: a\n\n', '1'],
+      ['data: b\n\n', '1'],
+      ['data: c\nid: 2\n\n: comment\n\n', '2'],
+    ];
+    for (const [text, id] of steps) {
+      splitter.push(Buffer.from(text));
+      expect(splitter.lastEventId, JSON.stringify(text)).to.equal(id);
+    }
+  });
 });
