Check long waits at the store with short reads

Cause: a read of the tables waits 10 s on one connection. If that goes silent without a reset, the wait and its time-out take 11 s, and reads of the endpoints, which were to notice it, use another connection. All readers may be silent at once.

Change: while the read waits, a short read on another connection looks for records each 1.2 s; the first to find one ends both. It costs 0.8 calls a second of each reader.

--- a/packages/direct/src/feedfollowers.ts
+++ b/packages/direct/src/feedfollowers.ts
@@ -8,6 +8,7 @@
 import * as core from '@oleanderrock/core';
 import type * as decide from '@oleanderrock/decide';
 import * as activeTables from './activetables.js';
+import * as checkedWait from './checkedwait.js';
 import * as decisions from './decisions.js';
 import * as endpointRegistry from './endpointregistry.js';
 import * as feedHandlers from './feedhandlers.js';
@@ -17,8 +18,8 @@
 import type * as settings from './settings.js';
 
 /**
- * How long a read of the tables waits at the store, in ms. If the connection
- * goes silent meanwhile, the next failed read of the endpoints closes it.
+ * How long a read of the tables waits at the store, in ms; short reads check
+ * meanwhile that its connection has not gone silent.
  */
 const TABLES_LONG_POLL_MS = 10_000;
 
@@ -113,7 +114,7 @@
     const idleCheckMs = () => this.idleCheckMs();
     this.tablesFollower = new follower.Follower(kernel, {
       name: 'tables',
-      feed: feedSource.tables,
+      feed: new checkedWait.CheckedWaitFeed(kernel, feedSource.tables),
       handler: new feedHandlers.TablesHandler(kernel),
       waitMs: TABLES_LONG_POLL_MS,
       pauseMs: () => 0,
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -5,6 +5,7 @@
 export * from './routedrequest.js';
 export * from './attempt.js';
 export * from './catchup.js';
+export * from './checkedwait.js';
 export * as endpointNotices from './endpointnotices.js';
 export * from './endpointselector.js';
 export * from './connections.js';
--- a/packages/standins/src/topicstore.ts
+++ b/packages/standins/src/topicstore.ts
@@ -74,6 +74,10 @@
   readonly refusedAddresses = new Set<string>();
   /** Paths of all requests received, in order. */
   readonly requestPaths: string[] = [];
+  /** Paths and queries of all requests received, in order. */
+  readonly requestUrls: string[] = [];
+  /** Reads that wait for a record. */
+  private readonly waitingReads = new Set<{isSilenced: boolean}>();
   private readonly topics = new Map<string, Topic>();
   private readonly server: http.Server;
 
@@ -122,6 +126,15 @@
     return this.topic(topic).append({key, value});
   }
 
+  /**
+   * Leaves the reads that wait now unanswered for good, as if their connections
+   * had gone silent; returns their number.
+   */
+  silenceWaitingReads(): number {
+    for (const read of this.waitingReads) read.isSilenced = true;
+    return this.waitingReads.size;
+  }
+
   /** Keys of a topic that have a value. */
   keys(topic: string): string[] {
     return this.topic(topic)
@@ -147,6 +160,7 @@
   ): Promise<void> {
     const url = new URL(request.url ?? '/', 'http://store');
     this.requestPaths.push(url.pathname);
+    this.requestUrls.push(`${url.pathname}${url.search}`);
     if (this.mode === 'resetting') return void request.socket.destroy();
     if (this.mode === 'silent') return;
     const isRefused = this.refusedAddresses.has(
@@ -176,7 +190,13 @@
     if (from < topic.firstOffset) {
       return core.listener.sendJson(response, 410, {first: topic.firstOffset});
     }
-    if (from >= topic.records.length && waitMs > 0) await topic.wait(waitMs);
+    if (from >= topic.records.length && waitMs > 0) {
+      const read = {isSilenced: false};
+      this.waitingReads.add(read);
+      await topic.wait(waitMs);
+      this.waitingReads.delete(read);
+      if (read.isSilenced) return;
+    }
     const header = Buffer.alloc(2 * OFFSET_BYTES);
     header.writeBigUInt64BE(BigInt(topic.records.length), 0);
     header.writeBigUInt64BE(BigInt(topic.firstOffset), OFFSET_BYTES);
