Promise "not run" only where an endpoint states it

The second: 408, 429 and 503 of an endpoint went to the caller as they were, which is a promise that nobody had made.

Change: such a response without the mark counts as a run that failed: retried where the route allows it, else 502 without the seal. A 421 is a statement by itself.

--- a/packages/direct/src/responsedelivery.ts
+++ b/packages/direct/src/responsedelivery.ts
@@ -10,6 +10,7 @@
 import * as routedRequest from './routedrequest.js';
 import type * as attempt from './attempt.js';
 import * as bodies from './responsebody.js';
+import * as responseCheck from './responsecheck.js';
 import * as wireProtocol from './wireprotocol.js';
 import * as eventSplitter from './eventsplitter.js';
 import * as liveness from './liveness.js';
@@ -107,8 +108,9 @@
     isLastSend: boolean,
   ): Promise<DeliveryResult> {
     const {response, status} = incoming;
-    // An event stream that has begun can only be resumed by a success.
-    if (this.hasBegun) {
+    // An event stream that has begun can only be resumed by a success. A status
+    // that promises that the request did not run is not true of one that may have.
+    if (this.hasBegun || responseCheck.isUnfoundedPromise(status)) {
       core.relay.discardBody(response);
       return {type: 'failed_run', status};
     }
--- a/packages/router/src/tests/latecopies.test.ts
+++ b/packages/router/src/tests/latecopies.test.ts
@@ -84,7 +84,7 @@
         '408 Request Timeout',
       ),
       hasId: fc.boolean(),
-      everyNth: fc.integer({min: 2, max: 5}),
+      everyNth: fc.integer({min: 1, max: 5}),
     });
     let round = 0;
     await fc.assert(
