Give up a silent stream only if it can go on elsewhere

Cause: the request watch gave up a silent stream by its route's policy, also with no send, run, endpoint, time or budget left, so that nothing but to cut it remained.

Change: the dispatcher tells at the moment of giving up whether the request could be sent elsewhere; if not, it waits on. The budget of retries can be asked without taking one.

--- a/packages/decide/src/poolretrybudget.ts
+++ b/packages/decide/src/poolretrybudget.ts
@@ -22,6 +22,8 @@
    * @param routerCount number of live routers, which share the slack
    */
   trySpend(pool: string, routerCount: number, nowMs: number): boolean;
+  /** Whether a retry could be taken now. */
+  canSpend(pool: string, routerCount: number, nowMs: number): boolean;
 }
 
 /**
@@ -51,15 +53,19 @@
   }
 
   trySpend(pool: string, routerCount: number, nowMs: number): boolean {
-    const current = this.currentSlot(pool, nowMs);
+    if (!this.canSpend(pool, routerCount, nowMs)) return false;
+    this.currentSlot(pool, nowMs).retries += 1;
+    return true;
+  }
+
+  canSpend(pool: string, routerCount: number, nowMs: number): boolean {
+    this.currentSlot(pool, nowMs);
     const slots = this.slotsByPool.get(pool) ?? [];
     const firstSends = slots.reduce((sum, slot) => sum + slot.firstSends, 0);
     const retries = slots.reduce((sum, slot) => sum + slot.retries, 0);
     const {ratio, slack} = this.options;
     const allowed = ratio * firstSends + slack / Math.max(1, routerCount);
-    if (retries + 1 > allowed * SAFE_SHARE) return false;
-    current.retries += 1;
-    return true;
+    return retries + 1 <= allowed * SAFE_SHARE;
   }
 
   private currentSlot(pool: string, nowMs: number): Slot {
--- a/packages/direct/src/attempt.ts
+++ b/packages/direct/src/attempt.ts
@@ -7,7 +7,7 @@
 import type * as http from 'node:http';
 import * as core from '@oleanderrock/core';
 import type * as decide from '@oleanderrock/decide';
-import * as routedRequest from './routedrequest.js';
+import type * as routedRequest from './routedrequest.js';
 import * as connections from './connections.js';
 import * as decisions from './decisions.js';
 import * as wireProtocol from './wireprotocol.js';
@@ -28,6 +28,11 @@
    */
   readonly lastEventId?: string;
   readonly callerGone: AbortSignal;
+  /**
+   * Whether the request could be sent to another endpoint now, if this attempt
+   * were given up.
+   */
+  readonly mayRetry: () => boolean;
   /**
    * Endpoint that holds the prompt's context; the receiving endpoint copies it
    * before it processes the prompt.
@@ -286,7 +291,9 @@
     this.watchHandle = kernel.find(requestWatch.REQUEST_WATCH).add({
       endpoint,
       isStream: request.route.repeat === 'stream',
-      isRetryable: routedRequest.isRetryable(request.route),
+      get isRetryable() {
+        return options.mayRetry();
+      },
       abort: cause => this.abort(cause),
     });
     this.timeout = setTimeout(() => this.abort('timeout'), timeoutMs);
--- a/packages/direct/src/decisions.ts
+++ b/packages/direct/src/decisions.ts
@@ -74,7 +74,7 @@
 /** The contract under which the retry budget is registered. */
 export const RETRY_BUDGET = core.contract<decide.PoolRetryBudget>(
   'retry-budget',
-  ['recordFirstSend', 'trySpend'],
+  ['recordFirstSend', 'trySpend', 'canSpend'],
 );
 
 /**
--- a/packages/direct/src/dispatcher.ts
+++ b/packages/direct/src/dispatcher.ts
@@ -137,6 +137,7 @@
       timeoutMs: this.sendTimeoutMs(request, progress),
       lastEventId: delivery.lastEventId,
       callerGone: delivery.callerGone,
+      mayRetry: () => this.mayRetry(request, delivery, progress),
       contextSource,
       permitUntilMs,
     });
@@ -230,14 +231,45 @@
     }
   }
 
+  /** Whether the request could be sent elsewhere if its send were given up. */
+  private mayRetry(
+    request: routedRequest.RoutedRequest,
+    delivery: responseDelivery.ResponseDelivery,
+    progress: DispatchProgress,
+  ): boolean {
+    const possibleRuns = progress.possibleRuns + 1;
+    const {pool} = request;
+    const isOtherWilling = endpointNotices
+      .willingEndpoints(this.kernel, pool)
+      .some(({id}) => !progress.triedIds.has(id));
+    const liveCount = this.kernel
+      .find(fleetRegistry.FLEET_REGISTRY)
+      .liveCount();
+    return (
+      isOtherWilling &&
+      this.hasSendLeft(request, delivery, {...progress, possibleRuns}) &&
+      this.kernel
+        .find(decisions.RETRY_BUDGET)
+        .canSpend(pool, liveCount, this.nowMs())
+    );
+  }
+
   private maySend(
     request: routedRequest.RoutedRequest,
     delivery: responseDelivery.ResponseDelivery,
     progress: DispatchProgress,
+  ): boolean {
+    if (progress.sendCount > 0 && this.isQuarantined(request)) return false;
+    return this.hasSendLeft(request, delivery, progress);
+  }
+
+  private hasSendLeft(
+    request: routedRequest.RoutedRequest,
+    delivery: responseDelivery.ResponseDelivery,
+    progress: DispatchProgress,
   ): boolean {
     if (!delivery.canResume) return false;
     if (progress.sendCount >= MAX_SENDS) return false;
-    if (progress.sendCount > 0 && this.isQuarantined(request)) return false;
     if (this.remainingMs(request) < MIN_SEND_TIME_MS) return false;
     const mayHaveRun =
       progress.possibleRuns > 0 ||
--- a/packages/direct/src/requestwatch.ts
+++ b/packages/direct/src/requestwatch.ts
@@ -33,7 +33,7 @@
    * time to begin.
    */
   readonly isStream: boolean;
-  /** Whether the request may be sent to another endpoint. */
+  /** Whether the request could be sent to another endpoint now. */
   readonly isRetryable: boolean;
   /** Aborts the request at its endpoint. */
   abort(cause: 'dead' | 'silent'): void;
@@ -110,11 +110,13 @@
   }
 
   private async check(entry: WatchEntry): Promise<void> {
-    const {endpoint, isRetryable} = entry.request;
-    const result = await this.kernel.find(liveness.LIVENESS).check(endpoint);
+    const {request} = entry;
+    const result = await this.kernel
+      .find(liveness.LIVENESS)
+      .check(request.endpoint);
     const shouldAbort =
-      result === 'silent' ? isRetryable : result === 'refused';
-    if (shouldAbort && this.entries.delete(entry)) entry.request.abort('dead');
+      result === 'silent' ? request.isRetryable : result === 'refused';
+    if (shouldAbort && this.entries.delete(entry)) request.abort('dead');
   }
 
   private nowMs(): number {
--- a/packages/direct/src/tests/notrunafterrun.test.ts
+++ b/packages/direct/src/tests/notrunafterrun.test.ts
@@ -22,6 +22,7 @@
     kernel.register(direct.RETRY_BUDGET, {
       recordFirstSend: () => undefined,
       trySpend: () => true,
+      canSpend: () => true,
     });
     kernel.register(direct.ENDPOINT_HEALTH, new decide.NaiveHealth());
     kernel.register(
