Take removals for expiry only if the store can have been away

Cause: most of a pool that vanishes at once was taken for entries that expired while the store was away, and kept for 2.2 s, also by a reader that had read the store all the while.

Change: entries expire after three check-ins without one, so a part of a pool counts as expired only if the reads were 2.4 s apart or more. A whole pool is kept as before.

directstore.test.ts: 2,220 ms until two of three are removed before, below 2,000 now.

--- a/packages/direct/src/feedhandlers.ts
+++ b/packages/direct/src/feedhandlers.ts
@@ -30,6 +30,13 @@
  */
 const MIN_MASS_EXPIRY = 2;
 
+/**
+ * Shortest time between two successful reads in which the store may have been
+ * away for long enough that entries expired, in ms: they expire after three
+ * check-ins of 1.2 s without one, and the last may have been just before.
+ */
+const MIN_EXPIRY_GAP_MS = 2_400;
+
 /** Puts the tables of the feed in force. */
 export class TablesHandler implements follower.FeedHandler<model.Tables> {
   constructor(private readonly kernel: core.Kernel) {}
@@ -66,6 +73,8 @@
    * feed is lost, 0 if there is no grace period.
    */
   private graceEndsMs = 0;
+  /** Monotonic time of the last successful read, in ms. */
+  private lastReadMs = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly kernel: core.Kernel) {}
 
@@ -98,8 +107,10 @@
 
   onOffset(nextOffset: number): void {
     this.endpoints.advanceTo(nextOffset);
+    const gapMs = this.nowMs() - this.lastReadMs;
+    this.lastReadMs = this.nowMs();
     if (this.isInGracePeriod()) return;
-    if (this.graceEndsMs === 0 && this.hasMassExpiry()) {
+    if (this.graceEndsMs === 0 && this.hasMassExpiry(gapMs)) {
       this.graceEndsMs = this.nowMs() + RETURN_GRACE_MS;
       return;
     }
@@ -117,10 +128,12 @@
   }
 
   /**
-   * Whether most of a pool disappeared at once without draining: the store was
-   * unavailable between two reads, and the entries expired.
+   * Whether the store was unavailable between two reads that were `gapMs` apart,
+   * so that entries expired: all of a pool disappeared at once without draining,
+   * or most of it and the gap was long enough.
    */
-  private hasMassExpiry(): boolean {
+  private hasMassExpiry(gapMs: number): boolean {
+    const minFraction = gapMs < MIN_EXPIRY_GAP_MS ? 1 : MASS_EXPIRY_FRACTION;
     const removedByPool = new Map<string, number>();
     for (const key of this.pendingRemovals.keys()) {
       const endpoint = this.endpoints.find(key);
@@ -131,10 +144,11 @@
       );
     }
     for (const [pool, count] of removedByPool) {
-      const isMost =
-        count >
-        this.endpoints.readyEndpoints(pool).length * MASS_EXPIRY_FRACTION;
-      if (count >= MIN_MASS_EXPIRY && isMost) {
+      const readyCount = this.endpoints.readyEndpoints(pool).length;
+      const isExpiry =
+        count > readyCount * MASS_EXPIRY_FRACTION &&
+        count >= readyCount * minFraction;
+      if (count >= MIN_MASS_EXPIRY && isExpiry) {
         const log = this.kernel.find(core.LOGGER);
         log.warn('entries_expired', {pool, count});
         return true;
--- a/packages/router/src/tests/directstore.test.ts
+++ b/packages/router/src/tests/directstore.test.ts
@@ -17,6 +17,9 @@
   return readyEndpoints.map(({id}) => id).sort();
 }
 
+/** Time within which endpoints that left get no request, in ms. */
+const REMOVED_WITHIN_MS = 2_000;
+
 describe("routers on the users' platform", () => {
   let fleet: support.DirectFleet;
 
@@ -112,6 +115,23 @@
     }
   });
 
+  it('remove two of three endpoints at once if they leave together while the store can be read', async () => {
+    await fleet.addEndpoint();
+    for (const kernel of fleet.kernels) {
+      await polling.until('all endpoints are known', () => {
+        return endpointIds(kernel).join() === 'e1,e2,e3';
+      });
+    }
+    for (const id of ['e1', 'e2']) fleet.store.put('keyed.servers', id);
+    const startMs = performance.now();
+    for (const kernel of fleet.kernels) {
+      await polling.until('both are removed', () => {
+        return endpointIds(kernel).join() === 'e3';
+      });
+    }
+    expect(performance.now() - startMs).to.be.below(REMOVED_WITHIN_MS);
+  });
+
   it('receive endpoint changes in digests of routers that read the store sooner', async () => {
     const slowReader = await fleet.addRouter({endpointsPaceMs: '60000'});
     const waitForEndpoints = (ids: string) =>
