Let a restarted reader of the store read at once

Cause: the others choose a restarted router as their reader at once, by its name, but it read nothing in the first 1.5 s of its uptime, meant for a fleet that does not know itself yet.

Change: a router that has the tables, endpoints and members of another one takes up its role at once.

--- a/packages/direct/src/feedfollowers.ts
+++ b/packages/direct/src/feedfollowers.ts
@@ -36,8 +36,8 @@
 const INTERVAL_JITTER = 0.4;
 
 /**
- * Time from the start until the routers know each other well enough to agree on
- * the readers, in ms.
+ * Time from the start after which a router that has no state of others agrees
+ * with them on the readers all the same, in ms.
  */
 const ROLES_DELAY_MS = 1_500;
 
@@ -192,12 +192,24 @@
    * may be cut off from them and reads as well.
    */
   private isReader(): boolean {
-    if (this.uptimeMs() < ROLES_DELAY_MS) return false;
+    if (this.uptimeMs() < ROLES_DELAY_MS && !this.knowsFleet()) return false;
     const membership = this.kernel.find(decisions.MEMBERSHIP);
     if (membership.isIsolated(this.nowMs())) return true;
     return this.role().isReader;
   }
 
+  /**
+   * Whether this router has the state of another one, its members included. The
+   * others count it as a reader from its start, so it must not wait for longer.
+   */
+  private knowsFleet(): boolean {
+    return (
+      this.hasTables() &&
+      this.hasEndpoints() &&
+      this.fleet.livePeers().length > 0
+    );
+  }
+
   /** This router's role, computed anew when the members change. */
   private role(): ReaderRole {
     const live = this.kernel.find(decisions.MEMBERSHIP).live();
