--- a/packages/core/src/tasks.ts
+++ b/packages/core/src/tasks.ts
@@ -23,7 +23,14 @@
   name: string,
   operation: () => Promise<unknown>,
 ): void {
-  operation().catch(error => logFailure(log, name, error));
+  const run = async () => {
+    try {
+      await operation();
+    } catch (error) {
+      logFailure(log, name, error);
+    }
+  };
+  void run();
 }
 
 function logFailure(log: logger.Logger, name: string, error: unknown): void {
--- a/packages/core/src/tests/tasks.test.ts
+++ b/packages/core/src/tests/tasks.test.ts
@@ -37,6 +37,9 @@
     log.error = (event?: string) => void events.push(event ?? '');
     core.detach(log, 'task', () => Promise.reject(new Error('unexpected')));
     await timers.setImmediate();
-    expect(events).to.deep.equal(['task_failed']);
+    core.detach(log, 'task', () => {
+      throw new Error('unexpected');
+    });
+    expect(events).to.deep.equal(['task_failed', 'task_failed']);
   });
 });
--- a/packages/direct/src/dispatcher.ts
+++ b/packages/direct/src/dispatcher.ts
@@ -238,20 +238,16 @@
     progress: DispatchProgress,
   ): boolean {
     const possibleRuns = progress.possibleRuns + 1;
+    if (!this.hasSendLeft(request, delivery, {...progress, possibleRuns})) {
+      return false;
+    }
     const {pool} = request;
-    const isOtherWilling = endpointNotices
+    const fleet = this.kernel.find(fleetRegistry.FLEET_REGISTRY);
+    const budget = this.kernel.find(decisions.RETRY_BUDGET);
+    if (!budget.canSpend(pool, fleet.liveCount(), this.nowMs())) return false;
+    return endpointNotices
       .willingEndpoints(this.kernel, pool)
       .some(({id}) => !progress.triedIds.has(id));
-    const liveCount = this.kernel
-      .find(fleetRegistry.FLEET_REGISTRY)
-      .liveCount();
-    return (
-      isOtherWilling &&
-      this.hasSendLeft(request, delivery, {...progress, possibleRuns}) &&
-      this.kernel
-        .find(decisions.RETRY_BUDGET)
-        .canSpend(pool, liveCount, this.nowMs())
-    );
   }
 
   private maySend(
--- a/packages/direct/src/liveness.ts
+++ b/packages/direct/src/liveness.ts
@@ -63,8 +63,11 @@
     const check = {result, atMs: Number.POSITIVE_INFINITY};
     this.checks.set(endpoint.id, check);
     core.detach(this.kernel.find(core.LOGGER), 'liveness', async () => {
-      await result;
-      this.recordCheckEnd(check);
+      try {
+        await result;
+      } finally {
+        this.recordCheckEnd(check);
+      }
     });
     return result;
   }
