--- a/packages/router/src/tests/directfleet.ts
+++ b/packages/router/src/tests/directfleet.ts
@@ -108,6 +108,13 @@
     return endpoint;
   }
 
+  /** Lets all endpoints behave so, unless they are told otherwise. */
+  setBehaviour(behaviour: standins.Behaviour): void {
+    for (const endpoint of this.endpoints) {
+      endpoint.defaultBehaviour = behaviour;
+    }
+  }
+
   /** Starts a router; `overrides` are flags beyond the defaults. */
   async addRouter(
     overrides: Record<string, string> = {},
--- a/packages/router/src/tests/directstreams.test.ts
+++ b/packages/router/src/tests/directstreams.test.ts
@@ -69,12 +69,6 @@
 
   afterEach(() => fleet.stop());
 
-  const setAll = (behaviour: standins.Behaviour) => {
-    for (const endpoint of fleet.endpoints) {
-      endpoint.defaultBehaviour = behaviour;
-    }
-  };
-
   /** The first request gets one behaviour, all further ones another. */
   const setFirst = (
     first: standins.Behaviour,
@@ -97,7 +91,7 @@
     });
 
     it(`is not in the middle of an event: such a stream with ${framing} that may not be resumed is cut off`, async () => {
-      setAll(write({body: eventsAndHalf(4), framing}));
+      fleet.setBehaviour(write({body: eventsAndHalf(4), framing}));
       const response = await fleet.call('/once/a');
       expect(response.isComplete).to.equal(false);
       expect(support.events(4).startsWith(response.body)).to.equal(true);
@@ -117,7 +111,7 @@
         // A reset only breaks an answer whose end is not marked otherwise.
         const isCut = answer.isReset && answer.framing === 'connection';
         const isAtEvent = answer.body === '' || answer.body.endsWith('\n\n');
-        setAll(write(answer));
+        fleet.setBehaviour(write(answer));
         const response = await fleet.call('/once/a');
         expect(response.isComplete).to.equal(isAtEvent && !isCut);
         if (response.isComplete) expect(response.body).to.equal(answer.body);
@@ -129,7 +123,7 @@
 
   it('of a stream without length and chunks is that of its connection, unless it is reset', async () => {
     const body = support.events(5);
-    setAll(write({body, framing: 'connection'}));
+    fleet.setBehaviour(write({body, framing: 'connection'}));
     const whole = await fleet.call('/chat/a');
     expect(whole).to.include({body, isComplete: true});
     expect(fleet.runs()).to.have.length(1);
@@ -143,7 +137,7 @@
   it('may be followed by blank lines, which are no event', async () => {
     const body = `${support.events(2)}\n`;
     for (const blank of ['\n', '\r\n']) {
-      setAll(write({body: body + blank, framing: 'chunks'}));
+      fleet.setBehaviour(write({body: body + blank, framing: 'chunks'}));
       const response = await fleet.call('/once/a');
       expect(response.isComplete).to.equal(true);
     }
@@ -157,14 +151,14 @@
         const body = 'x'.repeat(size);
         // The endpoint claims that its connection may be reused.
         const headers = 'connection: keep-alive\r\n';
-        setAll(write({body, framing, isReset, headers}));
+        fleet.setBehaviour(write({body, framing, isReset, headers}));
         for (const path of ['/read/a', '/book/a']) {
           const response = await fleet.call(path);
           const isWhole = response.status === 200 && response.isComplete;
           expect(isWhole, `${path} ${size} ${isReset}`).to.equal(!isReset);
           if (isWhole) expect(response.body.length).to.equal(size);
         }
-        setAll({type: 'answer'});
+        fleet.setBehaviour({type: 'answer'});
         const next = await fleet.call('/read/a');
         expect(next.status).to.equal(200);
         expect(next.body).to.match(/^by e/);
--- a/packages/router/src/tests/endlessanswers.test.ts
+++ b/packages/router/src/tests/endlessanswers.test.ts
@@ -45,12 +45,6 @@
 
   afterEach(() => fleet.stop());
 
-  const setAll = (behaviour: standins.Behaviour) => {
-    for (const endpoint of fleet.endpoints) {
-      endpoint.defaultBehaviour = behaviour;
-    }
-  };
-
   /** Resolves once no endpoint has a connection on which it writes. */
   const awaitCutOff = () =>
     polling.until('the connections close', () =>
@@ -89,7 +83,7 @@
       text: run => `${head('200 OK', run)}\r\n`,
       bytes: event,
     };
-    setAll(behaviour);
+    fleet.setBehaviour(behaviour);
     const controller = new AbortController();
     const call = fleet.call('/once/a', {signal: controller.signal});
     await timers.setTimeout(SLACK_MS);
--- a/packages/router/src/tests/malformedrecords.test.ts
+++ b/packages/router/src/tests/malformedrecords.test.ts
@@ -253,9 +253,7 @@
         'response-seal: s\r\ntransfer-encoding: chunked\r\n\r\n' +
         'f\r\nid: 1\u0001\ndata: x\n\r\n1\r\n\n\r\n',
     };
-    for (const endpoint of fleet.endpoints) {
-      endpoint.defaultBehaviour = cut;
-    }
+    fleet.setBehaviour(cut);
     const response = await fleet.call('/chat/a');
     expect(response.isComplete).to.equal(false);
     expect(fleet.runs()).to.have.length(1);
--- a/packages/router/src/tests/silentstreams.test.ts
+++ b/packages/router/src/tests/silentstreams.test.ts
@@ -33,9 +33,7 @@
     fleet = new support.DirectFleet();
     await fleet.start(endpoints, 0);
     await fleet.addRouter(flags);
-    for (const endpoint of fleet.endpoints) {
-      endpoint.defaultBehaviour = PAUSING;
-    }
+    fleet.setBehaviour(PAUSING);
     const route = {timeoutMs: 15_000, resumable: true, maxAttempts};
     const routes = [support.route('/chat/', 'streaming', route)];
     fleet.store.putConfig(support.config(2, {routes}));
--- a/packages/router/src/tests/unfoundedpromises.test.ts
+++ b/packages/router/src/tests/unfoundedpromises.test.ts
@@ -22,17 +22,11 @@
 
   afterEach(() => fleet.stop());
 
-  const setAll = (behaviour: standins.Behaviour) => {
-    for (const endpoint of fleet.endpoints) {
-      endpoint.defaultBehaviour = behaviour;
-    }
-  };
-
   for (const status of PROMISES) {
     const failure: standins.Behaviour = {type: 'fail', status};
 
     it(`is not passed on where a request runs once: ${status}`, async () => {
-      setAll(failure);
+      fleet.setBehaviour(failure);
       for (const path of ['/book/a', '/once/a']) {
         const runCount = fleet.runs().length;
         const response = await fleet.call(path);
