Let the readers check their waits in turns

Change: one reader of the fleet checks each second, in turns that count from the last change of the tables; a wait ends once its router is no reader. Waits are 20 s.

--- a/packages/direct/src/checkedwait.ts
+++ b/packages/direct/src/checkedwait.ts
@@ -7,18 +7,20 @@
 import * as core from '@oleanderrock/core';
 import type * as feeds from './feeds.js';
 
-/**
- * Interval between short reads while a read waits, in ms: a new version is then
- * known, and told to the other routers, well within the 2 s in which it has to
- * be in force.
- */
-const CHECK_INTERVAL_MS = 1_200;
+/** When a read that waits is checked. */
+export interface CheckOptions {
+  /** Time until the next check, in ms. */
+  readonly nextCheckMs: () => number;
+  /** Whether this router still has to read the feed; if not, the wait ends. */
+  readonly isNeeded: () => boolean;
+}
 
 /** Reads like the feed that it wraps. */
 export class CheckedWaitFeed<T> implements feeds.Feed<T> {
   constructor(
     private readonly kernel: core.Kernel,
     private readonly feed: feeds.Feed<T>,
+    private readonly options: CheckOptions,
   ) {}
 
   readLatest(options: feeds.LatestOptions): Promise<feeds.FeedResult<T>> {
@@ -26,6 +28,7 @@
   }
 
   async readFrom(options: feeds.ReadOptions): Promise<feeds.FeedResult<T>> {
+    if (options.waitMs === 0) return this.feed.readFrom(options);
     const controller = new AbortController();
     const signal = AbortSignal.any([options.signal, controller.signal]);
     const readOptions = {...options, signal};
@@ -47,7 +50,8 @@
     const {signal, fromOffset} = options;
     const clock = this.kernel.find(core.CLOCK);
     for (;;) {
-      await clock.sleep(CHECK_INTERVAL_MS, signal);
+      await clock.sleep(this.options.nextCheckMs(), signal);
+      if (!this.options.isNeeded()) return nothing(fromOffset);
       const result = await this.feed.readFrom({...options, waitMs: 0});
       // A failed check says nothing of the wait, which fails by itself.
       const isNews = result.ok
@@ -62,3 +66,7 @@
     }
   }
 }
+
+function nothing<T>(nextOffset: number): feeds.FeedResult<T> {
+  return {ok: true, page: {records: [], nextOffset}};
+}
--- a/packages/direct/src/feedfollowers.ts
+++ b/packages/direct/src/feedfollowers.ts
@@ -21,7 +21,14 @@
  * How long a read of the tables waits at the store, in ms; short reads check
  * meanwhile that its connection has not gone silent.
  */
-const TABLES_LONG_POLL_MS = 10_000;
+const TABLES_LONG_POLL_MS = 20_000;
+
+/**
+ * Interval between checks of the readers' waits by any router of the fleet, in
+ * ms. The readers take turns, and the one that finds a new version tells the
+ * others at once, so that it is in force well within 2 s.
+ */
+const FLEET_CHECK_INTERVAL_MS = 1_000;
 
 /**
  * Mean interval between reads of the endpoints by any router of the fleet, in
@@ -102,6 +109,8 @@
   private readonly routersFollower: follower.Follower<unknown>;
   private isListed = false;
   private cachedRole: ReaderRole | undefined;
+  /** Monotonic time at which the tables last changed, in ms. */
+  private tablesSinceMs = 0;
 
   constructor(
     private readonly kernel: core.Kernel,
@@ -112,14 +121,22 @@
     this.endpointsHandler = new feedHandlers.EndpointsHandler(kernel);
     const feedSource = kernel.find(feeds.FEEDS);
     const idleCheckMs = () => this.idleCheckMs();
+    const isNeeded = () =>
+      this.isReader() || (this.mustRead() && !this.hasTables());
+    kernel.find(activeTables.ACTIVE_TABLES).onChange(() => {
+      this.tablesSinceMs = this.nowMs();
+    });
     this.tablesFollower = new follower.Follower(kernel, {
       name: 'tables',
-      feed: new checkedWait.CheckedWaitFeed(kernel, feedSource.tables),
+      feed: new checkedWait.CheckedWaitFeed(kernel, feedSource.tables, {
+        nextCheckMs: () => this.nextCheckMs(),
+        isNeeded,
+      }),
       handler: new feedHandlers.TablesHandler(kernel),
       waitMs: TABLES_LONG_POLL_MS,
       pauseMs: () => 0,
       isFullState: true,
-      isNeeded: () => this.isReader() || (this.mustRead() && !this.hasTables()),
+      isNeeded,
       idleCheckMs,
     });
     this.endpointsFollower = new follower.Follower(kernel, {
@@ -274,6 +291,22 @@
     return intervalMs * (1 + INTERVAL_JITTER * jitter);
   }
 
+  /**
+   * Time until this router's turn to check its wait for new tables, in ms. Turns
+   * count from the last change of the tables, which all routers receive at about
+   * the same time, and follow the order of the failure domains.
+   */
+  private nextCheckMs(): number {
+    const {live} = this.role();
+    const ownZone = this.fleet.self().zone;
+    const zones = new Set([ownZone, ...live.map(({router}) => router.zone)]);
+    const turn = [...zones].sort().indexOf(ownZone) + 1;
+    const roundMs = zones.size * FLEET_CHECK_INTERVAL_MS;
+    const sinceTurnMs =
+      this.nowMs() - this.tablesSinceMs - turn * FLEET_CHECK_INTERVAL_MS;
+    return roundMs - positiveModulo(sinceTurnMs, roundMs);
+  }
+
   private routersIntervalMs(): number {
     return this.fleet.livePeers().length > 0
       ? ROUTERS_READ_INTERVAL_MS
@@ -305,3 +338,7 @@
     return this.kernel.find(core.CLOCK).nowMs();
   }
 }
+
+function positiveModulo(value: number, divisor: number): number {
+  return ((value % divisor) + divisor) % divisor;
+}
--- a/packages/direct/src/tests/checkedwait.test.ts
+++ b/packages/direct/src/tests/checkedwait.test.ts
@@ -48,19 +48,32 @@
 
 describe('a long wait for records', () => {
   let feed: ScriptedFeed;
+  let isNeeded: () => boolean;
   const stop = new AbortController();
 
   const read = () => {
     const kernel = new core.Kernel();
     kernel.register(core.CLOCK, new NoWaitClock());
     kernel.register(core.LOGGER, new core.SilentLogger());
-    const checked = new direct.CheckedWaitFeed(kernel, feed);
+    const checked = new direct.CheckedWaitFeed(kernel, feed, {
+      nextCheckMs: () => 1_000,
+      isNeeded: () => isNeeded(),
+    });
     const options = {fromOffset: 7, waitMs: 10_000, signal: stop.signal};
     return checked.readFrom(options);
   };
 
   beforeEach(() => {
     feed = new ScriptedFeed();
+    isNeeded = () => true;
+  });
+
+  it('ends without a further short read once it is not needed', async () => {
+    isNeeded = () => feed.checkCount < 2;
+    const result = await read();
+    expect(result).to.deep.equal(NOTHING);
+    expect(feed.checkCount).to.equal(2);
+    expect(feed.waitSignal?.aborted).to.equal(true);
   });
 
   it('ends with the news of a short read, and is closed', async () => {
