Round the times in digests, and read those with one bad entry

What callers saw: after an engine crashed, chats of all routers of the owners' fleet waited for up to 4 s although its neighbours were idle.

Cause: a digest with a suspect request holds its remaining time, a fraction of a millisecond, where the schema wants a whole number. Receivers refused the whole digest for the 3 s in which notes are repeated, so counts stayed as they were, waiting requests were not woken, and each router took the others for down.

Change: counts and times are rounded when written; a reader leaves out only the entries that it cannot read; token counts of a forwarded answer are parsed as those of an endpoint.

Two new tests of digest.test.ts are red without the change.

--- a/packages/router/src/digest.ts
+++ b/packages/router/src/digest.ts
@@ -18,6 +18,15 @@
 const countSchema = v.pipe(v.number(), v.integer(), v.minValue(0));
 const suspectStateSchema = v.picklist(['suspect', 'condemned', 'cleared']);
 
+/** Endpoint: name hash, requests in flight, 1 where it is usable. */
+const endpointSchema = v.tuple([hashSchema, countSchema, v.picklist([0, 1])]);
+/** Router that is down: name hash, incarnation. */
+const downSchema = v.tuple([hashSchema, countSchema]);
+/** Suspect request: signature, state, validity in ms. */
+const suspectSchema = v.tuple([v.string(), suspectStateSchema, countSchema]);
+/** Usage of a limited customer in this minute: name, requests, tokens. */
+const usageSchema = v.tuple([v.string(), countSchema, countSchema]);
+
 /** Schema of the wire form of a digest. */
 export const digestSchema = v.tuple([
   v.literal(FORMAT_VERSION),
@@ -31,14 +40,10 @@
   countSchema,
   /** 1 while the sender drains. */
   v.picklist([0, 1]),
-  /** Endpoints: name hash, requests in flight, 1 where it is usable. */
-  v.array(v.tuple([hashSchema, countSchema, v.picklist([0, 1])])),
-  /** Routers that are down: name hash, incarnation. */
-  v.array(v.tuple([hashSchema, countSchema])),
-  /** Suspect requests: signature, state, validity in ms. */
-  v.array(v.tuple([v.string(), suspectStateSchema, countSchema])),
-  /** Usage of limited customers in this minute: name, requests, tokens. */
-  v.array(v.tuple([v.string(), countSchema, countSchema])),
+  core.validItems(endpointSchema),
+  core.validItems(downSchema),
+  core.validItems(suspectSchema),
+  core.validItems(usageSchema),
 ]);
 
 type WireDigest = v.InferOutput<typeof digestSchema>;
@@ -79,6 +84,11 @@
     .subarray(0, MAC_BYTES);
 }
 
+/** The nearest count; remaining times are fractions of milliseconds. */
+function toCount(value: number): number {
+  return Number.isFinite(value) ? Math.max(0, Math.round(value)) : 0;
+}
+
 function toWire(digest: Digest): WireDigest {
   return [
     FORMAT_VERSION,
@@ -89,12 +99,20 @@
     digest.isDraining ? 1 : 0,
     digest.counts.map(item => [
       item.endpointHash,
-      item.inFlight,
+      toCount(item.inFlight),
       item.isUsable ? 1 : 0,
     ]),
     digest.down.map(item => [item.routerHash, item.incarnation]),
-    digest.suspects.map(item => [item.signature, item.state, item.validMs]),
-    digest.usage.map(item => [item.customer, item.requests, item.tokens]),
+    digest.suspects.map(({signature, state, validMs}) => [
+      signature,
+      state,
+      toCount(validMs),
+    ]),
+    digest.usage.map(({customer, requests, tokens}) => [
+      customer,
+      toCount(requests),
+      toCount(tokens),
+    ]),
   ];
 }
 
--- a/packages/router/src/exchange.ts
+++ b/packages/router/src/exchange.ts
@@ -106,3 +106,9 @@
   const mayHaveRun = core.ERROR_RESPONSES[previous.failure.kind].ran !== 'no';
   return mayHaveRun ? previous : latest;
 }
+
+/** Parses a header that counts tokens; 0 unless it is a whole number. */
+export function parseTokenCount(value: string | string[] | undefined): number {
+  const parsed = Number(value);
+  return Number.isSafeInteger(parsed) && parsed > 0 ? parsed : 0;
+}
--- a/packages/router/src/requestforwarder.ts
+++ b/packages/router/src/requestforwarder.ts
@@ -151,8 +151,10 @@
       type: 'answered',
       endpoint,
       status: response.statusCode ?? 0,
-      tokens: Number(response.headers[core.headers.TOKENS] ?? 0),
-      cachedTokens: Number(response.headers[core.headers.CACHED_TOKENS] ?? 0),
+      tokens: exchange.parseTokenCount(response.headers[core.headers.TOKENS]),
+      cachedTokens: exchange.parseTokenCount(
+        response.headers[core.headers.CACHED_TOKENS],
+      ),
       isLeaving: false,
     };
   }
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -40,11 +40,6 @@
 /** The contract under which the runner is registered. */
 export const RUNNER = core.contract<Runner>('runner', ['run']);
 
-function parseCount(value: string | string[] | undefined): number {
-  const parsed = Number(value);
-  return Number.isSafeInteger(parsed) && parsed > 0 ? parsed : 0;
-}
-
 /** Converts a relay's error into an outcome. */
 export function toOutcome(
   error: core.relay.RelayError,
@@ -169,8 +164,10 @@
       type: 'answered',
       endpoint,
       status,
-      tokens: parseCount(response.headers[core.headers.TOKENS]),
-      cachedTokens: parseCount(response.headers[core.headers.CACHED_TOKENS]),
+      tokens: exchange.parseTokenCount(response.headers[core.headers.TOKENS]),
+      cachedTokens: exchange.parseTokenCount(
+        response.headers[core.headers.CACHED_TOKENS],
+      ),
       isLeaving: this.recordLeaving(endpoint, response),
     };
   }
--- a/packages/router/src/tests/digest.test.ts
+++ b/packages/router/src/tests/digest.test.ts
@@ -2,6 +2,7 @@
 import * as chai from 'chai';
 import * as fc from 'fast-check';
 import * as core from '@oleanderrock/core';
+import * as decide from '@oleanderrock/decide';
 import * as digest from '../digest.js';
 
 const {expect} = chai;
@@ -62,6 +63,38 @@
     fc.assert(property, {seed: SEED, numRuns: RUNS});
   });
 
+  it('carry the suspects of a crash, whose times are fractions', () => {
+    const times = fc.double({min: 0, max: 1e9, noNaN: true});
+    const property = fc.property(times, times, (crashMs, laterMs) => {
+      const tracker = new decide.SignatureSuspectTracker();
+      tracker.recordStart('a request', 'engine-1');
+      tracker.recordCrash('engine-1', crashMs);
+      const nowMs = crashMs + (laterMs % decide.DEFAULT_SUSPECT_MS);
+      const suspects = tracker.takeChanges(nowMs);
+      const value = {...TYPICAL_DIGEST, suspects};
+      const decoded = digest.decode(digest.encode(value, SECRET), SECRET);
+      expect(decoded?.counts).to.deep.equal(TYPICAL_DIGEST.counts);
+      expect(decoded?.suspects).to.have.length(suspects.length);
+      for (const [index, {validMs}] of suspects.entries()) {
+        const decodedMs = decoded?.suspects[index]?.validMs;
+        expect(decodedMs).to.be.closeTo(validMs, 1);
+      }
+    });
+    fc.assert(property, {seed: SEED, numRuns: RUNS});
+  });
+
+  it('keep their other entries if one cannot be read', () => {
+    const suspect = {signature: 'a', state: 'suspect', validMs: 1} as const;
+    const unknown = {
+      ...suspect,
+      state: 'forgiven',
+    } as unknown as typeof suspect;
+    const value = {...TYPICAL_DIGEST, suspects: [suspect, unknown]};
+    const decoded = digest.decode(digest.encode(value, SECRET), SECRET);
+    expect(decoded?.counts).to.deep.equal(TYPICAL_DIGEST.counts);
+    expect(decoded?.suspects).to.deep.equal([suspect]);
+  });
+
   it('are refused under another secret or with a flipped bit', () => {
     const datagram = digest.encode(TYPICAL_DIGEST, SECRET);
     expect(digest.decode(datagram, `${SECRET}x`)).to.equal(undefined);
