Take ended requests off the estimated load of another owner's endpoint

Cause: a router adds each request that it forwards to its estimate of the endpoint's load and never took it off. Where it owns no endpoint of the pool it hears of the load once a second, so the estimate stood at the limit until then.

Evidence: short calls, one after another, over three routers and two idle endpoints wait about each second time.

Change: the end of a forwarded request is taken off, and waiting requests are tried again.

--- a/packages/router/src/admissionqueues.ts
+++ b/packages/router/src/admissionqueues.ts
@@ -32,6 +32,8 @@
   ): core.Result<endpointSlots.Reservation>;
   /** Releases a slot at an endpoint that this router owns. */
   release(endpoint: string): void;
+  /** Records the end of a request that this router sent to another owner. */
+  recordRemoteEnd(endpoint: string): void;
   /** Skips an endpoint for a short time after its owner refused a request. */
   markFull(endpoint: string): void;
   /** Grants free slots to the waiting requests of all queues. */
@@ -120,6 +122,11 @@
     this.grantWaiting();
   }
 
+  recordRemoteEnd(endpoint: string): void {
+    this.slots.recordRemoteEnd(endpoint);
+    this.grantWaiting();
+  }
+
   markFull(endpoint: string): void {
     this.slots.markFull(endpoint);
     setTimeout(
--- a/packages/router/src/endpointfailover.ts
+++ b/packages/router/src/endpointfailover.ts
@@ -90,6 +90,7 @@
         .reserve(slotRequest);
       if (!reserved.ok) return result ?? exchange.refused(reserved.failure);
       const outcome = await options.useReservation(reserved.value);
+      this.recordEnd(reserved.value);
       result = exchange.combineOutcomes(result, outcome);
       if (outcome.type === 'answered' || routedRequest.answer.hasSentHead) {
         return result;
@@ -129,6 +130,14 @@
     return options.useReservation(reserved.value);
   }
 
+  /** The task that runs a request at an endpoint of this router releases it. */
+  private recordEnd(reservation: endpointSlots.Reservation): void {
+    if (reservation.type === 'local') return;
+    this.kernel
+      .find(admissionQueues.ADMISSION_QUEUES)
+      .recordRemoteEnd(reservation.choice.endpoint);
+  }
+
   private markFull(reservation: endpointSlots.Reservation): void {
     if (reservation.type === 'local') return;
     this.kernel
--- a/packages/router/src/endpointslots.ts
+++ b/packages/router/src/endpointslots.ts
@@ -53,6 +53,8 @@
   release(endpoint: string): void;
   /** Skips an endpoint for a short time after its owner refused a request. */
   markFull(endpoint: string): void;
+  /** Records the end of a request that this router sent to another owner. */
+  recordRemoteEnd(endpoint: string): void;
   /** Resets the estimate for an endpoint when its owner reports its load. */
   resetEstimate(endpoint: string): void;
 }
@@ -80,8 +82,11 @@
 export class OwnerSlots implements Slots {
   /** Monotonic time until which a full endpoint of another owner is skipped. */
   private readonly fullUntilMs = new Map<string, number>();
-  /** Requests forwarded to each endpoint since its owner's last load report. */
-  private readonly sentSinceReport = new Map<string, number>();
+  /**
+   * Requests forwarded to each endpoint since its owner's last load report,
+   * less those that have ended since then.
+   */
+  private readonly changeSinceReport = new Map<string, number>();
 
   constructor(private readonly kernel: core.Kernel) {}
 
@@ -129,8 +134,12 @@
     this.fullUntilMs.set(endpoint, this.nowMs() + FULL_HOLD_OFF_MS);
   }
 
+  recordRemoteEnd(endpoint: string): void {
+    this.addChange(endpoint, -1);
+  }
+
   resetEstimate(endpoint: string): void {
-    this.sentSinceReport.delete(endpoint);
+    this.changeSinceReport.delete(endpoint);
     this.fullUntilMs.delete(endpoint);
   }
 
@@ -206,15 +215,20 @@
     const {endpoint} = choice;
     if ((this.fullUntilMs.get(endpoint) ?? 0) > this.nowMs()) return undefined;
     const candidate = view.candidates.find(item => item.name === endpoint);
-    const sent = this.sentSinceReport.get(endpoint) ?? 0;
-    const estimate = (candidate?.inFlight ?? 0) + sent;
+    const change = this.changeSinceReport.get(endpoint) ?? 0;
+    const estimate = Math.max(0, (candidate?.inFlight ?? 0) + change);
     if (!this.kernel.find(ADMISSION).admits(estimate, view.load)) {
       return undefined;
     }
-    this.sentSinceReport.set(endpoint, sent + 1);
+    this.addChange(endpoint, 1);
     return {type: 'remote', choice, owner};
   }
 
+  private addChange(endpoint: string, count: number): void {
+    const change = this.changeSinceReport.get(endpoint) ?? 0;
+    this.changeSinceReport.set(endpoint, change + count);
+  }
+
   private nowMs(): number {
     return this.kernel.find(core.CLOCK).nowMs();
   }
