Mark an endpoint as full before other waiting requests are tried

The end of a refused request woke the waiting ones before the endpoint was marked as full, so each could be sent there in turn, refused, and wake the next.

--- a/packages/router/src/endpointfailover.ts
+++ b/packages/router/src/endpointfailover.ts
@@ -90,13 +90,16 @@
         .reserve(slotRequest);
       if (!reserved.ok) return result ?? exchange.refused(reserved.failure);
       const outcome = await options.useReservation(reserved.value);
+      const isRefused =
+        outcome.type === 'failed' && shouldTryNext(outcome.failure);
+      // Marked first, so that no waiting request goes to the full endpoint.
+      if (isRefused) this.markFull(reserved.value);
       this.recordEnd(reserved.value);
       result = exchange.combineOutcomes(result, outcome);
       if (outcome.type === 'answered' || routedRequest.answer.hasSentHead) {
         return result;
       }
-      if (shouldTryNext(outcome.failure)) {
-        this.markFull(reserved.value);
+      if (isRefused) {
         refusals++;
         continue;
       }
