--- a/packages/core/src/tests/relay.test.ts
+++ b/packages/core/src/tests/relay.test.ts
@@ -1,4 +1,4 @@
-/** Tests of bodies that arrive slowly, stall, or never end. */
+/** Tests of bodies that arrive slowly or never end, and of invalid requests. */
 import * as http from 'node:http';
 import type * as net from 'node:net';
 import * as timers from 'node:timers/promises';
@@ -13,6 +13,17 @@
   totalTimeoutMs: 1_200,
 };
 
+const REQUEST = {
+  address: '127.0.0.1',
+  port: 1,
+  method: 'GET',
+  path: '/',
+  headers: {},
+  body: Buffer.alloc(0),
+  connectTimeoutMs: 1_000,
+  firstByteTimeoutMs: 1_000,
+};
+
 /** How a server writes the body: pieces, the pause between them, and an end. */
 interface Writing {
   readonly pieces: number;
@@ -37,16 +48,7 @@
     servers.push(server);
     await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
     const {port} = server.address() as net.AddressInfo;
-    const result = await core.relay.send({
-      address: '127.0.0.1',
-      port,
-      method: 'GET',
-      path: '/',
-      headers: {},
-      body: Buffer.alloc(0),
-      connectTimeoutMs: 1_000,
-      firstByteTimeoutMs: 1_000,
-    });
+    const result = await core.relay.send({...REQUEST, port});
     if (result.type === 'error') throw new Error(result.error.detail);
     return core.relay.collectBody(result.response, LIMITS);
   }
@@ -72,16 +74,6 @@
 });
 
 describe('a request that cannot be written', () => {
-  const valid = {
-    address: '127.0.0.1',
-    port: 1,
-    method: 'GET',
-    path: '/',
-    headers: {},
-    body: Buffer.alloc(0),
-    connectTimeoutMs: 1_000,
-    firstByteTimeoutMs: 1_000,
-  };
   const invalid = [
     {port: 99_999},
     {headers: {name: 'line\nbreak'}},
@@ -91,7 +83,7 @@
   ];
   for (const fields of invalid) {
     it(`fails without a throw: ${JSON.stringify(fields)}`, async () => {
-      const result = await core.relay.send({...valid, ...fields});
+      const result = await core.relay.send({...REQUEST, ...fields});
       const stage = result.type === 'error' ? result.error.stage : 'none';
       expect(stage).to.equal('request');
     });
