Keep the estimated load of another owner's endpoint above its report

What callers saw: none yet.

Cause: the version before this one took ended requests off the owner's report, below it, and refused ones off what was sent, so a leader tried the full endpoint again each 100 ms; a kill or a freeze then met a dispatch.

Change: only requests sent since the report are taken off, when they end without a refusal.

--- a/packages/router/src/admissionqueues.ts
+++ b/packages/router/src/admissionqueues.ts
@@ -32,7 +32,10 @@
   ): core.Result<endpointSlots.Reservation>;
   /** Releases a slot at an endpoint that this router owns. */
   release(endpoint: string): void;
-  /** Records the end of a request that this router sent to another owner. */
+  /**
+   * Records the end of a request that this router sent to another owner and that
+   * the owner accepted.
+   */
   recordRemoteEnd(endpoint: string): void;
   /** Skips an endpoint for a short time after its owner refused a request. */
   markFull(endpoint: string): void;
--- a/packages/router/src/endpointfailover.ts
+++ b/packages/router/src/endpointfailover.ts
@@ -92,9 +92,8 @@
       const outcome = await options.useReservation(reserved.value);
       const isRefused =
         outcome.type === 'failed' && shouldTryNext(outcome.failure);
-      // Marked first, so that no waiting request goes to the full endpoint.
       if (isRefused) this.markFull(reserved.value);
-      this.recordEnd(reserved.value);
+      else this.recordEnd(reserved.value);
       result = exchange.combineOutcomes(result, outcome);
       if (outcome.type === 'answered' || routedRequest.answer.hasSentHead) {
         return result;
--- a/packages/router/src/endpointslots.ts
+++ b/packages/router/src/endpointslots.ts
@@ -53,7 +53,10 @@
   release(endpoint: string): void;
   /** Skips an endpoint for a short time after its owner refused a request. */
   markFull(endpoint: string): void;
-  /** Records the end of a request that this router sent to another owner. */
+  /**
+   * Records the end of a request that this router sent to another owner and that
+   * the owner accepted.
+   */
   recordRemoteEnd(endpoint: string): void;
   /** Resets the estimate for an endpoint when its owner reports its load. */
   resetEstimate(endpoint: string): void;
@@ -83,10 +86,10 @@
   /** Monotonic time until which a full endpoint of another owner is skipped. */
   private readonly fullUntilMs = new Map<string, number>();
   /**
-   * Requests forwarded to each endpoint since its owner's last load report,
-   * less those that have ended since then.
+   * Requests forwarded to each endpoint since its owner's last load report that
+   * have not ended, as far as known. The report counts those before it.
    */
-  private readonly changeSinceReport = new Map<string, number>();
+  private readonly sentSinceReport = new Map<string, number>();
 
   constructor(private readonly kernel: core.Kernel) {}
 
@@ -135,11 +138,12 @@
   }
 
   recordRemoteEnd(endpoint: string): void {
-    this.addChange(endpoint, -1);
+    const sent = this.sentSinceReport.get(endpoint) ?? 0;
+    this.sentSinceReport.set(endpoint, Math.max(0, sent - 1));
   }
 
   resetEstimate(endpoint: string): void {
-    this.changeSinceReport.delete(endpoint);
+    this.sentSinceReport.delete(endpoint);
     this.fullUntilMs.delete(endpoint);
   }
 
@@ -215,20 +219,15 @@
     const {endpoint} = choice;
     if ((this.fullUntilMs.get(endpoint) ?? 0) > this.nowMs()) return undefined;
     const candidate = view.candidates.find(item => item.name === endpoint);
-    const change = this.changeSinceReport.get(endpoint) ?? 0;
-    const estimate = Math.max(0, (candidate?.inFlight ?? 0) + change);
+    const sent = this.sentSinceReport.get(endpoint) ?? 0;
+    const estimate = (candidate?.inFlight ?? 0) + sent;
     if (!this.kernel.find(ADMISSION).admits(estimate, view.load)) {
       return undefined;
     }
-    this.addChange(endpoint, 1);
+    this.sentSinceReport.set(endpoint, sent + 1);
     return {type: 'remote', choice, owner};
   }
 
-  private addChange(endpoint: string, count: number): void {
-    const change = this.changeSinceReport.get(endpoint) ?? 0;
-    this.changeSinceReport.set(endpoint, change + count);
-  }
-
   private nowMs(): number {
     return this.kernel.find(core.CLOCK).nowMs();
   }
