--- a/packages/router/src/endpointfailover.ts
+++ b/packages/router/src/endpointfailover.ts
@@ -132,7 +132,7 @@
     return options.useReservation(reserved.value);
   }
 
-  /** The task that runs a request at an endpoint of this router releases it. */
+  /** Requests at endpoints of this router are released where they run. */
   private recordEnd(reservation: endpointSlots.Reservation): void {
     if (reservation.type === 'local') return;
     this.kernel
