--- a/packages/core/src/relay.ts
+++ b/packages/core/src/relay.ts
@@ -56,6 +56,11 @@
   readonly detail: string;
   /** Whether the server closed a reused keep-alive connection unanswered. */
   readonly isStale?: boolean;
+  /**
+   * Number of requests that the connection carried before this one; absent if
+   * nothing was sent.
+   */
+  readonly earlierRequests?: number;
 }
 
 /** A response head; the body is still to be read. */
@@ -243,12 +248,20 @@
       return {type: 'head', response, earlierRequests};
     }
     request.destroy();
-    return relayFailure('sent', 'protocol', rejection);
+    const cause = 'protocol';
+    const detail = rejection;
+    return {
+      type: 'error',
+      error: {stage: 'sent', cause, detail, earlierRequests},
+    };
   } catch (error) {
     const cause = classifyError(error, options.signal);
     const isStale = cause === 'broken' && request.reusedSocket;
     const detail = errors.errorMessage(error);
-    return {type: 'error', error: {stage: 'sent', cause, detail, isStale}};
+    return {
+      type: 'error',
+      error: {stage: 'sent', cause, detail, isStale, earlierRequests},
+    };
   } finally {
     cancelResponseTimeout();
     cancelAckTimeout();
--- a/packages/direct/src/attempt.ts
+++ b/packages/direct/src/attempt.ts
@@ -76,6 +76,11 @@
       readonly type: 'broken';
       readonly cause: FailureCause;
       readonly detail: string;
+      /**
+       * Number of requests that the connection carried before this one, if the
+       * head of the response was not valid.
+       */
+      readonly earlierRequests?: number;
     }
   | {readonly type: 'caller_gone'}
   | {readonly type: 'response'; readonly response: EndpointResponse};
@@ -230,7 +235,7 @@
     activeAttempt: ActiveAttempt,
     error: core.relay.RelayError,
   ): Promise<AttemptResult> {
-    const {stage, detail} = error;
+    const {stage, detail, earlierRequests} = error;
     if (stage === 'request') return {type: 'not_sent', detail};
     if (
       stage === 'connect' &&
@@ -249,7 +254,7 @@
       // caused it can be identified.
       await this.kernel.find(liveness.LIVENESS).check(endpoint);
     }
-    return {type: 'broken', cause, detail};
+    return {type: 'broken', cause, detail, earlierRequests};
   }
 
   private get protocol(): wireProtocol.WireProtocol {
--- a/packages/direct/src/dispatcher.ts
+++ b/packages/direct/src/dispatcher.ts
@@ -7,6 +7,7 @@
 import * as tsPattern from 'ts-pattern';
 import * as routedRequest from './routedrequest.js';
 import * as attempt from './attempt.js';
+import * as attemptRecorder from './attemptrecorder.js';
 import * as endpointNotices from './endpointnotices.js';
 import * as endpointSelector from './endpointselector.js';
 import * as decisions from './decisions.js';
@@ -63,7 +64,11 @@
 
 /** Dispatches with the services registered with the kernel. */
 export class EndpointDispatcher implements Dispatcher {
-  constructor(private readonly kernel: core.Kernel) {}
+  private readonly recorder: attemptRecorder.AttemptRecorder;
+
+  constructor(private readonly kernel: core.Kernel) {
+    this.recorder = new attemptRecorder.AttemptRecorder(kernel);
+  }
 
   async serve(
     request: routedRequest.RoutedRequest,
@@ -149,7 +154,7 @@
             this.isLastSend(progress),
           )
         : result;
-    this.recordHealth(request, endpoint, deliveryResult);
+    this.recorder.record(request, endpoint, deliveryResult);
     return this.applyResult(endpoint, deliveryResult, progress);
   }
 
@@ -206,31 +211,6 @@
       .exhaustive();
   }
 
-  private recordHealth(
-    request: routedRequest.RoutedRequest,
-    {id}: model.Endpoint,
-    result: responseDelivery.DeliveryResult,
-  ): void {
-    const health = this.kernel.find(decisions.ENDPOINT_HEALTH);
-    const nowMs = this.nowMs();
-    if (result.type === 'delivered' && result.status < 500) {
-      health.recordSuccess(id, nowMs);
-    } else if (
-      result.type !== 'caller_gone' &&
-      result.type !== 'not_sent' &&
-      result.type !== 'withheld'
-    ) {
-      health.recordFailure(id, nowMs);
-      this.kernel.find(core.LOGGER).info('attempt_failed', {
-        request: request.head.requestId,
-        endpoint: id,
-        result: result.type,
-        detail: 'detail' in result ? result.detail : result.status,
-        ...(result.type === 'not_run' ? refusalFields(result) : {}),
-      });
-    }
-  }
-
   /** Whether the request could be sent elsewhere if its send were given up. */
   private mayRetry(
     request: routedRequest.RoutedRequest,
@@ -382,11 +362,6 @@
   }
 }
 
-/** Log fields that tell why a refusal was taken for that of the request. */
-function refusalFields({headId, earlierRequests}: attempt.EndpointRefusal) {
-  return {head_id: headId ?? 'none', earlier_requests: earlierRequests};
-}
-
 function refusedFailure(detail: string): core.Failure {
   return {kind: 'endpoint_refused', detail};
 }
