Test that bytes of no request do not join the next answer's head

A refusal is believed if its head carries the request's id, but a copy of an earlier refusal that is cut off in its reason phrase or in a header's value makes one head with the answer that follows: the copy's status and mark, and the request's own id.

The stand-in endpoint can pause after the text before an answer, add text to the end of an answer, write on all its connections, and refuse a request before its body is read.

--- a/packages/standins/src/hostedendpoint.ts
+++ b/packages/standins/src/hostedendpoint.ts
@@ -27,6 +27,14 @@
   | {
       readonly type: 'precede';
       readonly text: string;
+      /** Time between the text and the answer; none if absent. */
+      readonly pauseMs?: number;
+      readonly next: Behaviour;
+    }
+  /** Behaves as `next` says, with text after the answer, in one write. */
+  | {
+      readonly type: 'exceed';
+      readonly text: string;
       readonly next: Behaviour;
     }
   /** Answers without the header `response-seal`. */
@@ -73,6 +81,8 @@
   readonly body: string;
   /** Monotonic time of its start. */
   readonly startedMs: number;
+  /** Whether its connection carried requests before. */
+  readonly isOnKeptConnection?: boolean;
   /** Whether the connection closed before the answer was complete. */
   isCutOff: boolean;
 }
@@ -96,8 +106,14 @@
   defaultBehaviour: Behaviour = {type: 'answer'};
   /** Callback that chooses the behaviour while the queue is empty. */
   chooseBehaviour?: (run: RecordedRun) => Behaviour;
+  /** Whether to refuse a request before its body is read. */
+  refusesEarly?: (headers: http.IncomingHttpHeaders) => boolean;
+  /** How long the body of a request that was refused early stays unread. */
+  unreadBodyMs = 20;
   port = 0;
   private server: http.Server;
+  private readonly sockets = new Set<net.Socket>();
+  private readonly usedSockets = new WeakSet<net.Socket>();
 
   constructor(
     readonly id: string,
@@ -138,16 +154,38 @@
     };
   }
 
+  /**
+   * Writes text on all open connections, whether or not a request waits, and
+   * closes them if `isEnd`.
+   */
+  inject(text: string, isEnd = false): void {
+    for (const socket of this.sockets) {
+      if (text !== '') socket.write(text);
+      if (isEnd) socket.end();
+    }
+  }
+
   private createServer(): http.Server {
-    return http.createServer((request, response) => {
+    const server = http.createServer((request, response) => {
       void this.serve(request, response);
     });
+    server.on('connection', socket => {
+      this.sockets.add(socket);
+      socket.once('close', () => this.sockets.delete(socket));
+    });
+    return server;
   }
 
   private async serve(
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
+    const isOnKeptConnection = this.usedSockets.has(request.socket);
+    this.usedSockets.add(request.socket);
+    if (this.refusesEarly?.(request.headers)) {
+      this.refuseEarly(request, response);
+      return;
+    }
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk as Buffer);
     for (const [name, value] of Object.entries(this.extraHeaders)) {
@@ -168,6 +206,7 @@
       headers: request.headers,
       body: Buffer.concat(chunks).toString(),
       startedMs: performance.now(),
+      isOnKeptConnection,
       isCutOff: false,
     };
     const behaviour =
@@ -185,6 +224,18 @@
     await this.answer(behaviour, run, response);
   }
 
+  /** Refuses the request, and reads and drops its body later. */
+  private refuseEarly(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): void {
+    request.on('data', () => undefined);
+    request.pause();
+    const id = String(request.headers['attempt-id']);
+    response.writeHead(503, {'attempt-id': id, 'not-executed': '1'}).end();
+    setTimeout(() => request.resume(), this.unreadBodyMs);
+  }
+
   private sendPrefixList(response: http.ServerResponse): void {
     this.prefixListCount += 1;
     const held = [...this.cachedTokensByPrefix].map(([id, tokens]) => [
@@ -217,8 +268,19 @@
         break;
       case 'precede':
         response.socket?.write(behaviour.text);
+        if (behaviour.pauseMs !== undefined) {
+          await new Promise(resolve => setTimeout(resolve, behaviour.pauseMs));
+        }
+        await this.answer(behaviour.next, run, response);
+        break;
+      case 'exceed': {
+        const {socket} = response;
+        socket?.cork();
         await this.answer(behaviour.next, run, response);
+        socket?.write(behaviour.text);
+        socket?.uncork();
         break;
+      }
       case 'unsealed':
         response.writeHead(200, {'attempt-id': id}).end('no');
         break;
