Take no head that two responses share for the head of one

What callers saw: streams that may not be resumed ran at two endpoints, and requests that ran were refused with 503, on today's code too. Cause: an endpoint that breaks a copy of an earlier refusal off inside its status line or inside a header's value, and then sends the true answer on the same connection, makes one head of both for the parser. It has the status and the mark of the copy and the id of the request, so the check of the id passes. A 421 needs no mark; "HTTP/1.1 421 Mis" is enough.

Change: the relay rejects each head that holds the status line of another, in its reason or in a header, before anything in it is believed. Such a request counts as one that may have run, and its connection is closed. It is in the relay, so that requests between routers and to endpoints of the owners' fleet have it as well.

--- a/packages/core/src/relay.ts
+++ b/packages/core/src/relay.ts
@@ -6,6 +6,7 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
 import * as errors from './errors.js';
+import * as joinedHeads from './joinedheads.js';
 
 /** The request to send, its destination and its time limits. */
 export interface RelayOptions {
@@ -240,7 +241,9 @@
   request.end(options.body);
   try {
     const response = await awaitResponse(request);
-    const rejection = options.checkHead?.(response, earlierRequests > 0);
+    const rejection = joinedHeads.isJoinedHead(response)
+      ? 'the head holds the status line of another response'
+      : options.checkHead?.(response, earlierRequests > 0);
     if (!rejection) {
       // Without this, a connection reset would look like the regular end of a
       // response that has no content-length.
