Believe a refusal only if it carries the request's id, on new connections too

What callers saw: with an endpoint that sends a refusal without an id before its true answer on a new connection, 12 of 12 calls that must run at most once ran twice, and were answered 503 although they ran. Cause: on a new connection a refusal could lack the id, since no earlier request exists there whose answer it could be. But an endpoint in trouble also sends bytes that are no answer, and only the id tells.

Endpoints echo the id by their protocol; the stand-in's 421 does so now. A refusal without an id counts as a request that may have run.

The rejection names the status, so that a log tells copies of refusals from copies of answers.

--- a/packages/direct/src/attempt.ts
+++ b/packages/direct/src/attempt.ts
@@ -207,8 +207,7 @@
       agent,
       connectTimeoutMs: Math.min(liveness.CONNECT_TIMEOUT_MS, timeoutMs),
       firstByteTimeoutMs: timeoutMs,
-      checkHead: (response, isReused) =>
-        this.checkHead(response, isReused, request),
+      checkHead: response => this.checkHead(response, request),
       mayDispatch: () => this.mayDispatch(options),
       signal: activeAttempt.signal,
     };
@@ -222,12 +221,11 @@
 
   private checkHead(
     response: http.IncomingMessage,
-    isReused: boolean,
     {head: {requestId}}: routedRequest.RoutedRequest,
   ): string | undefined {
     const status = response.statusCode ?? 0;
     const head = this.protocol.readEndpointResponse(status, response.headers);
-    return responseCheck.rejectionOf({status, head, isReused}, requestId);
+    return responseCheck.rejectionOf({status, head}, requestId);
   }
 
   private async classifyError(
--- a/packages/direct/src/responsecheck.ts
+++ b/packages/direct/src/responsecheck.ts
@@ -1,7 +1,7 @@
 /**
  * Decides whether the head of a response belongs to a request, before anything
- * in it is believed. A connection that carried requests before may bring a late
- * copy of an earlier response, so only the request's id ties a response to it.
+ * in it is believed. An earlier request of the connection may have left bytes on
+ * it, so only the request's id ties a response to it, that of a refusal too.
  */
 import type * as wireProtocol from './wireprotocol.js';
 
@@ -15,13 +15,11 @@
 export interface ReceivedHead {
   readonly status: number;
   readonly head: wireProtocol.EndpointResponseHead;
-  /** Whether the connection carried requests before. */
-  readonly isReused: boolean;
 }
 
 /** Returns why the head is not a valid one for the request, if it is not. */
 export function rejectionOf(
-  {status, head, isReused}: ReceivedHead,
+  {status, head}: ReceivedHead,
   requestId: string,
 ): string | undefined {
   if (status < MIN_STATUS) return `the response has the status ${status}`;
@@ -29,12 +27,8 @@
   if (head.isNotRun && isSuccess) {
     return 'the response is a success that states it did not run the request';
   }
-  // An endpoint that knows nothing of the request may refuse it without its id.
-  const mayLackId = head.isNotRun && !isReused;
-  const isForeign =
-    head.requestId === undefined ? !mayLackId : head.requestId !== requestId;
-  if (isForeign) {
-    return `the response carries the id ${head.requestId ?? 'none'}`;
+  if (head.requestId !== requestId) {
+    return `the response carries the id ${head.requestId ?? 'none'} and the status ${status}`;
   }
   if (isSuccess && !head.isSealed) return 'the response has no seal';
   return undefined;
--- a/packages/standins/src/hostedendpoint.ts
+++ b/packages/standins/src/hostedendpoint.ts
@@ -196,7 +196,9 @@
       return;
     }
     if (request.headers['expect-instance'] !== this.id) {
-      response.writeHead(421, {'instance-id': this.id}).end();
+      const id = String(request.headers['attempt-id']);
+      const headers = {'attempt-id': id, 'instance-id': this.id};
+      response.writeHead(421, headers).end();
       return;
     }
     this.arrivalCount += 1;
