Decide repeats and promises from one record of a request's runs

What the dispatcher knew of a request's runs lay in three places, a count, a flag and the kind of the last failure, and each path combined them anew; a kept response and the listener promised beside them.

Now decide's RequestRuns is the single record: each send is entered before its first byte can leave, and counts as a run until its result proves that there was none. It alone answers whether the request may be sent again and whether "not run" may be said. The listener asks it before it writes a failure that promises; a breach is logged as promise_withheld with its inputs and answered with 502. The request line names the results of the sends (runs=not_run,may_run).

Evidence: requestruns.test.ts compares it with an independent statement of the two rules for all sequences of up to four results and eight kinds of route; promises.test.ts sends each promising failure with each record through the listener. Behaviour of the dispatcher is otherwise as before.

--- a/packages/decide/src/index.ts
+++ b/packages/decide/src/index.ts
@@ -28,6 +28,7 @@
 export * from './prefixhomes.js';
 export * from './prefixplacement.js';
 export * from './queue.js';
+export * from './requestruns.js';
 export * from './retry.js';
 export * from './roster.js';
 export * from './rounds.js';
--- a/packages/direct/src/callerlistener.ts
+++ b/packages/direct/src/callerlistener.ts
@@ -14,6 +14,7 @@
 import * as dispatcher from './dispatcher.js';
 import * as runState from './runstate.js';
 import type * as model from './model.js';
+import * as promises from './promises.js';
 import * as recorder from './recorder.js';
 import type * as settings from './settings.js';
 import * as activeTables from './activetables.js';
@@ -125,11 +126,12 @@
     try {
       const routing = await this.readRequest(request, head, arrivedMs);
       if (routing.ok) await processPendingSocketEvents();
-      const outcome: routedRequest.RequestOutcome = routing.ok
+      const dispatched: routedRequest.RequestOutcome = routing.ok
         ? await this.kernel
             .find(dispatcher.DISPATCHER)
             .serve(routing.value, callerResponse)
         : {type: 'failed', failure: routing.failure, sendCount: 0};
+      const outcome = this.withholdUnfounded(dispatched, head);
       this.sendFailure(outcome, head, callerResponse);
       const routed = routing.ok ? routing.value : undefined;
       const {startedMs: responseStartedMs} = callerResponse;
@@ -240,6 +242,28 @@
     return core.hash64(`${method} ${path} ${customer ?? ''} ${text}`);
   }
 
+  /**
+   * Replaces a failure that promises "not run" although the request may have
+   * run, which no path of the dispatcher should return.
+   */
+  private withholdUnfounded(
+    outcome: routedRequest.RequestOutcome,
+    {requestId}: wireProtocol.CallerRequestHead,
+  ): routedRequest.RequestOutcome {
+    if (outcome.type === 'answered' || !promises.isUnfounded(outcome)) {
+      return outcome;
+    }
+    const {failure, runs} = outcome;
+    this.kernel.find(core.LOGGER).error('promise_withheld', {
+      request: requestId,
+      kind: failure.kind,
+      detail: failure.detail,
+      runs: String(runs),
+    });
+    const {detail} = failure;
+    return {...outcome, failure: {kind: 'endpoint_broke', detail}};
+  }
+
   private sendFailure(
     outcome: routedRequest.RequestOutcome,
     {requestId}: wireProtocol.CallerRequestHead,
--- a/packages/direct/src/dispatcher.ts
+++ b/packages/direct/src/dispatcher.ts
@@ -4,6 +4,7 @@
  * retry budget shared by all routers allow.
  */
 import * as core from '@oleanderrock/core';
+import * as decide from '@oleanderrock/decide';
 import * as tsPattern from 'ts-pattern';
 import * as routedRequest from './routedrequest.js';
 import * as attempt from './attempt.js';
@@ -50,13 +51,8 @@
 /** The state of a request between sends. */
 interface DispatchProgress {
   sendCount: number;
-  /** Number of sends after which the request may still run, or has run. */
-  possibleRuns: number;
-  /** Whether an endpoint may have run the request, one that crashed included. */
-  mayHaveRun: boolean;
+  readonly runs: decide.RequestRuns;
   readonly triedIds: Set<string>;
-  /** Id of the event after which a stream resumes. */
-  lastEventId?: string;
   lastFailure: core.Failure;
   /** Placement of the last send. */
   placement?: routedRequest.PlacementDecision;
@@ -84,8 +80,10 @@
     );
     const progress: DispatchProgress = {
       sendCount: 0,
-      possibleRuns: 0,
-      mayHaveRun: false,
+      runs: new decide.RequestRuns({
+        isRepeatable: routedRequest.isRetryable(request.route),
+        maxRuns: request.route.maxRuns,
+      }),
       triedIds: new Set(),
       lastFailure: {
         kind: 'pool_empty',
@@ -136,6 +134,7 @@
     progress.placement = {...placement, contextSource: contextSource?.id};
     progress.sendCount += 1;
     progress.triedIds.add(endpoint.id);
+    progress.runs.begin();
     const result = await this.kernel.find(attempt.ATTEMPT_SENDER).send({
       request,
       endpoint,
@@ -151,9 +150,10 @@
         ? await delivery.deliver(
             result.response,
             endpoint,
-            this.isLastSend(progress),
+            progress.sendCount >= MAX_SENDS,
           )
         : result;
+    progress.runs.end(runOf(deliveryResult));
     this.recorder.record(request, endpoint, deliveryResult);
     return this.applyResult(endpoint, deliveryResult, progress);
   }
@@ -163,15 +163,13 @@
     result: responseDelivery.DeliveryResult,
     progress: DispatchProgress,
   ): routedRequest.RequestOutcome | undefined {
-    const {sendCount, placement} = progress;
     return tsPattern
       .match(result)
       .with({type: 'delivered'}, ({status}) => ({
         type: 'answered' as const,
         status,
         endpoint: endpoint.id,
-        sendCount,
-        placement,
+        ...summaryOf(progress),
       }))
       .with({type: 'caller_gone'}, () =>
         failedOutcome('caller_gone', 'the caller disconnected', progress),
@@ -192,16 +190,11 @@
         return undefined;
       })
       .with({type: 'failed_run'}, ({status}) => {
-        progress.possibleRuns += 1;
-        progress.mayHaveRun = true;
         const detail = `${endpoint.id} answered ${status}`;
         progress.lastFailure = {kind: 'endpoint_broke', detail};
         return undefined;
       })
       .with({type: 'broken'}, ({cause, detail}) => {
-        // A crashed endpoint no longer runs the request.
-        if (cause !== 'dead') progress.possibleRuns += 1;
-        progress.mayHaveRun = true;
         progress.lastFailure = brokenFailure(
           `${endpoint.id}: ${detail}`,
           cause,
@@ -217,10 +210,8 @@
     delivery: responseDelivery.ResponseDelivery,
     progress: DispatchProgress,
   ): boolean {
-    const possibleRuns = progress.possibleRuns + 1;
-    if (!this.hasSendLeft(request, delivery, {...progress, possibleRuns})) {
-      return false;
-    }
+    if (!this.hasSendLeft(request, delivery, progress)) return false;
+    if (!progress.runs.maySendAfterOpen()) return false;
     const {pool} = request;
     const fleet = this.kernel.find(fleetRegistry.FLEET_REGISTRY);
     const budget = this.kernel.find(decisions.RETRY_BUDGET);
@@ -236,7 +227,9 @@
     progress: DispatchProgress,
   ): boolean {
     if (progress.sendCount > 0 && this.isQuarantined(request)) return false;
-    return this.hasSendLeft(request, delivery, progress);
+    return (
+      this.hasSendLeft(request, delivery, progress) && progress.runs.maySend()
+    );
   }
 
   private hasSendLeft(
@@ -246,15 +239,7 @@
   ): boolean {
     if (!delivery.canResume) return false;
     if (progress.sendCount >= MAX_SENDS) return false;
-    if (this.remainingMs(request) < MIN_SEND_TIME_MS) return false;
-    const mayHaveRun =
-      progress.possibleRuns > 0 ||
-      progress.lastFailure.kind === 'endpoint_broke';
-    if (!mayHaveRun) return true;
-    return (
-      routedRequest.isRetryable(request.route) &&
-      progress.possibleRuns < request.route.maxRuns
-    );
+    return this.remainingMs(request) >= MIN_SEND_TIME_MS;
   }
 
   /** Whether endpoints crashed under the request, or others with its keys. */
@@ -283,10 +268,6 @@
     return budget.trySpend(request.pool, fleet.liveCount(), nowMs);
   }
 
-  private isLastSend({sendCount, possibleRuns}: DispatchProgress): boolean {
-    return sendCount >= MAX_SENDS || possibleRuns + 1 >= MAX_SENDS;
-  }
-
   private concludeWithFailure(
     request: routedRequest.RoutedRequest,
     delivery: responseDelivery.ResponseDelivery,
@@ -302,14 +283,14 @@
     }
     const status = delivery.deliverLastFailure();
     if (status !== undefined) {
-      const {sendCount, placement} = progress;
       // Logged instead of an endpoint's id, since the response may come from an
       // earlier send than the last.
-      return {type: 'answered', status, endpoint: 'kept', sendCount, placement};
+      const endpoint = 'kept';
+      return {type: 'answered', status, endpoint, ...summaryOf(progress)};
     }
     const isNotRun =
       core.ERROR_RESPONSES[progress.lastFailure.kind].ran === 'no';
-    const mayHaveRunBefore = progress.mayHaveRun && isNotRun;
+    const mayHaveRunBefore = !progress.runs.isKnownNotRun && isNotRun;
     const failure: core.Failure = mayHaveRunBefore
       ? {kind: 'endpoint_broke', detail: progress.lastFailure.detail}
       : progress.lastFailure;
@@ -319,8 +300,7 @@
         isNotRun && !mayHaveRunBefore
           ? this.refusal(request, failure)
           : failure,
-      sendCount: progress.sendCount,
-      placement: progress.placement,
+      ...summaryOf(progress),
     };
   }
 
@@ -341,14 +321,14 @@
     return {kind: 'saturated', detail, retryAfterMs: holdOffMs};
   }
 
-  /** The time-out of the next send, in ms. */
+  /** The time-out of the send that was begun, in ms. */
   private sendTimeoutMs(
     request: routedRequest.RoutedRequest,
     progress: DispatchProgress,
   ): number {
     const remainingMs = this.remainingMs(request);
-    const {repeat, goalMs, maxRuns} = request.route;
-    const mayRetry = progress.possibleRuns + 1 < maxRuns;
+    const {repeat, goalMs} = request.route;
+    const mayRetry = progress.runs.maySendAfterOpen();
     if (repeat !== 'idempotent' || !mayRetry) return remainingMs;
     return Math.min(remainingMs, goalMs * SEND_TIMEOUT_GOAL_MULTIPLE);
   }
@@ -362,6 +342,31 @@
   }
 }
 
+function summaryOf({
+  sendCount,
+  runs,
+  placement,
+}: DispatchProgress): routedRequest.SendSummary {
+  return {sendCount, runs, placement};
+}
+
+/** What the result of a send tells about a run. */
+function runOf(result: responseDelivery.DeliveryResult): decide.SendResult {
+  return tsPattern
+    .match(result)
+    .with({type: 'not_sent'}, {type: 'withheld'}, () => 'not_sent' as const)
+    .with({type: 'not_run'}, () => 'not_run' as const)
+    .with({type: 'broken', cause: 'dead'}, () => 'ended' as const)
+    .with(
+      {type: 'broken'},
+      {type: 'failed_run'},
+      {type: 'delivered'},
+      {type: 'caller_gone'},
+      () => 'may_run' as const,
+    )
+    .exhaustive();
+}
+
 function refusedFailure(detail: string): core.Failure {
   return {kind: 'endpoint_refused', detail};
 }
@@ -377,7 +382,7 @@
 function failedOutcome(
   kind: core.ErrorKind,
   detail: string,
-  {sendCount, placement}: DispatchProgress,
+  progress: DispatchProgress,
 ): routedRequest.RequestOutcome {
-  return {type: 'failed', failure: {kind, detail}, sendCount, placement};
+  return {type: 'failed', failure: {kind, detail}, ...summaryOf(progress)};
 }
--- a/packages/direct/src/recorder.ts
+++ b/packages/direct/src/recorder.ts
@@ -157,6 +157,7 @@
       endpoint: isAnswered ? outcome.endpoint : undefined,
       detail: isAnswered ? undefined : outcome.failure.detail,
       sends: outcome.sendCount,
+      runs: hasRunHistory(outcome) ? String(outcome.runs) : undefined,
       placed: placement?.reason,
       load: placement?.endpoint.inFlight,
       context_from: placement?.contextSource,
@@ -181,6 +182,15 @@
   return status >= 400 && status < 500 && kind !== 'caller_gone';
 }
 
+/** Whether more is known of the runs than that one endpoint answered. */
+function hasRunHistory({
+  type,
+  sendCount,
+  runs,
+}: routedRequest.RequestOutcome): boolean {
+  return runs !== undefined && (type === 'failed' || sendCount > 1);
+}
+
 function firstByteMsOf({
   arrivedMs,
   responseStartedMs,
--- a/packages/direct/src/responsecheck.ts
+++ b/packages/direct/src/responsecheck.ts
@@ -8,9 +8,6 @@
 /** Lowest status that can be passed on; those below it end no request. */
 const MIN_STATUS = 200;
 
-/** Statuses by which callers are promised that a request did not run. */
-const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
-
 /** A head that was received for a request. */
 export interface ReceivedHead {
   readonly status: number;
@@ -33,11 +30,3 @@
   if (isSuccess && !head.isSealed) return 'the response has no seal';
   return undefined;
 }
-
-/**
- * Whether the status of a response that does not state "not run" would promise
- * just that to the caller.
- */
-export function isUnfoundedPromise(status: number): boolean {
-  return NOT_RUN_STATUSES.includes(status);
-}
--- a/packages/direct/src/responsedelivery.ts
+++ b/packages/direct/src/responsedelivery.ts
@@ -10,7 +10,7 @@
 import * as routedRequest from './routedrequest.js';
 import type * as attempt from './attempt.js';
 import * as bodies from './responsebody.js';
-import * as responseCheck from './responsecheck.js';
+import * as promises from './promises.js';
 import * as wireProtocol from './wireprotocol.js';
 import * as eventSplitter from './eventsplitter.js';
 import * as liveness from './liveness.js';
@@ -110,7 +110,7 @@
     const {response, status} = incoming;
     // An event stream that has begun can only be resumed by a success. A status
     // that promises that the request did not run is not true of one that may have.
-    if (this.hasBegun || responseCheck.isUnfoundedPromise(status)) {
+    if (this.hasBegun || promises.isPromise(status)) {
       core.relay.discardBody(response);
       return {type: 'failed_run', status};
     }
--- a/packages/direct/src/routedrequest.ts
+++ b/packages/direct/src/routedrequest.ts
@@ -70,9 +70,11 @@
   readonly contextSource?: string;
 }
 
-/** How often a request was sent to endpoints. */
+/** How often a request was sent to endpoints, and what is known of its runs. */
 export interface SendSummary {
   readonly sendCount: number;
+  /** Absent if the request was refused before it was dispatched. */
+  readonly runs?: decide.RequestRuns;
   /** The last placement; absent if no endpoint was chosen. */
   readonly placement?: PlacementDecision;
 }
