--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 /** Schemas, utilities and services shared by all packages. */
+export * from './build.js';
 export * from './clock.js';
 export * from './commandline.js';
 export * from './errors.js';
--- a/packages/core/src/metrics.ts
+++ b/packages/core/src/metrics.ts
@@ -1,5 +1,6 @@
 /** Metrics of the process, in a prom-client registry. */
 import * as prom from 'prom-client';
+import * as build from './build.js';
 import * as kernel from './kernel.js';
 
 /** The registry in which services register their metrics. */
@@ -23,6 +24,7 @@
   /** @param withRuntime whether to include the metrics of the Node.js runtime */
   constructor({withRuntime = true}: {withRuntime?: boolean} = {}) {
     if (withRuntime) prom.collectDefaultMetrics({register: this.promRegistry});
+    this.registerBuildInfo();
   }
 
   registry(): prom.Registry {
@@ -32,4 +34,15 @@
   render(): Promise<string> {
     return this.promRegistry.metrics();
   }
+
+  /** A gauge that is always 1 and whose label names the build. */
+  private registerBuildInfo(): void {
+    const gauge = new prom.Gauge({
+      name: 'oleander_build_info',
+      help: 'Build of the program',
+      labelNames: ['build'],
+      registers: [this.promRegistry],
+    });
+    gauge.set({build: build.BUILD_ID}, 1);
+  }
 }
--- a/packages/router/src/cli.ts
+++ b/packages/router/src/cli.ts
@@ -115,11 +115,13 @@
 const cli = new clipanion.Cli({
   binaryName: 'oleanderrock',
   binaryLabel: 'oleanderrock, a router of the fleet',
+  binaryVersion: `build ${core.BUILD_ID}`,
   enableColors: Boolean(process.stdout.isTTY),
 });
 cli.register(RunCommand);
 cli.register(ShowSettingsCommand);
 cli.register(clipanion.Builtins.HelpCommand);
+cli.register(clipanion.Builtins.VersionCommand);
 process.exitCode = await core.runCli(
   cli,
   'oleanderrock',
--- a/packages/router/src/wire.ts
+++ b/packages/router/src/wire.ts
@@ -62,6 +62,7 @@
 ): void {
   const log = new core.ConsolaLogger(routerSettings.logLevel, {
     router: routerSettings.name,
+    build: core.BUILD_ID,
   });
   kernel.register(core.CLOCK, new core.SystemClock());
   kernel.register(
--- a/packages/router/src/wiredirect.ts
+++ b/packages/router/src/wiredirect.ts
@@ -195,7 +195,7 @@
   const kernel = new core.Kernel();
   const log = new core.ConsolaLogger(
     routerSettings.logLevel,
-    {router: routerSettings.name},
+    {router: routerSettings.name, build: core.BUILD_ID},
     LOG_OUTPUT,
   );
   const seed = Math.floor(Math.random() * MAX_SEED);
