Remove a whole pool that leaves at once within 2 s

Cause: a reader of the store kept a whole pool that vanished for 2.2 s from the read that found it, since its entries might have expired and return. Only the gap between reads told a departure from an expiry, and a whole pool was taken for expired without one.

Change: a reader remembers the earliest time at which each entry may have been renewed last: the start of the read before the one that found the renewal. An entry expires after 3.6 s without renewal; an endpoint that leaves renewed it 1.2 s before at most. If that time is less than 3 s ago, and the reads had no gap, the endpoint left, and the removal is applied with the read that finds it. All else is kept as before: after a gap, after failed reads, in a list that is read anew, and without a known renewal. No message or read is added.

--- a/packages/direct/src/feedhandlers.ts
+++ b/packages/direct/src/feedhandlers.ts
@@ -6,6 +6,7 @@
 import * as core from '@oleanderrock/core';
 import * as endpointRegistry from './endpointregistry.js';
 import * as endpointRecords from './endpointrecords.js';
+import * as entryRenewals from './entryrenewals.js';
 import type * as feeds from './feeds.js';
 import * as fleetRegistry from './fleetregistry.js';
 import type * as follower from './follower.js';
@@ -75,6 +76,7 @@
   private graceEndsMs = 0;
   /** Monotonic time of the last successful read, in ms. */
   private lastReadMs = Number.NEGATIVE_INFINITY;
+  private readonly renewals = new entryRenewals.EntryRenewals();
 
   constructor(private readonly kernel: core.Kernel) {}
 
@@ -93,10 +95,12 @@
       return;
     }
     this.pendingRemovals.delete(record.key);
+    this.renewals.onRenewed(record.key);
     this.apply(record);
   }
 
   onLatest(page: feeds.FeedPage<model.Endpoint>): void {
+    this.renewals.reset();
     const listed = new Set(page.records.map(record => record.key));
     for (const record of page.records) this.onRecord(record);
     for (const key of this.endpoints.ids()) {
@@ -105,8 +109,9 @@
     }
   }
 
-  onOffset(nextOffset: number): void {
+  onOffset(nextOffset: number, readStartMs: number): void {
     this.endpoints.advanceTo(nextOffset);
+    this.renewals.onRead(readStartMs);
     const gapMs = this.nowMs() - this.lastReadMs;
     this.lastReadMs = this.nowMs();
     if (this.isInGracePeriod()) return;
@@ -114,7 +119,10 @@
       this.graceEndsMs = this.nowMs() + RETURN_GRACE_MS;
       return;
     }
-    for (const record of this.pendingRemovals.values()) this.apply(record);
+    for (const record of this.pendingRemovals.values()) {
+      this.renewals.forget(record.key);
+      this.apply(record);
+    }
     this.pendingRemovals.clear();
     this.graceEndsMs = 0;
   }
@@ -130,14 +138,19 @@
   /**
    * Whether the store was unavailable between two reads that were `gapMs` apart,
    * so that entries expired: all of a pool disappeared at once without draining,
-   * or most of it and the gap was long enough.
+   * or most of it and the gap was long enough. Without such a gap, entries that
+   * were renewed shortly before belong to endpoints that left.
    */
   private hasMassExpiry(gapMs: number): boolean {
-    const minFraction = gapMs < MIN_EXPIRY_GAP_MS ? 1 : MASS_EXPIRY_FRACTION;
+    const wasStoreAway = gapMs >= MIN_EXPIRY_GAP_MS;
+    const minFraction = wasStoreAway ? MASS_EXPIRY_FRACTION : 1;
     const removedByPool = new Map<string, number>();
     for (const key of this.pendingRemovals.keys()) {
       const endpoint = this.endpoints.find(key);
       if (!endpoint || endpoint.isDraining) continue;
+      const mayHaveExpired =
+        wasStoreAway || this.renewals.mayHaveExpired(key, this.nowMs());
+      if (!mayHaveExpired) continue;
       removedByPool.set(
         endpoint.pool,
         (removedByPool.get(endpoint.pool) ?? 0) + 1,
--- a/packages/direct/src/follower.ts
+++ b/packages/direct/src/follower.ts
@@ -48,8 +48,11 @@
    * longer exist.
    */
   onLatest(page: feeds.FeedPage<T>): void;
-  /** Called after all records before the offset were handled. */
-  onOffset(nextOffset: number): void;
+  /**
+   * Called after all records before the offset were handled.
+   * @param readStartMs monotonic time at which their read began, in ms
+   */
+  onOffset(nextOffset: number, readStartMs: number): void;
   /** Called when the feed is lost. */
   onLost(): void;
   /** Called when a lost feed can be read again. */
@@ -147,6 +150,7 @@
   private async readLatest(signal: AbortSignal): Promise<number | undefined> {
     const exponentialMs = FIRST_RESPONSE_TIMEOUT_MS * 2 ** this.failures;
     const responseTimeoutMs = Math.min(MAX_RESPONSE_TIMEOUT_MS, exponentialMs);
+    const startMs = this.nowMs();
     const result = await this.options.feed.readLatest({
       responseTimeoutMs,
       signal,
@@ -158,7 +162,7 @@
     }
     this.handleSuccess();
     this.options.handler.onLatest(result.page);
-    this.options.handler.onOffset(result.page.nextOffset);
+    this.options.handler.onOffset(result.page.nextOffset, startMs);
     this.nextOffset = result.page.nextOffset;
     return result.page.nextOffset;
   }
@@ -172,13 +176,14 @@
     let lastRecordMs = Number.NEGATIVE_INFINITY;
     const {feed, handler, waitMs, pauseMs, isFullState = false} = this.options;
     while (!signal.aborted && this.options.isNeeded()) {
+      const startMs = this.nowMs();
       const result = await feed.readFrom({fromOffset, waitMs, signal});
       if (signal.aborted) break;
       if (result.ok) {
         this.handleSuccess();
         for (const record of result.page.records) this.handle(record);
         fromOffset = result.page.nextOffset;
-        handler.onOffset(fromOffset);
+        handler.onOffset(fromOffset, startMs);
         this.nextOffset = fromOffset;
         if (isFullState && result.page.records.length > 0) {
           if (result.page.records.length > 1) return 'backlog';
--- a/packages/router/src/tests/directstore.test.ts
+++ b/packages/router/src/tests/directstore.test.ts
@@ -2,6 +2,7 @@
  * Tests of the tables, the lists of endpoints and routers, and the graceful
  * shutdown of routers, also while the platform's store fails.
  */
+import * as timers from 'node:timers/promises';
 import * as chai from 'chai';
 import * as core from '@oleanderrock/core';
 import * as direct from '@oleanderrock/direct';
@@ -17,6 +18,16 @@
   return readyEndpoints.map(({id}) => id).sort();
 }
 
+/** Interval at which endpoints renew their entries, in ms. */
+const RENEWAL_MS = 1_200;
+
+function renewedEntries({endpoints}: support.DirectFleet, seq: number) {
+  return endpoints.map(endpoint => ({
+    id: endpoint.id,
+    entry: {...endpoint.entry(), seq},
+  }));
+}
+
 /** Time within which endpoints that left get no request, in ms. */
 const REMOVED_WITHIN_MS = 2_000;
 
@@ -132,6 +143,24 @@
     expect(performance.now() - startMs).to.be.below(REMOVED_WITHIN_MS);
   });
 
+  it('remove a whole pool in time if its endpoints renewed their entries until they left', async () => {
+    for (let seq = 2; seq <= 3; seq++) {
+      for (const {id, entry} of renewedEntries(fleet, seq)) {
+        fleet.store.put('keyed.servers', id, entry);
+      }
+      await timers.setTimeout(RENEWAL_MS);
+    }
+    for (const {id} of fleet.endpoints) fleet.store.put('keyed.servers', id);
+    const startMs = performance.now();
+    for (const kernel of fleet.kernels) {
+      await polling.until('all are removed', () => {
+        return endpointIds(kernel).length === 0;
+      });
+    }
+    expect(performance.now() - startMs).to.be.below(REMOVED_WITHIN_MS);
+    expect((await fleet.call('/read/a')).status).to.equal(503);
+  });
+
   it('receive endpoint changes in digests of routers that read the store sooner', async () => {
     const slowReader = await fleet.addRouter({endpointsPaceMs: '60000'});
     const waitForEndpoints = (ids: string) =>
