Let the soak send late copies of refusals, whole and cut

The soak could not show it: its endpoints refused requests, but never sent a refusal a second time.

An endpoint's refusal can now be followed by a text that is written before the next answer on the same connection. The soak has two more ways to spoil answers with it: a whole copy of the refusal, and one that breaks off at any byte. The checks that no request runs twice or is promised not to run are those it has.

--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -137,7 +137,7 @@
     const {endpoint} = this.environment.listedEndpoints[index]!;
     endpoint.chooseBehaviour = run =>
       this.random.nextFloat() < share
-        ? tables.spoilAnswer(run, how)
+        ? tables.spoilAnswer(run, how, this.random.nextFloat())
         : tables.answerNormally(run);
     await environments.sleep(forMs);
     endpoint.chooseBehaviour = run => tables.answerNormally(run);
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -7,6 +7,8 @@
 const SPOIL_MODES = [
   'fail',
   'shed',
+  'copy',
+  'cut_copy',
   'reset',
   'foreign',
   'truncate',
--- a/packages/soak/src/tables.ts
+++ b/packages/soak/src/tables.ts
@@ -94,11 +94,20 @@
   };
 }
 
-/** Behaviour of an endpoint that fails the request or falsifies the answer. */
+/**
+ * Behaviour of an endpoint that fails the request or falsifies the answer.
+ * `cutAt` is the part of a late copy after which it breaks off, from 0 to 1.
+ */
 export function spoilAnswer(
   run: standins.RecordedRun,
   how: plan.SpoilMode,
+  cutAt: number,
 ): standins.Behaviour {
+  if (how === 'copy' || how === 'cut_copy') {
+    const copy = standins.refusalText(standins.readRunOrigin(run).id);
+    const length = how === 'copy' ? copy.length : copy.length * cutAt;
+    return {type: 'shed', late: copy.slice(0, length)};
+  }
   if (how !== 'break') return {type: how};
   const normalBehaviour = answerNormally(run);
   return normalBehaviour.type === 'stream'
--- a/packages/standins/src/hostedendpoint.ts
+++ b/packages/standins/src/hostedendpoint.ts
@@ -10,8 +10,11 @@
   | {readonly type: 'answer'; readonly body?: string}
   /** Runs the request and answers 500, or another status. */
   | {readonly type: 'fail'; readonly status?: number}
-  /** Refuses the request with 503 and does not run it. */
-  | {readonly type: 'shed'}
+  /**
+   * Refuses the request with 503 and does not run it. `late` is written before
+   * the next answer of the connection.
+   */
+  | {readonly type: 'shed'; readonly late?: string}
   /** Runs the request and closes its connection without an answer. */
   | {readonly type: 'reset'}
   /** Runs the request and stops the endpoint before it answers. */
@@ -111,6 +114,7 @@
   /** How long the body of a request that was refused early stays unread. */
   unreadBodyMs = 20;
   port = 0;
+  private readonly lateTexts = new WeakMap<net.Socket, string>();
   private server: http.Server;
   private readonly sockets = new Set<net.Socket>();
   private readonly usedSockets = new WeakSet<net.Socket>();
@@ -215,10 +219,13 @@
       this.nextBehaviours.shift() ??
       this.chooseBehaviour?.(run) ??
       this.defaultBehaviour;
+    this.writeLateText(request.socket);
     if (behaviour.type === 'shed') {
       const id = String(run.headers['attempt-id']);
       const headers = {'attempt-id': id, 'not-executed': '1'};
       response.writeHead(503, headers).end();
+      const {late} = behaviour;
+      if (late !== undefined) this.lateTexts.set(request.socket, late);
       return;
     }
     this.runs.push(run);
@@ -238,6 +245,13 @@
     setTimeout(() => request.resume(), this.unreadBodyMs);
   }
 
+  private writeLateText(socket: net.Socket): void {
+    const text = this.lateTexts.get(socket);
+    if (text === undefined) return;
+    this.lateTexts.delete(socket);
+    socket.write(text);
+  }
+
   private sendPrefixList(response: http.ServerResponse): void {
     this.prefixListCount += 1;
     const held = [...this.cachedTokensByPrefix].map(([id, tokens]) => [
@@ -371,6 +385,14 @@
   setTimeout(() => socket?.resetAndDestroy(), RESET_DELAY_MS);
 }
 
+/** Text of a refusal, as an endpoint may send it once more. */
+export function refusalText(id: string): string {
+  return (
+    'HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n' +
+    `Attempt-Id: ${id}\r\nContent-Length: 0\r\n\r\n`
+  );
+}
+
 /** Text of a server-sent event. */
 export function eventText(number: number, label = 'event'): string {
   return `id: ${number}\ndata: ${label} ${number}\n\n`;
