Promise nothing of a request that was sent again after it may have run

What callers saw: in the owners' fleet, a repeatable request that ran on a kept connection which closed unanswered, and that an endpoint refused when it was sent again on a new one, was answered 503 with ran: no. Cause: sendRepeatable reported the refusal alone and dropped that the first send may have run. The head of a repeat says that an earlier send may have run, and a refusal of it is answered 502; a repeat that sent nothing, whatever stopped it, reports the first send. Forwarding to another router has the same gap, read only: its refusals tell the entry router where to go.

--- a/packages/core/src/relay.ts
+++ b/packages/core/src/relay.ts
@@ -70,6 +70,8 @@
   readonly response: http.IncomingMessage;
   /** Number of requests that the connection carried before this one. */
   readonly earlierRequests: number;
+  /** Whether an earlier send of the request may have run. */
+  readonly mayHaveRunBefore?: boolean;
 }
 
 /** A failed request. */
@@ -281,11 +283,12 @@
   const result = await send(options);
   if (result.type === 'head' || !result.error.isStale) return result;
   const retryResult = await send({...options, agent: undefined});
-  // If connecting fails as well, the server has crashed, possibly while it
-  // handled the first request: that request may have run.
-  const isUnreachable =
-    retryResult.type === 'error' && retryResult.error.stage === 'connect';
-  return isUnreachable ? result : retryResult;
+  if (retryResult.type === 'head') {
+    return {...retryResult, mayHaveRunBefore: true};
+  }
+  // If nothing was sent this time, the first request is the one to report: it
+  // may have run, and the server may have crashed under it.
+  return retryResult.error.stage === 'sent' ? retryResult : result;
 }
 
 /** Destination of a streamed body. */
--- a/packages/router/src/runner.ts
+++ b/packages/router/src/runner.ts
@@ -129,12 +129,12 @@
       signal: route.repeatable ? answer.callerGone : undefined,
     });
     if (head.type === 'error') return toOutcome(head.error, endpoint);
-    return this.copyAnswer(options, head.response);
+    return this.copyAnswer(options, head);
   }
 
   private async copyAnswer(
     options: RunOptions,
-    response: http.IncomingMessage,
+    {response, mayHaveRunBefore}: core.relay.ResponseHead,
   ): Promise<exchange.Outcome> {
     const {route, endpoint, answer} = options;
     const status = response.statusCode ?? 0;
@@ -142,7 +142,9 @@
       core.relay.discardBody(response);
       this.recordLeaving(endpoint, response);
       const detail = `${endpoint} answered ${status} and did not run the request`;
-      return exchange.failed('endpoint_refused', detail);
+      return mayHaveRunBefore
+        ? exchange.failed('endpoint_broke', `${detail} when it was sent again`)
+        : exchange.failed('endpoint_refused', detail);
     }
     answer.begin({
       status,
