Sum up the evidence against a crash key at two homes instead of passing on every note

Cause: each router that sees a crash has a note of its own with keys that are in no other request, and every router passed on every note, eight times. What a router sends so grows with the number of routers that see the crash, while a digest, and the budget of urgent ones, do not; the few notes with the deadly part wait behind the others. The class: a cost that grows with the reporters.

Telling verdicts ahead of notes was not built: it would let one router condemn for all, which counting reporters prevents.

Change: - In a large fleet a router tells the keys of a crash to their homes, two routers of different failure domains by rendezvous, in datagrams of a topic of its own. Its note also goes in its rounds of digests, but others do not pass it on. - A key under several crashes is told to all, as soon as a router knows of two of them, without the other keys of its notes and ahead of other crashes. Each router adds the crashes that it saw itself. - A note on a whole request keeps the key of one beside it, so that the request does not seem to have run alone. - Small fleets tell all notes to all as before. The format of digests stays, as does what condemns a key.

--- a/packages/decide/src/crashevidence.ts
+++ b/packages/decide/src/crashevidence.ts
@@ -22,8 +22,8 @@
   readonly crash: number;
   readonly atMs: number;
   readonly reporters: readonly number[];
-  /** Whether no other request could have caused it. */
-  readonly isSole: boolean;
+  /** Key of another whole request that could have caused it. */
+  readonly beside: string | undefined;
 }
 
 /** Maximum number of crashes kept for a key. */
@@ -64,6 +64,21 @@
   readonly maxKeys: number;
 }
 
+/**
+ * The note with some of its keys only, and with one of another whole request if
+ * it has any, without which a request seems to have run alone.
+ */
+export function withKeys(note: CrashNote, keys: readonly string[]): CrashNote {
+  const wholeCount = keys.filter(crashKeys.isWholeRequest).length;
+  const beside =
+    wholeCount === 1
+      ? note.keys.find(
+          key => crashKeys.isWholeRequest(key) && !keys.includes(key),
+        )
+      : undefined;
+  return {...note, keys: beside === undefined ? keys : [...keys, beside]};
+}
+
 /** The evidence against all keys. */
 export class CrashEvidence {
   private readonly byKey: boundedMap.BoundedMap<readonly Observation[]>;
@@ -84,10 +99,11 @@
     const known = observations.find(other => other.crash === crash);
     if (known?.reporters.includes(reporter)) return false;
     if (known && known.reporters.length >= MAX_REPORTERS) return false;
-    const isSole = note.keys.filter(crashKeys.isWholeRequest).length === 1;
+    const isBeside = (other: string) =>
+      crashKeys.isWholeRequest(other) && other !== key;
     const observation: Observation = known
       ? {...known, reporters: [...known.reporters, reporter]}
-      : {crash, atMs, reporters: [reporter], isSole};
+      : {crash, atMs, reporters: [reporter], beside: note.keys.find(isBeside)};
     const others = observations.filter(other => other.crash !== crash);
     const all = [...others, observation].sort((a, b) => a.atMs - b.atMs);
     this.byKey.set(key, all.slice(-MAX_OBSERVATIONS));
@@ -134,7 +150,9 @@
   condemns(key: string, nowMs: number): boolean {
     const crashes = this.countedCrashes(key, nowMs);
     if (crashKeys.isWholeRequest(key)) {
-      const soleCount = crashes.filter(({isSole}) => isSole).length;
+      const soleCount = crashes.filter(
+        ({beside}) => beside === undefined,
+      ).length;
       return crashes.length > 1 && crashes.length + soleCount >= WHOLE_WEIGHT;
     }
     const [first] = crashes;
@@ -145,13 +163,25 @@
     return moments >= MANY_PART_MOMENTS && crashes.length >= MANY_PART_CRASHES;
   }
 
-  /** The crashes under the key, as notes to other routers. */
+  /**
+   * The crashes under the key, as notes to other routers. That on a whole request
+   * has the key of one beside it, if there was any.
+   */
   notesOf(key: string): readonly CrashNote[] {
-    return (this.byKey.get(key) ?? []).flatMap(({crash, atMs, reporters}) =>
-      reporters.map(reporter => ({crash, atMs, reporter, keys: [key]})),
+    const isWhole = crashKeys.isWholeRequest(key);
+    return (this.byKey.get(key) ?? []).flatMap(
+      ({crash, atMs, reporters, beside}) => {
+        const keys = isWhole && beside !== undefined ? [key, beside] : [key];
+        return reporters.map(reporter => ({crash, atMs, reporter, keys}));
+      },
     );
   }
 
+  /** Whether there were several crashes under the key. */
+  isRepeated(key: string): boolean {
+    return (this.byKey.get(key)?.length ?? 0) > 1;
+  }
+
   /**
    * The recent crashes under the key, without those beyond the limit of the
    * router that saw them.
--- a/packages/decide/src/crashtracker.ts
+++ b/packages/decide/src/crashtracker.ts
@@ -20,7 +20,12 @@
 
 /** What this router has to tell others. */
 export interface CrashNews {
+  /** Why keys are condemned of which another router does not know it. */
   readonly crashes: readonly crashEvidence.CrashNote[];
+  /** Crashes that this router saw, with all their keys. */
+  readonly ownCrashes: readonly crashEvidence.CrashNote[];
+  /** Crashes under keys that several crashes have in common. */
+  readonly repeated: readonly crashEvidence.CrashNote[];
   readonly proofs: readonly ProofNote[];
 }
 
@@ -78,8 +83,19 @@
   recordEnd(request: trackedRequests.TrackedRequest): void;
   /** Records a crash of the endpoint, which ended all requests on it. */
   recordCrash(endpoint: CrashedEndpoint, nowMs: number): CrashReport;
-  /** Applies a note of another router; returns whether it was new. */
-  applyCrash(note: crashEvidence.CrashNote, nowMs: number): boolean;
+  /**
+   * Applies a note of another router; returns what is new of keys that several
+   * crashes have in common.
+   */
+  applyCrash(
+    note: crashEvidence.CrashNote,
+    nowMs: number,
+  ): readonly crashEvidence.CrashNote[];
+  /**
+   * Applies a note that its router tells only the homes of its keys. What this
+   * router can tell from it is news of its own.
+   */
+  applyReported(note: crashEvidence.CrashNote, nowMs: number): void;
   /** Applies a note of another router; returns whether it cleared evidence. */
   applyProof(note: ProofNote, nowMs: number): boolean;
   /** News since the last call; also condemns keys whose time has come. */
@@ -137,7 +153,9 @@
   private readonly explained = new boundedMap.BoundedMap<string>(
     MAX_EVIDENCE_KEYS,
   );
-  private unsentCrashes: crashEvidence.CrashNote[] = [];
+  private unsentCrashes: readonly crashEvidence.CrashNote[] = [];
+  private unsentOwnCrashes: readonly crashEvidence.CrashNote[] = [];
+  private unsentRepeated: readonly crashEvidence.CrashNote[] = [];
   private unsentProofs = new boundedMap.BoundedMap<number>(MAX_UNSENT);
 
   constructor(private readonly options: CrashTrackerOptions) {
@@ -226,15 +244,20 @@
     if (keys.length > 0) {
       const {reporter} = this;
       const note = {crash, reporter, atMs: nowMs, keys};
-      this.addEvidence(note, nowMs);
-      this.queueCrash({...note, keys: keys.slice(0, MAX_NOTE_KEYS)});
+      const repeated = this.addEvidence(note, nowMs);
+      this.unsentRepeated = queued(this.unsentRepeated, repeated);
+      const told = {...note, keys: keys.slice(0, MAX_NOTE_KEYS)};
+      this.unsentOwnCrashes = queued(this.unsentOwnCrashes, [told]);
       this.options.onNews?.();
     }
     return {crash, candidates, begun, keys};
   }
 
-  applyCrash(note: crashEvidence.CrashNote, nowMs: number): boolean {
-    if (nowMs - note.atMs > MAX_NOTE_AGE_MS) return false;
+  applyCrash(
+    note: crashEvidence.CrashNote,
+    nowMs: number,
+  ): readonly crashEvidence.CrashNote[] {
+    if (nowMs - note.atMs > MAX_NOTE_AGE_MS) return [];
     const isOwn = note.reporter === this.reporter;
     const reporter = isOwn ? UNKNOWN_REPORTER : note.reporter;
     const keys = note.keys.slice(0, MAX_NOTE_KEYS);
@@ -242,6 +265,12 @@
     return this.addEvidence({...note, reporter, atMs, keys}, nowMs);
   }
 
+  applyReported(note: crashEvidence.CrashNote, nowMs: number): void {
+    const repeated = this.applyCrash(note, nowMs);
+    this.unsentRepeated = queued(this.unsentRepeated, repeated);
+    if (repeated.length > 0) this.options.onNews?.();
+  }
+
   applyProof({key, atMs}: ProofNote, nowMs: number): boolean {
     const provedMs = Math.min(atMs, nowMs);
     this.sharedProofs.set(key, Math.max(provedMs, this.sharedMs(key)));
@@ -251,10 +280,14 @@
   takeNews(nowMs: number): CrashNews {
     this.settleSuspects(nowMs);
     const crashes = this.unsentCrashes;
+    const ownCrashes = this.unsentOwnCrashes;
+    const repeated = this.unsentRepeated;
     const proofs = [...this.unsentProofs].map(([key, atMs]) => ({key, atMs}));
     this.unsentCrashes = [];
+    this.unsentOwnCrashes = [];
+    this.unsentRepeated = [];
     this.unsentProofs = new boundedMap.BoundedMap(MAX_UNSENT);
-    return {crashes, proofs};
+    return {crashes, ownCrashes, repeated, proofs};
   }
 
   condemnations(nowMs: number): readonly crashEvidence.CrashNote[] {
@@ -312,8 +345,14 @@
     }
   }
 
-  /** Adds what a crash tells of its keys; returns whether it was new. */
-  private addEvidence(note: crashEvidence.CrashNote, nowMs: number): boolean {
+  /**
+   * Adds what a crash tells of its keys; returns what is new of keys that
+   * several crashes have in common.
+   */
+  private addEvidence(
+    note: crashEvidence.CrashNote,
+    nowMs: number,
+  ): readonly crashEvidence.CrashNote[] {
     const {crash, atMs, keys} = note;
     for (const key of keys) {
       if (this.quarantine.has(key, nowMs)) {
@@ -321,7 +360,7 @@
       }
     }
     const explainedBy = this.explained.get(String(crash));
-    let isNew = false;
+    const repeated: crashEvidence.CrashNote[] = [];
     for (const key of keys) {
       if (explainedBy !== undefined && key !== explainedBy) continue;
       const provedMs = this.proofs.get(key);
@@ -329,11 +368,18 @@
         if (this.sharedMs(key) <= atMs) this.queueProof(key, provedMs);
         continue;
       }
+      const wasRepeated = this.evidence.isRepeated(key);
       if (!this.evidence.add(key, note)) continue;
-      isNew = true;
+      if (this.evidence.isRepeated(key)) {
+        const isThis = (known: crashEvidence.CrashNote) =>
+          known.crash === crash && known.reporter === note.reporter;
+        const notes = this.evidence.notesOf(key);
+        // Of a key with one crash only its homes know.
+        repeated.push(...(wasRepeated ? notes.filter(isThis) : notes));
+      }
       if (this.evidence.isSuspect(key, nowMs)) this.suspects.set(key, crash);
     }
-    return isNew;
+    return repeated;
   }
 
   private recordCondemnedCrash(
@@ -343,7 +389,8 @@
     this.explain(crash, key);
     if (this.evidence.crashesOf(key).includes(crash)) return;
     // The router at which it came does not know that the key is condemned.
-    for (const note of this.evidence.notesOf(key)) this.queueCrash(note);
+    const notes = this.evidence.notesOf(key);
+    this.unsentCrashes = queued(this.unsentCrashes, notes);
     if (this.quarantine.recordCrash(key, atMs)) {
       this.reportChange(key, 'condemned_again');
     }
@@ -396,13 +443,16 @@
     this.unsentProofs.set(key, atMs);
   }
 
-  private queueCrash(note: crashEvidence.CrashNote): void {
-    this.unsentCrashes.push(note);
-    if (this.unsentCrashes.length > MAX_UNSENT) this.unsentCrashes.shift();
-  }
-
   private reportChange(key: string, is: KeyChange['is']): void {
     const crashes = this.evidence.crashesOf(key);
     this.options.onChange?.({key, is, crashes});
   }
 }
+
+/** The notes with others at their end, without the oldest if they are many. */
+function queued(
+  notes: readonly crashEvidence.CrashNote[],
+  added: readonly crashEvidence.CrashNote[],
+): readonly crashEvidence.CrashNote[] {
+  return [...notes, ...added].slice(-MAX_UNSENT);
+}
--- a/packages/decide/src/tests/crashtracker.test.ts
+++ b/packages/decide/src/tests/crashtracker.test.ts
@@ -365,7 +365,8 @@
       );
     }
     expect(router.tracker.size()).to.be.below(12_000);
-    const {crashes, proofs} = router.tracker.takeNews(100_000);
-    expect(crashes.length + proofs.length).to.be.at.most(128);
+    const news = router.tracker.takeNews(100_000);
+    expect(news.crashes.length + news.proofs.length).to.be.at.most(128);
+    expect(news.ownCrashes.length + news.repeated.length).to.be.at.most(128);
   });
 });
--- a/packages/direct/src/decisions.ts
+++ b/packages/direct/src/decisions.ts
@@ -92,6 +92,7 @@
     'recordEnd',
     'recordCrash',
     'applyCrash',
+    'applyReported',
     'applyProof',
     'takeNews',
     'condemnations',
--- a/packages/direct/src/digest.ts
+++ b/packages/direct/src/digest.ts
@@ -6,6 +6,7 @@
 import * as msgpackr from 'msgpackr';
 import * as v from 'valibot';
 import * as decide from '@oleanderrock/decide';
+import * as crashNotes from './crashnotes.js';
 import * as endpointChanges from './endpointchanges.js';
 import * as endpointRegistry from './endpointregistry.js';
 import type * as fleetRegistry from './fleetregistry.js';
@@ -22,8 +23,6 @@
     value.every(item => Number.isSafeInteger(item) && item >= 0),
 );
 
-const crashKeySchema = v.pipe(v.string(), v.maxLength(decide.MAX_KEY_LENGTH));
-
 /** Phases of a member; on the wire, the index. */
 const PHASES = ['starting', 'ready', 'leaving', 'down'] as const;
 const phaseSchema = v.picklist([0, 1, 2, 3]);
@@ -72,17 +71,10 @@
   ),
   /** Endpoints that appeared or disappeared. */
   v.array(endpointChanges.changeSchema),
-  /** Crashes of endpoints: id, id of the reporter, age, and crash keys. */
-  v.array(
-    v.tuple([
-      countSchema,
-      countSchema,
-      countSchema,
-      v.pipe(v.array(crashKeySchema), v.maxLength(decide.MAX_NOTE_KEYS)),
-    ]),
-  ),
+  /** Crashes of endpoints. */
+  v.array(crashNotes.noteSchema),
   /** Crash keys that are proved sound, each with the age of the proof. */
-  v.array(v.tuple([crashKeySchema, countSchema])),
+  v.array(v.tuple([crashNotes.keySchema, countSchema])),
   /** Prefixes that were placed, by hash of the endpoint. */
   v.array(v.tuple([countSchema, v.array(v.string())])),
   /** Reports of endpoints, each as hash, requests in flight, and age. */
@@ -143,9 +135,6 @@
  */
 const OUTCOME_SCALE = 10;
 
-/** Unit of ages on the wire, in ms. */
-const AGE_UNIT_MS = 20;
-
 /** Numbers per report and per failure. */
 const REPORT_FIELDS = 3;
 const FAILURE_FIELDS = 4;
@@ -153,8 +142,7 @@
 /** Encodes a digest. Ages are counted up to `nowMs`. */
 export function encode(digest: Digest, nowMs: number): Buffer {
   const {sender, wantsReply, status, load, reports, news} = digest;
-  const ageOf = (atMs: number) =>
-    Math.max(0, Math.round((nowMs - atMs) / AGE_UNIT_MS));
+  const ageOf = (atMs: number) => crashNotes.encodeAge(atMs, nowMs);
   const encoded: EncodedDigest = [
     FORMAT_VERSION,
     encodeMember(sender),
@@ -165,12 +153,7 @@
     status.uptimeS,
     load ? encodeLoads(load) : null,
     news.endpointChanges.map(endpointChanges.encode),
-    news.crashes.map(({crash, reporter, atMs, keys}) => [
-      crash,
-      reporter,
-      ageOf(atMs),
-      [...keys],
-    ]),
+    news.crashes.map(note => crashNotes.encodeNote(note, nowMs)),
     news.proofs.map(({key, atMs}) => [key, ageOf(atMs)]),
     groupByEndpoint(news.placements),
     reports.flatMap(({endpoint, inFlight, observedAtMs}) => [
@@ -234,7 +217,7 @@
     limits,
   ] = parsed.output;
   const note = decodeMember(sender);
-  const timeOf = (age: number) => nowMs - age * AGE_UNIT_MS;
+  const timeOf = (age: number) => nowMs - age * crashNotes.AGE_UNIT_MS;
   return {
     sender: {...note, router: {...note.router, address: senderAddress}},
     wantsReply: wantsReplyFlag === 1,
@@ -246,9 +229,7 @@
         change =>
           endpointChanges.decode(change, findIdByHash, findEndpoint) ?? [],
       ),
-      crashes: crashes.map(([crash, reporter, age, keys]) => {
-        return {crash, reporter, atMs: timeOf(age), keys};
-      }),
+      crashes: crashes.map(note => crashNotes.decodeNote(note, nowMs)),
       proofs: proofs.map(([key, age]) => ({key, atMs: timeOf(age)})),
       placements: placements.flatMap(([hash, prefixes]) => {
         const endpoint = findIdByHash(hash);
@@ -343,7 +324,7 @@
     const endpoint = findIdByHash(fields[at]!);
     if (endpoint === undefined) continue;
     const inFlight = fields[at + 1]!;
-    const observedAtMs = nowMs - fields[at + 2]! * AGE_UNIT_MS;
+    const observedAtMs = nowMs - fields[at + 2]! * crashNotes.AGE_UNIT_MS;
     reports.push({endpoint, inFlight, observedAtMs});
   }
   return reports;
@@ -362,7 +343,7 @@
       id: fields[at]!,
       endpoint,
       isUnreachable: fields[at + 2] === 1,
-      observedAtMs: nowMs - fields[at + 3]! * AGE_UNIT_MS,
+      observedAtMs: nowMs - fields[at + 3]! * crashNotes.AGE_UNIT_MS,
     });
   }
   return failures;
--- a/packages/direct/src/gossip.ts
+++ b/packages/direct/src/gossip.ts
@@ -187,9 +187,11 @@
       .urgentReceivers(this.fleet.digestPeers());
     if (names.length === 0) return;
     const nowMs = this.nowMs();
+    this.news.gather(this.isComplete, nowMs);
     // News that is collected counts as sent.
     if (!this.isComplete && !this.urgentBudget.hasAvailable(nowMs)) return;
-    const bytes = this.encode(this.news.collect(this.isComplete, nowMs));
+    const news = this.news.collect(this.isComplete, nowMs, true);
+    const bytes = this.encode(news);
     if (!this.isComplete) {
       this.urgentBudget.spend(bytes.length * names.length, nowMs);
     }
--- a/packages/direct/src/gossipnews.ts
+++ b/packages/direct/src/gossipnews.ts
@@ -4,6 +4,7 @@
  */
 import * as core from '@oleanderrock/core';
 import * as decide from '@oleanderrock/decide';
+import * as crashKeyHomes from './crashkeyhomes.js';
 import type * as digestCodec from './digest.js';
 import * as decisions from './decisions.js';
 import * as endpointRegistry from './endpointregistry.js';
@@ -15,15 +16,13 @@
 const MAX_PLACEMENTS = 16;
 const MAX_PLACEMENTS_TO_ALL = 64;
 const MAX_CRASHES = 12;
+const MAX_REPEATED = 48;
 const MAX_PROOFS = 16;
 const MAX_FAILURES = 12;
 const MAX_LIMITS = 16;
 
 /** Limit on the keys of the crashes in one digest; most notes have few. */
-const CRASH_KEYS: decide.CostLimit<decide.CrashNote> = {
-  maxCost: 96,
-  costOf: ({keys}) => keys.length,
-};
+const MAX_CRASH_KEYS = 96;
 
 /** Maximum number of items of one kind that wait to be sent. */
 const MAX_QUEUED = 512;
@@ -55,9 +54,13 @@
   );
   private readonly placements =
     new decide.BoundedRumorQueue<decide.PrefixLocation>(MAX_QUEUED);
-  private readonly crashes = new decide.BoundedRumorQueue<decide.CrashNote>(
+  /** Crashes that this router saw; others do not pass them on. */
+  private readonly ownCrashes = new decide.BoundedRumorQueue<decide.CrashNote>(
     MAX_QUEUED,
   );
+  /** Crashes under keys that several crashes have in common. */
+  private readonly repeatedCrashes =
+    new decide.BoundedRumorQueue<decide.CrashNote>(MAX_QUEUED);
   private readonly proofs = new decide.BoundedRumorQueue<decide.ProofNote>(
     MAX_QUEUED,
   );
@@ -82,16 +85,21 @@
   /**
    * The news for the next digest.
    * @param isForAll whether the digest goes to all routers
+   * @param isUrgent whether it is sent outside of the rounds
    */
-  collect(isForAll: boolean, nowMs: number): digestCodec.DigestNews {
-    this.collectOwn(isForAll, nowMs);
+  collect(
+    isForAll: boolean,
+    nowMs: number,
+    isUrgent = false,
+  ): digestCodec.DigestNews {
+    this.gather(isForAll, nowMs);
     const isFresh = ({observedAtMs}: decide.FailureNote) =>
       nowMs - observedAtMs < MAX_FAILURE_AGE_MS;
     return {
       endpointChanges: this.kernel
         .find(endpointRegistry.ENDPOINT_REGISTRY)
         .recentChanges(nowMs),
-      crashes: this.crashes.take(MAX_CRASHES, CRASH_KEYS),
+      crashes: this.collectCrashes(isForAll || !isUrgent),
       proofs: this.proofs.take(MAX_PROOFS),
       placements: this.placements.take(
         isForAll ? MAX_PLACEMENTS_TO_ALL : MAX_PLACEMENTS,
@@ -127,18 +135,45 @@
     );
   }
 
-  /** Queues what this router's own services have to tell. */
-  private collectOwn(isForAll: boolean, nowMs: number): void {
+  /**
+   * What several crashes have in common goes first.
+   * @param hasOwn whether crashes that this router saw follow
+   */
+  private collectCrashes(hasOwn: boolean): readonly decide.CrashNote[] {
+    const costOf = ({keys}: decide.CrashNote) => keys.length;
+    const limit = {maxCost: MAX_CRASH_KEYS, costOf};
+    const repeated = this.repeatedCrashes.take(MAX_REPEATED, limit);
+    const keyCount = repeated.reduce((sum, note) => sum + costOf(note), 0);
+    const maxCost = MAX_CRASH_KEYS - keyCount;
+    const merged = mergeNotes(repeated);
+    if (!hasOwn || maxCost < decide.MAX_NOTE_KEYS) return merged;
+    return [...merged, ...this.ownCrashes.take(MAX_CRASHES, {maxCost, costOf})];
+  }
+
+  /**
+   * Queues what this router's own services have to tell, and tells the homes of
+   * crash keys.
+   */
+  gather(isForAll: boolean, nowMs: number): void {
     const repeats = isForAll ? 1 : SAMPLED_REPEATS;
     for (const location of this.kernel
       .find(decisions.PREFIX_HOMES)
       .takeUnsent()) {
       this.placements.add(keyOf(location), location, repeats);
     }
-    const {crashes, proofs} = this.tracker.takeNews(nowMs);
+    const {crashes, ownCrashes, repeated, proofs} =
+      this.tracker.takeNews(nowMs);
     const crashRepeats = isForAll ? CRASH_REPEATS_TO_ALL : CRASH_REPEATS;
-    for (const note of crashes) {
-      this.crashes.add(crashNoteKey(note), note, crashRepeats);
+    for (const note of ownCrashes) {
+      this.ownCrashes.add(crashNoteKey(note), note, crashRepeats);
+    }
+    if (!isForAll) {
+      this.kernel.find(crashKeyHomes.CRASH_KEY_HOMES).tell(ownCrashes);
+    }
+    // In a small fleet those that saw the crashes tell all routers themselves.
+    const notes = isForAll ? crashes : [...crashes, ...repeated];
+    for (const note of notes) {
+      this.repeatedCrashes.add(crashNoteKey(note), note, crashRepeats);
     }
     for (const note of proofs) this.proofs.add(note.key, note, crashRepeats);
     const limitRepeats = isForAll ? LIMIT_REPEATS_TO_ALL : SAMPLED_REPEATS;
@@ -192,18 +227,21 @@
     const newProofs = news.proofs.filter(note =>
       tracker.applyProof(note, nowMs),
     );
-    const newCrashes = news.crashes.filter(note =>
-      tracker.applyCrash(note, nowMs),
-    );
+    let isUrgent = newProofs.length > 0;
     if (isPassedOn) {
       for (const note of newProofs) {
         this.proofs.add(note.key, note, CRASH_REPEATS);
       }
-      for (const note of newCrashes) {
-        this.crashes.add(crashNoteKey(note), note, CRASH_REPEATS);
+    }
+    for (const note of news.crashes) {
+      const repeated = tracker.applyCrash(note, nowMs);
+      isUrgent ||= repeated.length > 0;
+      if (!isPassedOn) continue;
+      for (const known of repeated) {
+        this.repeatedCrashes.add(crashNoteKey(known), known, CRASH_REPEATS);
       }
     }
-    return newProofs.length + newCrashes.length > 0;
+    return isUrgent;
   }
 
   private applyPlacements(
@@ -254,6 +292,26 @@
   return `${crash} ${reporter} ${keys[0] ?? ''}`;
 }
 
+/** Joins the keys of notes of one router on one crash. */
+function mergeNotes(
+  notes: readonly decide.CrashNote[],
+): readonly decide.CrashNote[] {
+  const merged = new Map<string, decide.CrashNote>();
+  const full: decide.CrashNote[] = [];
+  for (const note of notes) {
+    const id = `${note.crash} ${note.reporter}`;
+    const others = merged.get(id);
+    const keys = [...new Set([...(others?.keys ?? []), ...note.keys])];
+    if (others && keys.length > decide.MAX_NOTE_KEYS) {
+      full.push(others);
+      merged.set(id, note);
+    } else {
+      merged.set(id, {...note, keys});
+    }
+  }
+  return [...full, ...merged.values()];
+}
+
 function keyOf({prefix, endpoint}: decide.PrefixLocation): string {
   return `${prefix} ${endpoint}`;
 }
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -32,6 +32,8 @@
 export * as settings from './settings.js';
 export * as routerState from './routerstate.js';
 export * from './sendpermits.js';
+export * from './crashkeyhomes.js';
+export * as crashNotes from './crashnotes.js';
 export * as permitMessage from './permitmessage.js';
 export * from './statesource.js';
 export * as tablesUpdate from './tablesupdate.js';
--- a/packages/direct/src/tests/simulatedfleet.ts
+++ b/packages/direct/src/tests/simulatedfleet.ts
@@ -307,6 +307,10 @@
       new direct.DigestGossip(kernel, routerSettings),
     );
     kernel.register(direct.SEND_PERMITS, new direct.HomeSendPermits(kernel));
+    kernel.register(
+      direct.CRASH_KEY_HOMES,
+      new direct.RendezvousCrashKeyHomes(kernel),
+    );
   }
 
   private datagramsFor(router: SimulatedRouter): direct.Datagrams {
--- a/packages/router/src/tests/malformedrecords.test.ts
+++ b/packages/router/src/tests/malformedrecords.test.ts
@@ -103,6 +103,7 @@
     );
     assertAll(fc.uint8Array({maxLength: 200}), bytes => {
       direct.permitMessage.decode(Buffer.from(bytes));
+      direct.crashNotes.decode(Buffer.from(bytes), 0);
     });
     const headers = fc.dictionary(
       fc.constantFrom(
--- a/packages/router/src/wiredirect.ts
+++ b/packages/router/src/wiredirect.ts
@@ -158,6 +158,10 @@
     new direct.DigestGossip(kernel, routerSettings),
   );
   kernel.register(direct.SEND_PERMITS, new direct.HomeSendPermits(kernel));
+  kernel.register(
+    direct.CRASH_KEY_HOMES,
+    new direct.RendezvousCrashKeyHomes(kernel),
+  );
   kernel.register(
     direct.HOME_RECOVERY,
     new direct.HomeRecovery(kernel, routerSettings),
