Define the estimate of when an endpoint can answer

Cause: a request counts as one unit of work, whatever its prompt and its output cost. Placement, waiting, refusals and retry-after times need one common estimate before they can be built side by side.

Change: decide.StartEstimates with a baseline that knows nothing, its contract, the token counts and the length hint in the caller's head, and the estimate of a choice. Nothing uses it yet.

Result: build, linter and the adapter's test pass; behaviour is unchanged.

--- a/packages/decide/src/index.ts
+++ b/packages/decide/src/index.ts
@@ -33,6 +33,7 @@
 export * from './roster.js';
 export * from './rounds.js';
 export * from './rumors.js';
+export * from './startestimates.js';
 export * from './poolretrybudget.js';
 export * from './suspects.js';
 export * from './trackedrequests.js';
--- a/packages/direct/src/decisions.ts
+++ b/packages/direct/src/decisions.ts
@@ -59,6 +59,15 @@
   'localCounts',
 ]);
 
+/**
+ * The contract under which the estimates are registered of when endpoints can
+ * answer.
+ */
+export const START_ESTIMATES = core.contract<decide.StartEstimates>(
+  'start-estimates',
+  ['estimate'],
+);
+
 /** The contract under which the placement strategy is registered. */
 export const PLACEMENT = core.contract<decide.DirectPlacement>(
   'direct-placement',
--- a/packages/direct/src/endpointselector.ts
+++ b/packages/direct/src/endpointselector.ts
@@ -30,6 +30,8 @@
    * endpoint named no limit.
    */
   readonly permitUntilMs?: number;
+  /** When the endpoint can answer; absent if too little is known. */
+  readonly estimate?: decide.StartEstimate;
 }
 
 /** The result of a selection. */
--- a/packages/direct/src/routedrequest.ts
+++ b/packages/direct/src/routedrequest.ts
@@ -32,6 +32,17 @@
   readonly crashKeys: readonly string[];
 }
 
+/** What the request lets one expect of the work of an endpoint. */
+export function workOf({head, pool, route}: RoutedRequest): decide.RequestWork {
+  return {
+    pool,
+    route: route.name,
+    promptTokens: head.promptTokens,
+    sharedTokens: head.sharedPrefixTokens,
+    expectedOutputTokens: head.expectedOutputTokens,
+  };
+}
+
 /**
  * How the end of a response body is marked: `marked` is by content-length or
  * chunked encoding, `connection` by closing the connection.
--- a/packages/direct/src/tests/refusals.test.ts
+++ b/packages/direct/src/tests/refusals.test.ts
@@ -61,6 +61,7 @@
     host: 'h.example',
     apiKey: 'secret-key',
     sharedPrefixTokens: 0,
+    promptTokens: 0,
     sharedParts: [],
   };
   return {head, path: '/chat/1?x=1', arrivedMs: 0};
--- a/packages/direct/src/wireprotocol.ts
+++ b/packages/direct/src/wireprotocol.ts
@@ -22,6 +22,10 @@
   readonly sharedPrefixTokens: number;
   /** Ids of the parts of the prompt that other requests may share, in order. */
   readonly sharedParts: readonly string[];
+  /** Tokens of the whole prompt; 0 for requests without one. */
+  readonly promptTokens: number;
+  /** Output tokens that the caller expects; absent if it does not say. */
+  readonly expectedOutputTokens?: number;
 }
 
 /** Headers that the router adds to a request to an endpoint. */
--- a/packages/router/src/wiredirect.ts
+++ b/packages/router/src/wiredirect.ts
@@ -54,6 +54,7 @@
     direct.FEED_READERS,
     new decide.RankedFeedReaders({perZone: READERS_PER_ZONE}),
   );
+  kernel.register(direct.START_ESTIMATES, new decide.UnknownStartEstimates());
   kernel.register(direct.PLACEMENT, new decide.PrefixPlacement({random}));
   kernel.register(direct.CONTEXT_COPIES, new decide.FastCopyPolicy());
   kernel.register(
