Check a configuration before it is sent: oleanderctl check

Cause: an error in a configuration, a route that no request can match or a limit that contradicts another was found only once the version was sent.

Change: 'oleanderctl check FILE [--against FILE|live]' reads the project's tables and the platform's configuration (through the adapter), prints all findings with their place, and what differs from another file or from what is in force at a router: rows, share of a route's traffic that moves, where requests of added and removed routes go, number of keys that go. Keys are never printed. The checks of the users' tables are direct.checkTables and direct.compareTables.

Not done: the router does not run the same checks when it takes a version up, and a past version cannot be named by its number, since nothing keeps past versions.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,6 +3,7 @@
 export * from './clock.js';
 export * from './commandline.js';
 export * from './errors.js';
+export * from './findings.js';
 export * from './hash.js';
 export * as headers from './headers.js';
 export * from './heapcollector.js';
--- a/packages/ctl/src/command.ts
+++ b/packages/ctl/src/command.ts
@@ -14,8 +14,8 @@
   readonly exit?: results.ExitName;
 }
 
-/** A command that sends requests to the routers. */
-export abstract class OperatorCommand extends clipanion.Command {
+/** A command that prints its output as text or JSON. */
+export abstract class PrintingCommand extends clipanion.Command {
   address = clipanion.Option.String('--address', {
     env: 'OLEANDER_ADMIN_ADDRESS',
     description:
@@ -33,17 +33,11 @@
     description: 'print JSON instead of text',
   });
 
-  /** Performs the command; resolves with its output, or why it failed. */
-  protected abstract perform(
-    admin: client.AdminClient,
-  ): Promise<results.Result<CommandOutput>>;
+  /** Produces the output, or why there is none. */
+  protected abstract produce(): Promise<results.Result<CommandOutput>>;
 
   async execute(): Promise<number> {
-    const {address, token, operator} = this;
-    const parsed = options.parseOptions({address, token, operator});
-    const result = parsed.ok
-      ? await this.perform(new client.AdminClient(parsed.value))
-      : parsed;
+    const result = await this.produce();
     if (!result.ok) return this.printFailure(result.failure);
     const {data, text, exit = 'ok'} = result.value;
     this.printLine(this.isJson ? JSON.stringify(data, null, 2) : text);
@@ -66,6 +60,21 @@
   }
 }
 
+/** A command that sends requests to the routers. */
+export abstract class OperatorCommand extends PrintingCommand {
+  /** Performs the command; resolves with its output, or why it failed. */
+  protected abstract perform(
+    admin: client.AdminClient,
+  ): Promise<results.Result<CommandOutput>>;
+
+  protected async produce(): Promise<results.Result<CommandOutput>> {
+    const {address, token, operator} = this;
+    const parsed = options.parseOptions({address, token, operator});
+    if (!parsed.ok) return parsed;
+    return this.perform(new client.AdminClient(parsed.value));
+  }
+}
+
 /** Builds the help text of a command; it ends with the exit codes. */
 export function usage(
   description: string,
--- a/packages/ctl/src/program.ts
+++ b/packages/ctl/src/program.ts
@@ -2,6 +2,7 @@
 import * as clipanion from 'clipanion';
 import * as apply from './apply.js';
 import * as audit from './audit.js';
+import * as check from './check.js';
 import * as drain from './drain.js';
 import * as results from './results.js';
 import * as get from './get.js';
@@ -22,6 +23,7 @@
   set.SetCommand,
   remove.RemoveCommand,
   apply.ApplyCommand,
+  check.CheckCommand,
   status.StatusCommand,
   audit.AuditCommand,
   why.WhyCommand,
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -39,3 +39,6 @@
 export * as tablesUpdate from './tablesupdate.js';
 export * from './activetables.js';
 export * from './requestwatch.js';
+export * from './tablescheck.js';
+export * from './tableschanges.js';
+export * from './jsonfetch.js';
