Take less work for each chunk, head and connection that is relayed

Cause: a request costs a router several ms of processor time, most of it in the streams and listeners of Node.js: an iterator with a second buffer for each body, three gathered writes for each event, header objects that are copied into others, two promises with five listeners and three timers for each send, an agent for each new connection.

Change: bodies of endpoints are read as their chunks are parsed; an event is framed and written at once; heads are passed to Node.js as lists and written with small bodies; one set of listeners follows a send; the time-out of the attempt is the only one for the first byte.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 /** Schemas, utilities and services shared by all packages. */
+export * from './bodyreader.js';
 export * from './build.js';
 export * from './clock.js';
 export * from './commandline.js';
--- a/packages/core/src/relay.ts
+++ b/packages/core/src/relay.ts
@@ -8,6 +8,8 @@
 import * as errors from './errors.js';
 import * as joinedHeads from './joinedheads.js';
 
+export {endToEndHeaders} from './forwardedheaders.js';
+
 /** The request to send, its destination and its time limits. */
 export interface RelayOptions {
   readonly address: string;
@@ -28,7 +30,8 @@
   /** Pool of keep-alive connections; if absent, a new connection is opened. */
   readonly agent?: http.Agent;
   readonly connectTimeoutMs: number;
-  readonly firstByteTimeoutMs: number;
+  /** Absent if the signal aborts in time. */
+  readonly firstByteTimeoutMs?: number;
   /** Time limit for the server to acknowledge the request with a status 102. */
   readonly ackTimeoutMs?: number;
   /** Called just before the first byte is sent; false cancels the request. */
@@ -117,6 +120,27 @@
   return () => clearTimeout(timer);
 }
 
+function startOptionalTimeout(
+  target: {destroy(error: Error): unknown},
+  delayMs: number | undefined,
+  description: string,
+): () => void {
+  if (!delayMs) return () => undefined;
+  return startTimeout(target, delayMs, description);
+}
+
+/** Largest body that is written together with the head, in bytes. */
+const MAX_JOINED_BYTES = 16_384;
+
+/**
+ * Ends a message with the body. Node.js writes a text with the head at once, and
+ * bytes apart from it.
+ */
+export function endWith(message: http.OutgoingMessage, body: Buffer): void {
+  if (body.length > MAX_JOINED_BYTES) message.end(body);
+  else message.end(body.toString('latin1'), 'latin1');
+}
+
 /** Determines the cause of an error thrown while sending or receiving. */
 function classifyError(
   error: unknown,
@@ -129,36 +153,88 @@
   return code.startsWith('HPE_') ? 'protocol' : 'broken';
 }
 
-/** Resolves with the socket of the request once it is connected. */
-function awaitConnection(request: http.ClientRequest): Promise<net.Socket> {
-  return new Promise((resolve, reject) => {
-    request.once('error', reject);
-    request.once('close', () => reject(new Error('the connection closed')));
-    request.once('socket', socket => {
-      if (!socket.connecting) resolve(socket);
-      else socket.once('connect', () => resolve(socket));
+/**
+ * Waits for the steps of one request, one after another, with one listener for
+ * its failure.
+ */
+class RequestSteps {
+  private failure: Error | undefined;
+  private received: http.IncomingMessage | undefined;
+  private reject: ((error: Error) => void) | undefined;
+
+  constructor(
+    private readonly request: http.ClientRequest,
+    signal: AbortSignal | undefined,
+  ) {
+    const cancel = () => request.destroy(new Error('the request was canceled'));
+    request.on('error', error => this.fail(error));
+    request.once('close', () => {
+      signal?.removeEventListener('abort', cancel);
+      if (!this.received) this.fail(new Error('the connection closed'));
     });
-  });
-}
+    if (signal?.aborted) cancel();
+    else signal?.addEventListener('abort', cancel, {once: true});
+  }
 
-/** Resolves with the response once its head has been received. */
-function awaitResponse(
-  request: http.ClientRequest,
-): Promise<http.IncomingMessage> {
-  return new Promise((resolve, reject) => {
-    request.once('error', reject);
-    request.once('close', () => reject(new Error('the connection closed')));
-    request.once('response', resolve);
-  });
+  /** Resolves with the socket of the request once it is connected. */
+  connection(): Promise<net.Socket> {
+    return this.step(resolve => {
+      this.request.once('socket', socket => {
+        if (!socket.connecting) resolve(socket);
+        else socket.once('connect', () => resolve(socket));
+      });
+    });
+  }
+
+  /** Resolves with the response once its head has been received. */
+  response(): Promise<http.IncomingMessage> {
+    return this.step(resolve => {
+      this.request.once('response', response => {
+        this.received = response;
+        resolve(response);
+      });
+    });
+  }
+
+  private step<T>(begin: (resolve: (value: T) => void) => void): Promise<T> {
+    return new Promise((resolve, reject) => {
+      this.reject = reject;
+      if (this.failure) reject(this.failure);
+      else begin(resolve);
+    });
+  }
+
+  private fail(error: Error): void {
+    // Without this, a connection reset would look like the regular end of a
+    // response that has no content-length.
+    this.received?.destroy(error);
+    if (this.failure) return;
+    this.failure = error;
+    this.reject?.(error);
+  }
 }
 
 /** The content-length header; none for a GET or HEAD without a body. */
-function contentLengthHeader({
-  method,
-  body,
-}: RelayOptions): Record<string, string> {
-  if (body.length === 0 && (method === 'GET' || method === 'HEAD')) return {};
-  return {'content-length': String(body.length)};
+function contentLengthHeader({method, body}: RelayOptions): readonly string[] {
+  if (body.length === 0 && (method === 'GET' || method === 'HEAD')) return [];
+  return ['content-length', String(body.length)];
+}
+
+/** The agent of requests that use a connection of their own. */
+const SINGLE_USE_AGENT = new http.Agent();
+
+/**
+ * The headers as a list, which Node.js writes as it is; an object it would copy
+ * into one of its own first.
+ */
+function headerList(options: RelayOptions): Array<string | string[]> {
+  const {headers, address, port} = options;
+  const list: Array<string | string[]> = [];
+  if (headers.host === undefined) list.push('host', `${address}:${port}`);
+  for (const name in headers) {
+    if (name !== 'content-length') list.push(name, headers[name]!);
+  }
+  return list.concat(contentLengthHeader(options));
 }
 
 /** Throws if the address, path or a header cannot be written. */
@@ -168,9 +244,9 @@
     port: options.port,
     method: options.method,
     path: options.path,
-    headers: {...options.headers, ...contentLengthHeader(options)},
-    agent: options.agent ?? false,
-    signal: options.signal,
+    // The types lack the form that Node.js documents for a list.
+    headers: headerList(options) as unknown as http.OutgoingHttpHeaders,
+    agent: options.agent ?? SINGLE_USE_AGENT,
   });
 }
 
@@ -194,7 +270,7 @@
   } catch (error) {
     return relayFailure('request', 'protocol', errors.errorMessage(error));
   }
-  request.on('error', () => undefined);
+  const steps = new RequestSteps(request, options.signal);
   const cancelConnectTimeout = startTimeout(
     request,
     options.connectTimeoutMs,
@@ -202,7 +278,7 @@
   );
   let earlierRequests: number;
   try {
-    const socket = await awaitConnection(request);
+    const socket = await steps.connection();
     earlierRequests = countRequest(socket);
     socket.setNoDelay(true);
     socket.setKeepAlive(true, 1_000);
@@ -223,35 +299,33 @@
       'the request may no longer be dispatched',
     );
   }
-  return awaitHead(request, options, earlierRequests);
+  return awaitHead(request, steps, options, earlierRequests);
 }
 
 async function awaitHead(
   request: http.ClientRequest,
+  steps: RequestSteps,
   options: RelayOptions,
   earlierRequests: number,
 ): Promise<ResponseHead | RelayFailure> {
-  const cancelResponseTimeout = startTimeout(
+  const cancelResponseTimeout = startOptionalTimeout(
     request,
     options.firstByteTimeoutMs,
     'no answer',
   );
-  const cancelAckTimeout = options.ackTimeoutMs
-    ? startTimeout(request, options.ackTimeoutMs, 'no acknowledgement')
-    : () => undefined;
-  request.once('information', cancelAckTimeout);
-  request.end(options.body);
+  const cancelAckTimeout = startOptionalTimeout(
+    request,
+    options.ackTimeoutMs,
+    'no acknowledgement',
+  );
+  if (options.ackTimeoutMs) request.once('information', cancelAckTimeout);
+  endWith(request, options.body);
   try {
-    const response = await awaitResponse(request);
+    const response = await steps.response();
     const rejection = joinedHeads.isJoinedHead(response)
       ? 'the head holds the status line of another response'
       : options.checkHead?.(response, earlierRequests > 0);
-    if (!rejection) {
-      // Without this, a connection reset would look like the regular end of a
-      // response that has no content-length.
-      request.once('error', error => response.destroy(error));
-      return {type: 'head', response, earlierRequests};
-    }
+    if (!rejection) return {type: 'head', response, earlierRequests};
     request.destroy();
     const cause = 'protocol';
     const detail = rejection;
@@ -391,30 +465,3 @@
   }
   return response.complete ? Buffer.concat(chunks) : undefined;
 }
-
-/** Headers that apply to one connection and are not forwarded. */
-const HOP_BY_HOP_HEADERS = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-  'host',
-  'expect',
-]);
-
-/** Headers to forward to the next hop; repeated values are joined by commas. */
-export function endToEndHeaders(
-  headers: http.IncomingHttpHeaders,
-): Record<string, string> {
-  const forwarded: Record<string, string> = {};
-  for (const [name, value] of Object.entries(headers)) {
-    if (value === undefined || HOP_BY_HOP_HEADERS.has(name)) continue;
-    forwarded[name] = Array.isArray(value) ? value.join(', ') : value;
-  }
-  return forwarded;
-}
--- a/packages/core/src/responses.ts
+++ b/packages/core/src/responses.ts
@@ -1,7 +1,11 @@
 /** Helpers for writing Node.js HTTP responses. */
 import type * as http from 'node:http';
+import type * as stream from 'node:stream';
 import type * as metrics from './metrics.js';
 
+/** Largest chunk that is framed here, in bytes. */
+const MAX_FRAMED_BYTES = 16_384;
+
 /**
  * Writes a chunk of the body; resolves when the next one may be written, or the
  * connection has closed.
@@ -11,13 +15,46 @@
   chunk: Buffer,
 ): Promise<void> {
   if (response.destroyed || response.write(chunk)) return;
-  await new Promise<void>(resolve => {
+  await drained(response, response);
+}
+
+/**
+ * Writes a chunk of a body whose head was flushed; like `writeChunk`, but
+ * returns undefined if the next chunk may be written at once.
+ *
+ * Node.js writes the size, the bytes and the line end of a small chunk one by
+ * one and gathers them afterwards; here they are one write.
+ */
+export function writeFlushed(
+  response: http.ServerResponse,
+  chunk: Buffer,
+): Promise<void> | undefined {
+  if (response.destroyed) return undefined;
+  const {socket} = response;
+  const {length} = chunk;
+  const isFramedHere =
+    response.chunkedEncoding && length > 0 && length <= MAX_FRAMED_BYTES;
+  // Without a socket, the response waits for the one before it.
+  if (!isFramedHere || !socket) {
+    return response.write(chunk) ? undefined : drained(response, response);
+  }
+  const text = chunk.toString('latin1');
+  const frame = `${length.toString(16)}\r\n${text}\r\n`;
+  return socket.write(frame, 'latin1') ? undefined : drained(socket, response);
+}
+
+/** Resolves when the stream has room, or the response's connection closes. */
+function drained(
+  target: stream.Writable,
+  response: http.ServerResponse,
+): Promise<void> {
+  return new Promise<void>(resolve => {
     const finish = () => {
-      response.off('drain', finish);
+      target.off('drain', finish);
       response.off('close', finish);
       resolve();
     };
-    response.once('drain', finish);
+    target.once('drain', finish);
     response.once('close', finish);
   });
 }
--- a/packages/direct/src/attempt.ts
+++ b/packages/direct/src/attempt.ts
@@ -206,7 +206,6 @@
       body: request.body,
       agent,
       connectTimeoutMs: Math.min(liveness.CONNECT_TIMEOUT_MS, timeoutMs),
-      firstByteTimeoutMs: timeoutMs,
       checkHead: response => this.checkHead(response, request),
       mayDispatch: () => this.mayDispatch(options),
       signal: activeAttempt.signal,
@@ -321,6 +320,7 @@
   }
 
   recordBegun(): void {
+    if (this.tracked.stage === 'begun') return;
     const nowMs = this.kernel.find(core.CLOCK).nowMs();
     this.kernel.find(decisions.CRASH_TRACKER).recordBegun(this.tracked, nowMs);
   }
--- a/packages/direct/src/callerresponse.ts
+++ b/packages/direct/src/callerresponse.ts
@@ -52,14 +52,15 @@
     if (headers['content-length'] === undefined) this.response.flushHeaders();
   }
 
-  async write(chunk: Buffer): Promise<void> {
-    if (!this.callerGone.aborted) {
-      await core.responses.writeChunk(this.response, chunk);
-    }
+  write(chunk: Buffer): Promise<void> | undefined {
+    if (this.callerGone.aborted) return undefined;
+    return core.responses.writeFlushed(this.response, chunk);
   }
 
-  end(): void {
-    if (!this.callerGone.aborted) this.response.end();
+  end(body?: Buffer): void {
+    if (this.callerGone.aborted) return;
+    if (body) core.relay.endWith(this.response, body);
+    else this.response.end();
   }
 
   abort(): void {
--- a/packages/direct/src/eventsplitter.ts
+++ b/packages/direct/src/eventsplitter.ts
@@ -31,7 +31,8 @@
   /** Bytes after the last complete event. */
   private readonly pending = new growingBuffer.GrowingBuffer();
   private hasContent = false;
-  private lastSeenId: string | undefined;
+  /** What the id field of the last event with one says; it may be no valid id. */
+  private lastIdText: string | undefined;
   private hasPassedEvents = false;
 
   /**
@@ -39,12 +40,13 @@
    * can carry.
    */
   get lastEventId(): string | undefined {
-    return this.lastSeenId;
+    const id = this.lastIdText;
+    return id !== undefined && HEADER_VALUE.test(id) ? id : undefined;
   }
 
   /** Whether another endpoint can continue the stream after the last event. */
   get canResume(): boolean {
-    return !this.hasPassedEvents || this.lastSeenId !== undefined;
+    return !this.hasPassedEvents || this.lastEventId !== undefined;
   }
 
   /** Whether an event has begun and is not yet complete. */
@@ -57,6 +59,11 @@
    * `EventTooLargeError`.
    */
   push(chunk: Buffer): Buffer {
+    if (this.pending.length === 0 && endsWithEvent(chunk)) {
+      this.hasPassedEvents = true;
+      this.readId(chunk);
+      return chunk;
+    }
     const end = this.endOfLastEvent(chunk);
     if (end === 0) {
       this.append(chunk);
@@ -113,8 +120,7 @@
     if (lineStart < 0) return;
     const start = lineStart + ID_FIELD.length;
     const end = text.indexOf('\n', start);
-    const id = text.slice(start, end < 0 ? undefined : end).trim();
-    this.lastSeenId = HEADER_VALUE.test(id) ? id : undefined;
+    this.lastIdText = text.slice(start, end < 0 ? undefined : end).trim();
   }
 }
 
@@ -125,6 +131,16 @@
   return text.startsWith(ID_FIELD) ? 0 : -1;
 }
 
+/** Whether the last line of the chunk is an empty one after another line. */
+function endsWithEvent(chunk: Buffer): boolean {
+  const {length} = chunk;
+  return (
+    length > 2 &&
+    chunk[length - 1] === LINE_FEED &&
+    chunk[length - 2] === LINE_FEED
+  );
+}
+
 function isLineEnd(byte: number): boolean {
   return byte === LINE_FEED || byte === CARRIAGE_RETURN;
 }
--- a/packages/direct/src/responsebody.ts
+++ b/packages/direct/src/responsebody.ts
@@ -1,4 +1,5 @@
 /** Reads the bodies of endpoints' responses chunk by chunk. */
+import type * as core from '@oleanderrock/core';
 import type * as attempt from './attempt.js';
 
 /**
@@ -12,19 +13,16 @@
   'the connection closed before the response was complete',
 );
 
-/** The chunks of a body. */
-export type ChunkIterator = AsyncIterator<Buffer, undefined>;
-
 /**
  * Reads the next chunk; undefined at the end. Rejects if the body is truncated.
  */
 export async function nextChunk(
   endpointResponse: attempt.EndpointResponse,
-  chunks: ChunkIterator,
+  reader: core.BodyReader,
 ): Promise<Buffer | undefined> {
-  const {value, done} = await chunks.next();
+  const chunk = await reader.read();
   endpointResponse.recordActivity();
-  return done ? undefined : value;
+  return chunk;
 }
 
 /** The buffered part of a body. */
@@ -40,13 +38,13 @@
  */
 export async function readBuffered(
   endpointResponse: attempt.EndpointResponse,
-  chunks: ChunkIterator,
+  reader: core.BodyReader,
 ): Promise<BufferedBody | Error> {
   const bufferedChunks: Buffer[] = [];
   let byteCount = 0;
   try {
     for (;;) {
-      const chunk = await nextChunk(endpointResponse, chunks);
+      const chunk = await nextChunk(endpointResponse, reader);
       if (!chunk) break;
       bufferedChunks.push(chunk);
       byteCount += chunk.length;
@@ -58,5 +56,8 @@
     return error as Error;
   }
   if (!endpointResponse.response.complete) return TRUNCATED;
-  return {body: Buffer.concat(bufferedChunks), exceedsBuffer: false};
+  const [first] = bufferedChunks;
+  const body =
+    bufferedChunks.length === 1 ? first! : Buffer.concat(bufferedChunks);
+  return {body, exceedsBuffer: false};
 }
--- a/packages/direct/src/responsedelivery.ts
+++ b/packages/direct/src/responsedelivery.ts
@@ -114,11 +114,11 @@
       core.relay.discardBody(response);
       return {type: 'failed_run', status};
     }
-    const chunks = response[Symbol.asyncIterator]() as bodies.ChunkIterator;
-    const buffered = await bodies.readBuffered(incoming, chunks);
+    const reader = new core.BodyReader(response);
+    const buffered = await bodies.readBuffered(incoming, reader);
     if (buffered instanceof Error) return this.breakResult(incoming, buffered);
     const {body, exceedsBuffer} = buffered;
-    if (exceedsBuffer) return this.relayUnbuffered(incoming, body, chunks);
+    if (exceedsBuffer) return this.relayUnbuffered(incoming, body, reader);
     const headers = this.callerHeaders(response);
     const framing = framingOf(response);
     const isFailure = status >= 500;
@@ -142,7 +142,7 @@
   private async relayUnbuffered(
     incoming: attempt.EndpointResponse,
     buffered: Buffer,
-    chunks: bodies.ChunkIterator,
+    reader: core.BodyReader,
   ): Promise<DeliveryResult> {
     const {response, status} = incoming;
     const {'content-length': length} = response.headers;
@@ -155,7 +155,7 @@
       while (chunk) {
         await this.outgoing.write(chunk);
         if (this.outgoing.callerGone.aborted) return {type: 'caller_gone'};
-        chunk = await bodies.nextChunk(incoming, chunks);
+        chunk = await bodies.nextChunk(incoming, reader);
       }
     } catch (error) {
       return this.breakResult(incoming, error);
@@ -176,8 +176,7 @@
       sentHeaders['content-length'] = String(body.length);
     }
     this.outgoing.writeHead(status, sentHeaders, framing);
-    if (body.length > 0) void this.outgoing.write(body);
-    this.outgoing.end();
+    this.outgoing.end(body);
   }
 
   private async relayEventStream(
@@ -190,17 +189,13 @@
       this.outgoing.writeHead(status, headers, framingOf(response));
     }
     try {
-      for await (const chunk of response) {
-        incoming.recordActivity();
-        const events = this.splitter.push(chunk as Buffer);
-        if (events.length > 0) {
-          incoming.recordBegun();
-          await this.outgoing.write(events);
-        }
-        if (this.outgoing.callerGone.aborted) return {type: 'caller_gone'};
-      }
+      const isCallerGone = await this.relayEvents(incoming);
+      if (isCallerGone) return {type: 'caller_gone'};
     } catch (error) {
       return this.breakResult(incoming, error);
+    } finally {
+      // Any bytes left belong to a response that is given up.
+      if (!response.readableEnded) response.destroy();
     }
     // Only the events tell whether a stream that ends with its connection is
     // complete.
@@ -213,6 +208,25 @@
     return {type: 'delivered', status};
   }
 
+  /** Passes events on until the last one; returns whether the caller has gone. */
+  private async relayEvents(
+    incoming: attempt.EndpointResponse,
+  ): Promise<boolean> {
+    const {outgoing, splitter} = this;
+    const reader = new core.BodyReader(incoming.response);
+    for (;;) {
+      const chunk = await bodies.nextChunk(incoming, reader);
+      if (!chunk) return false;
+      const events = splitter.push(chunk);
+      if (events.length > 0) {
+        incoming.recordBegun();
+        const drained = outgoing.write(events);
+        if (drained) await drained;
+      }
+      if (outgoing.callerGone.aborted) return true;
+    }
+  }
+
   private breakResult(
     incoming: attempt.EndpointResponse,
     error: unknown,
--- a/packages/direct/src/routedrequest.ts
+++ b/packages/direct/src/routedrequest.ts
@@ -64,10 +64,10 @@
     headers: wireProtocol.HeaderMap,
     framing: Framing,
   ): void;
-  /** Resolves when the next chunk may be written. */
-  write(chunk: Buffer): Promise<void>;
-  /** Ends a complete response. */
-  end(): void;
+  /** Resolves when the next chunk may be written; undefined if it may at once. */
+  write(chunk: Buffer): Promise<void> | undefined;
+  /** Ends a complete response, with a last part of the body if there is one. */
+  end(body?: Buffer): void;
   /**
    * Closes the connection of a response that has begun, so that the caller sees
    * that it is truncated.
