Let requests wait for room, tell them when to return, and send slow ones twice

Cause: a request that four endpoints refused got 503 with a fixed 300 ms, also if room came a few ms later; all callers so refused came back together. A request that may be repeated stayed with an endpoint that had become slow.

RequestRuns keeps a second open send.

--- a/packages/decide/src/requestruns.ts
+++ b/packages/decide/src/requestruns.ts
@@ -30,45 +30,58 @@
 /** The runs of one request. */
 export class RequestRuns {
   private readonly results: SendResult[] = [];
-  private isOpen = false;
+  private openCount = 0;
 
   constructor(private readonly rules: RunRules) {}
 
   /** Records that the request is about to be sent. */
   begin(): void {
-    if (this.isOpen) throw new Error('the send before has no result yet');
-    this.isOpen = true;
+    if (this.openCount > 0) {
+      throw new Error('the send before has no result yet');
+    }
+    this.openCount = 1;
   }
 
-  /** Records the result of the send that was begun last. */
+  /** Records that the request is about to be sent beside an open send. */
+  beginSecond(): void {
+    if (this.openCount !== 1) throw new Error('there is not one open send');
+    if (!this.maySendAfterOpen()) throw new Error('no further run is allowed');
+    this.openCount = 2;
+  }
+
+  /** Records the result of an open send. */
   end(result: SendResult): void {
-    if (!this.isOpen) throw new Error('no send was begun');
-    this.isOpen = false;
+    if (this.openCount === 0) throw new Error('no send was begun');
+    this.openCount -= 1;
     this.results.push(result);
   }
 
   /** Whether the request may be sent to another endpoint now. */
   maySend(): boolean {
-    return !this.isOpen && this.mayFollow(this.results);
+    return this.openCount === 0 && this.mayFollow(this.results);
   }
 
   /**
-   * Whether the request could be sent to another endpoint if the open send were
-   * given up.
+   * Whether the request could be sent to another endpoint if the open sends were
+   * given up, or beside them.
    */
   maySendAfterOpen(): boolean {
-    return this.mayFollow([...this.results, 'may_run']);
+    const openRuns = Array.from(
+      {length: Math.max(1, this.openCount)},
+      () => 'may_run' as const,
+    );
+    return this.mayFollow([...this.results, ...openRuns]);
   }
 
   /** Whether it is certain that no endpoint ran the request or will run it. */
   get isKnownNotRun(): boolean {
-    return !this.isOpen && !this.results.some(isPossibleRun);
+    return this.openCount === 0 && !this.results.some(isPossibleRun);
   }
 
   /** The results in order, for the log. */
   toString(): string {
     const names: string[] = [...this.results];
-    if (this.isOpen) names.push(OPEN);
+    for (let open = 0; open < this.openCount; open++) names.push(OPEN);
     return names.join(',');
   }
 
--- a/packages/direct/src/attempt.ts
+++ b/packages/direct/src/attempt.ts
@@ -55,6 +55,8 @@
 export interface EndpointRefusal {
   readonly type: 'not_run';
   readonly status: number;
+  /** Whether the endpoint had no room, and may have some later. */
+  readonly isFull: boolean;
   /** Request id in the response's head. */
   readonly headId?: string;
   /** Number of requests that the connection carried before this one. */
@@ -64,7 +66,12 @@
 /** The result of an attempt. */
 export type AttemptResult =
   /** No byte was sent; another endpoint may be tried. */
-  | {readonly type: 'not_sent'; readonly detail: string}
+  | {
+      readonly type: 'not_sent';
+      readonly detail: string;
+      /** Whether there was no connection, rather than a malformed request. */
+      readonly isUnreachable: boolean;
+    }
   /**
    * The endpoint announced before the first byte was sent that it accepts no
    * further requests, or the permit to send to it has run out.
@@ -161,7 +168,13 @@
       this.kernel.find(connections.CONNECTION_POOL).remove(options.endpoint.id);
       this.health.recordUnreachable(options.endpoint.id, this.nowMs());
     }
-    return {type: 'not_run', status, headId: head.requestId, earlierRequests};
+    return {
+      type: 'not_run',
+      status,
+      isFull: !head.isMisdirected && !head.isLeaving && isOverload(status),
+      headId: head.requestId,
+      earlierRequests,
+    };
   }
 
   private recordLoad(
@@ -234,17 +247,21 @@
     error: core.relay.RelayError,
   ): Promise<AttemptResult> {
     const {stage, detail, earlierRequests} = error;
-    if (stage === 'request') return {type: 'not_sent', detail};
+    if (stage === 'request') {
+      return {type: 'not_sent', detail, isUnreachable: false};
+    }
     if (
       stage === 'connect' &&
       activeAttempt.abortCause() === undefined &&
       !callerGone.aborted
     ) {
       this.health.recordUnreachable(endpoint.id, this.nowMs());
-      return {type: 'not_sent', detail};
+      return {type: 'not_sent', detail, isUnreachable: true};
     }
     if (callerGone.aborted) return {type: 'caller_gone'};
-    if (stage === 'connect') return {type: 'not_sent', detail};
+    if (stage === 'connect') {
+      return {type: 'not_sent', detail, isUnreachable: true};
+    }
     if (stage === 'forbidden') return {type: 'withheld'};
     const cause = activeAttempt.abortCause() ?? causeOf(error);
     if (cause === 'broken') {
@@ -268,6 +285,10 @@
   }
 }
 
+function isOverload(status: number): boolean {
+  return status === 429 || status === 503;
+}
+
 function causeOf({cause}: core.relay.RelayError): FailureCause {
   return cause === 'aborted' ? 'broken' : cause;
 }
--- a/packages/direct/src/decisions.ts
+++ b/packages/direct/src/decisions.ts
@@ -86,6 +86,33 @@
   ['recordFirstSend', 'trySpend', 'canSpend'],
 );
 
+/**
+ * The contract under which the knowledge is registered of which endpoints are
+ * full.
+ */
+export const ENDPOINT_ROOM = core.contract<decide.EndpointRoom>(
+  'endpoint-room',
+  ['recordRefusal', 'recordAccepted', 'isFull', 'earliestRoomMs'],
+);
+
+/** The contract under which the policy of waiting is registered. */
+export const WAIT_POLICY = core.contract<decide.WaitPolicy>('wait-policy', [
+  'decide',
+]);
+
+/** The contract under which the times of return are registered. */
+export const RETURN_TIMES = core.contract<decide.ReturnTimes>('return-times', [
+  'retryAfterMs',
+]);
+
+/** The contract under which the decision on second sends is registered. */
+export const SECOND_SENDS = core.contract<decide.SecondSends>('second-sends', [
+  'recordSend',
+  'recordAnswer',
+  'delayMs',
+  'trySpend',
+]);
+
 /**
  * The contract under which the crash tracker is registered: it finds what
  * requests that crash endpoints have in common.
--- a/packages/direct/src/endpointnotices.ts
+++ b/packages/direct/src/endpointnotices.ts
@@ -72,17 +72,24 @@
   return notices.isWilling(endpoint, nowMs);
 }
 
-/** The endpoints of the pool that accept requests of this router. */
+/**
+ * The endpoints of the pool that accept requests of this router, and have room
+ * as far as is known.
+ */
 export function willingEndpoints(
   kernel: core.Kernel,
   pool: string,
 ): readonly model.Endpoint[] {
   const notices = kernel.find(decisions.ENDPOINT_NOTICES);
+  const room = kernel.find(decisions.ENDPOINT_ROOM);
   const nowMs = kernel.find(core.CLOCK).nowMs();
   return kernel
     .find(endpointRegistry.ENDPOINT_REGISTRY)
     .readyEndpoints(pool)
-    .filter(endpoint => notices.isWilling(endpoint, nowMs));
+    .filter(
+      endpoint =>
+        notices.isWilling(endpoint, nowMs) && !room.isFull(endpoint.id, nowMs),
+    );
 }
 
 /**
@@ -94,10 +101,17 @@
   pool: string,
 ): number | undefined {
   const nowMs = kernel.find(core.CLOCK).nowMs();
-  const endpoints = kernel.find(endpointRegistry.ENDPOINT_REGISTRY);
+  const notices = kernel.find(decisions.ENDPOINT_NOTICES);
+  const room = kernel.find(decisions.ENDPOINT_ROOM);
   const earliestMs = kernel
-    .find(decisions.ENDPOINT_NOTICES)
-    .earliestWillingMs(endpoints.readyEndpoints(pool), nowMs);
-  if (earliestMs === undefined || earliestMs <= nowMs) return undefined;
-  return Math.ceil(earliestMs - nowMs);
+    .find(endpointRegistry.ENDPOINT_REGISTRY)
+    .readyEndpoints(pool)
+    .map(endpoint => {
+      const willingMs = notices.earliestWillingMs([endpoint], nowMs);
+      const roomMs = room.earliestRoomMs([endpoint.id], nowMs) ?? nowMs;
+      return Math.max(willingMs ?? Number.POSITIVE_INFINITY, roomMs);
+    })
+    .reduce((a, b) => Math.min(a, b), Number.POSITIVE_INFINITY);
+  if (earliestMs === Number.POSITIVE_INFINITY) return undefined;
+  return earliestMs <= nowMs ? undefined : Math.ceil(earliestMs - nowMs);
 }
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -39,3 +39,4 @@
 export * as tablesUpdate from './tablesupdate.js';
 export * from './activetables.js';
 export * from './requestwatch.js';
+export * from './waitingroom.js';
--- a/packages/direct/src/recorder.ts
+++ b/packages/direct/src/recorder.ts
@@ -45,6 +45,7 @@
 export class LoggingRequestRecorder implements RequestRecorder {
   private readonly requests: prom.Counter<'route' | 'result'>;
   private readonly sends: prom.Counter<'route'>;
+  private readonly secondSends: prom.Counter<'route' | 'result'>;
   private readonly duration: prom.Histogram<'route'>;
   private readonly firstByte: prom.Histogram<'route'>;
   private readonly requestQuota: core.LogQuota;
@@ -71,6 +72,12 @@
       labelNames: ['route'],
       registers,
     });
+    this.secondSends = new prom.Counter({
+      name: 'oleander_second_sends_total',
+      help: 'Sends beside one that took unusually long, by whether they won.',
+      labelNames: ['route', 'result'],
+      registers,
+    });
     this.duration = new prom.Histogram({
       name: 'oleander_request_seconds',
       help: 'Time from the arrival of a request to the end of its answer.',
@@ -95,6 +102,8 @@
     const durationMs = this.nowMs() - request.arrivedMs;
     this.requests.inc({route, result: resultOf(outcome)});
     this.sends.inc({route}, outcome.sendCount);
+    const {secondSend} = outcome;
+    if (secondSend) this.secondSends.inc({route, result: secondSend});
     this.duration.observe({route}, durationMs / 1_000);
     const firstByteMs = firstByteMsOf(request);
     if (firstByteMs !== undefined) {
@@ -163,6 +172,8 @@
       context_from: placement?.contextSource,
       limit: placement?.limit && Math.round(placement.limit),
       tables: this.kernel.find(activeTables.ACTIVE_TABLES).version(),
+      waited_ms: outcome.waitedMs ? Math.round(outcome.waitedMs) : undefined,
+      second_send: outcome.secondSend,
       first_ms: firstByteMs && Math.round(firstByteMs),
       duration_ms: Math.round(durationMs),
       left_ms: routed
--- a/packages/direct/src/routedrequest.ts
+++ b/packages/direct/src/routedrequest.ts
@@ -81,6 +81,9 @@
   readonly contextSource?: string;
 }
 
+/** Whether the second of two sends that were open together answered first. */
+export type SecondSendResult = 'won' | 'lost';
+
 /** How often a request was sent to endpoints, and what is known of its runs. */
 export interface SendSummary {
   readonly sendCount: number;
@@ -88,6 +91,10 @@
   readonly runs?: decide.RequestRuns;
   /** The last placement; absent if no endpoint was chosen. */
   readonly placement?: PlacementDecision;
+  /** Time for which the request waited for room, in ms. */
+  readonly waitedMs?: number;
+  /** Absent if no second send was open beside the first. */
+  readonly secondSend?: SecondSendResult;
 }
 
 /** The outcome of a request. */
--- a/packages/direct/src/tests/notrunafterrun.test.ts
+++ b/packages/direct/src/tests/notrunafterrun.test.ts
@@ -3,6 +3,7 @@
 import * as core from '@oleanderrock/core';
 import * as decide from '@oleanderrock/decide';
 import * as direct from '../index.js';
+import * as simulatedPool from './simulatedpool.js';
 
 const {expect} = chai;
 
@@ -29,6 +30,14 @@
       direct.ENDPOINT_NOTICES,
       new decide.RecentEndpointNotices(),
     );
+    kernel.register(
+      core.METRICS,
+      new core.ProcessMetrics({withRuntime: false}),
+    );
+    simulatedPool.registerDecisions(
+      kernel,
+      simulatedPool.wiredDecisions(new core.SeededRandom(1)),
+    );
     kernel.register(
       direct.ENDPOINT_REGISTRY,
       new direct.InMemoryEndpointRegistry(kernel),
--- a/packages/direct/src/tests/simulatedfleet.ts
+++ b/packages/direct/src/tests/simulatedfleet.ts
@@ -244,6 +244,7 @@
         random,
       }),
     );
+    kernel.register(direct.ENDPOINT_ROOM, new decide.BackedOffRoom());
     kernel.register(
       direct.ENDPOINT_NOTICES,
       new decide.RecentEndpointNotices(),
--- a/packages/router/src/wiredirect.ts
+++ b/packages/router/src/wiredirect.ts
@@ -19,6 +19,10 @@
  */
 const MAX_DIGESTS_PER_SECOND = 60;
 
+/** Maximum number and bytes of the requests that wait for one pool. */
+const MAX_WAITING_REQUESTS = 128;
+const MAX_WAITING_BYTES = 8 * 1_024 * 1_024;
+
 const MAX_SEED = 2 ** 31;
 
 /** Destination of log lines. */
@@ -37,6 +41,7 @@
     }),
   );
   kernel.register(direct.ENDPOINT_NOTICES, new decide.RecentEndpointNotices());
+  kernel.register(direct.ENDPOINT_ROOM, new decide.BackedOffRoom());
   kernel.register(
     direct.ENDPOINT_LIMITS,
     new decide.NewestEndpointLimits({
@@ -54,6 +59,9 @@
     direct.FEED_READERS,
     new decide.RankedFeedReaders({perZone: READERS_PER_ZONE}),
   );
+  kernel.register(direct.WAIT_POLICY, new decide.TimelyWaitPolicy());
+  kernel.register(direct.RETURN_TIMES, new decide.SpreadReturnTimes(random));
+  kernel.register(direct.SECOND_SENDS, new decide.UnusualTimeSecondSends());
   kernel.register(direct.START_ESTIMATES, new decide.UnknownStartEstimates());
   kernel.register(direct.PLACEMENT, new decide.PrefixPlacement({random}));
   kernel.register(direct.CONTEXT_COPIES, new decide.FastCopyPolicy());
@@ -118,6 +126,17 @@
   );
 }
 
+function createWaitingRoom(kernel: core.Kernel): direct.PoolWaitingRoom {
+  return new direct.PoolWaitingRoom(kernel, {
+    createList: <T extends decide.WaitingRequest>() =>
+      new decide.FairWaitingList<T>({
+        maxRequests: MAX_WAITING_REQUESTS,
+        maxBytes: MAX_WAITING_BYTES,
+      }),
+    createRate: () => new decide.DecayingRoomRate(),
+  });
+}
+
 /** The services through which a request passes. */
 function registerRequestPath(kernel: core.Kernel): void {
   kernel.register(direct.WIRE_PROTOCOL, new platform.PlatformProtocol());
@@ -129,6 +148,7 @@
     direct.ENDPOINT_SELECTOR,
     new direct.PlacementEndpointSelector(kernel),
   );
+  kernel.register(direct.WAITING_ROOM, createWaitingRoom(kernel));
   kernel.register(direct.DISPATCHER, new direct.EndpointDispatcher(kernel));
   kernel.register(
     direct.REQUEST_RECORDER,
