--- a/packages/direct/src/endpointnotices.ts
+++ b/packages/direct/src/endpointnotices.ts
@@ -76,20 +76,25 @@
   );
 }
 
-/** The endpoints of the pool that accept requests of this router. */
+/**
+ * The endpoints of the pool that accept requests of this router, and have room
+ * as far as is known.
+ */
 export function willingEndpoints(
   kernel: core.Kernel,
   pool: string,
 ): readonly model.Endpoint[] {
   const notices = kernel.find(decisions.ENDPOINT_NOTICES);
+  const room = kernel.find(decisions.ENDPOINT_ROOM);
   const nowMs = kernel.find(core.CLOCK).nowMs();
-  return openEndpoints(kernel, pool).filter(endpoint =>
-    notices.isWilling(endpoint, nowMs),
+  return openEndpoints(kernel, pool).filter(
+    endpoint =>
+      notices.isWilling(endpoint, nowMs) && !room.isFull(endpoint.id, nowMs),
   );
 }
 
 /** The endpoints of the pool whose failure domain is not evacuated. */
-function openEndpoints(
+export function openEndpoints(
   kernel: core.Kernel,
   pool: string,
 ): readonly model.Endpoint[] {
@@ -118,9 +123,15 @@
   pool: string,
 ): number | undefined {
   const nowMs = kernel.find(core.CLOCK).nowMs();
-  const earliestMs = kernel
-    .find(decisions.ENDPOINT_NOTICES)
-    .earliestWillingMs(openEndpoints(kernel, pool), nowMs);
-  if (earliestMs === undefined || earliestMs <= nowMs) return undefined;
-  return Math.ceil(earliestMs - nowMs);
+  const notices = kernel.find(decisions.ENDPOINT_NOTICES);
+  const room = kernel.find(decisions.ENDPOINT_ROOM);
+  const earliestMs = openEndpoints(kernel, pool)
+    .map(endpoint => {
+      const willingMs = notices.earliestWillingMs([endpoint], nowMs);
+      const roomMs = room.earliestRoomMs([endpoint.id], nowMs) ?? nowMs;
+      return Math.max(willingMs ?? Number.POSITIVE_INFINITY, roomMs);
+    })
+    .reduce((a, b) => Math.min(a, b), Number.POSITIVE_INFINITY);
+  if (earliestMs === Number.POSITIVE_INFINITY) return undefined;
+  return earliestMs <= nowMs ? undefined : Math.ceil(earliestMs - nowMs);
 }
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -44,3 +44,4 @@
 export * from './tablescheck.js';
 export * from './tableschanges.js';
 export * from './jsonfetch.js';
+export * from './waitingroom.js';
--- a/packages/direct/src/tests/simulateddecisions.ts
+++ b/packages/direct/src/tests/simulateddecisions.ts
@@ -23,6 +23,7 @@
       random,
     }),
   );
+  kernel.register(direct.ENDPOINT_ROOM, new decide.BackedOffRoom());
   kernel.register(direct.ENDPOINT_NOTICES, new decide.RecentEndpointNotices());
   kernel.register(
     direct.ENDPOINT_LIMITS,
