Place by estimated first event where endpoints tell their load

Cause: every request weighed the same, whatever it makes an endpoint read and however slow that endpoint is.

Change: LearnedStartEstimates learns, from the answers that pass a router, the time of a token, of the fill, of each route and the pace of each endpoint, and counts what each endpoint still has to read. CostPlacement compares a prompt's home with one other endpoint, and endpoints for other requests by time and load. Until enough is known, and for endpoints that tell no load, requests are placed as before.

--- /dev/null
+++ b/packages/decide/src/costplacement.ts
@@ -0,0 +1,231 @@
+/**
+ * Placement by cost: a request goes where its first event is expected soonest,
+ * weighed against the load that it adds. A prompt stays with an endpoint that
+ * holds its prefix unless the delay there exceeds what it costs to bring the
+ * prefix elsewhere. The bounds on numbers of requests hold as before. Where too
+ * little is known for an estimate, requests are placed by their number.
+ */
+import * as core from '@oleanderrock/core';
+import * as prefixPlacement from './prefixplacement.js';
+import type * as startEstimates from './startestimates.js';
+
+/** Options of `CostPlacement`. */
+export interface CostPlacementOptions {
+  readonly estimates: startEstimates.StartEstimates;
+  /** Places requests for which there is no estimate. */
+  readonly fallback: prefixPlacement.DirectPlacement;
+  readonly random: core.Random;
+}
+
+/** Endpoints compared for a request without a prefix; others are not drawn. */
+const MAX_COMPARED = 8;
+
+/**
+ * Requests in flight that weigh as much as a doubled time: with a prompt, slots
+ * share the work of an endpoint, so that their number matters less.
+ */
+const PROMPT_BALANCE = 8;
+const PLAIN_BALANCE = 1;
+
+/** Load that an endpoint in another zone is taken to have in addition. */
+const FAR_LOAD = 0.5;
+
+/**
+ * Least delay at a home for which other endpoints are considered, in ms; below
+ * it estimates say nothing.
+ */
+const MIN_DELAY_MS = 30;
+
+/** A compared endpoint. */
+interface Option {
+  readonly endpoint: prefixPlacement.DirectCandidate;
+  readonly estimate: startEstimates.StartEstimate;
+  /** Expected time, weighed by load; the lowest is chosen. */
+  readonly score: number;
+}
+
+/** Compares the estimates of a few endpoints. */
+export class CostPlacement implements prefixPlacement.DirectPlacement {
+  constructor(private readonly options: CostPlacementOptions) {}
+
+  choose(
+    request: prefixPlacement.DirectPlacementRequest,
+    candidates: readonly prefixPlacement.DirectCandidate[],
+  ): prefixPlacement.DirectChoice | undefined {
+    const {work} = request;
+    const first = candidates[0];
+    const isKnown =
+      work !== undefined &&
+      first !== undefined &&
+      this.estimate(request, first, false) !== undefined;
+    if (!isKnown) return this.options.fallback.choose(request, candidates);
+    return request.prefix === undefined
+      ? this.chooseSoonest(request, candidates)
+      : this.chooseForPrefix(request, candidates, request.prefix);
+  }
+
+  /** The best of a few endpoints that are below the bound. */
+  private chooseSoonest(
+    request: prefixPlacement.DirectPlacementRequest,
+    candidates: readonly prefixPlacement.DirectCandidate[],
+  ): prefixPlacement.DirectChoice | undefined {
+    const limit = prefixPlacement.loadLimit(
+      candidates,
+      prefixPlacement.SHORT_PREFIX_BOUND,
+    );
+    const eligible = candidates.filter(({inFlight}) => inFlight < limit);
+    if (eligible.length === 0) {
+      return this.options.fallback.choose(request, candidates);
+    }
+    const compared = this.draw(eligible, MAX_COMPARED);
+    const options = compared.map(each => this.option(request, each, false));
+    const best = this.pick(request, options);
+    return best && {...choiceOf(best, 'soonest'), limit};
+  }
+
+  private chooseForPrefix(
+    request: prefixPlacement.DirectPlacementRequest,
+    candidates: readonly prefixPlacement.DirectCandidate[],
+    prefix: string,
+  ): prefixPlacement.DirectChoice | undefined {
+    const {homes = [], prefixTokens = 0} = request;
+    const limit = prefixPlacement.prefixLimit(candidates, prefixTokens);
+    const eligible = candidates.filter(({inFlight}) => inFlight < limit);
+    const holders = eligible.filter(({id}) => homes.includes(id));
+    const home = this.pick(
+      request,
+      holders.map(each => this.option(request, each, true)),
+    );
+    // Without a home, all routers have to choose the same endpoint.
+    if (!home) return this.options.fallback.choose(request, candidates);
+    const earlier = this.earlierThan(home, request, eligible, prefix);
+    if (!earlier) return {...choiceOf(home, 'home'), limit};
+    return {...choiceOf(earlier, 'earlier'), limit};
+  }
+
+  /**
+   * An endpoint at which the request starts so much earlier than at its home
+   * that it is worth bringing the prefix there: that costs the endpoint's other
+   * requests the same time again. All routers consider the same one, so that a
+   * prefix gets few homes.
+   */
+  private earlierThan(
+    home: Option,
+    request: prefixPlacement.DirectPlacementRequest,
+    eligible: readonly prefixPlacement.DirectCandidate[],
+    prefix: string,
+  ): Option | undefined {
+    const {delayMs = 0} = home.estimate;
+    if (delayMs < MIN_DELAY_MS) return undefined;
+    const bringMs = this.bringMs(home, request);
+    if (delayMs < bringMs * 2) return undefined;
+    const {homes = []} = request;
+    const others = eligible.filter(({id}) => !homes.includes(id));
+    const otherIds = others.map(({id}) => id);
+    const topId = core.topNode(prefix, otherIds);
+    const top = others.find(({id}) => id === topId);
+    const option = top && this.option(request, top, canCopy(request), bringMs);
+    return option && option.score < home.score ? option : undefined;
+  }
+
+  /** Time to read the prefix, or to copy it, at another endpoint, in ms. */
+  private bringMs(
+    {endpoint, estimate}: Option,
+    request: prefixPlacement.DirectPlacementRequest,
+  ): number {
+    const {prefixTokens = 0, copyUsPerToken} = request;
+    if (canCopy(request) && copyUsPerToken !== undefined) {
+      return (prefixTokens * copyUsPerToken) / 1_000;
+    }
+    const withReading = this.estimate(request, endpoint, false);
+    if (!withReading) return Number.POSITIVE_INFINITY;
+    return Math.max(0, withReading.firstEventMs - estimate.firstEventMs);
+  }
+
+  /** @param bringMs time that bringing the prefix takes, in ms */
+  private option(
+    request: prefixPlacement.DirectPlacementRequest,
+    endpoint: prefixPlacement.DirectCandidate,
+    holdsPrefix: boolean,
+    bringMs = 0,
+  ): Option | undefined {
+    const estimate = this.estimate(request, endpoint, holdsPrefix);
+    if (!estimate) return undefined;
+    // Reading is part of the estimate, copying is not.
+    const copyMs = holdsPrefix ? bringMs : 0;
+    const timeMs = estimate.firstEventMs + copyMs + bringMs;
+    const balance =
+      request.prefix === undefined ? PLAIN_BALANCE : PROMPT_BALANCE;
+    const farLoad = endpoint.zone === request.zone ? 0 : FAR_LOAD;
+    const load = endpoint.inFlight + farLoad;
+    return {endpoint, estimate, score: timeMs * (balance + load)};
+  }
+
+  private estimate(
+    {work, nowMs = 0}: prefixPlacement.DirectPlacementRequest,
+    {id}: prefixPlacement.DirectCandidate,
+    holdsPrefix: boolean,
+  ): startEstimates.StartEstimate | undefined {
+    if (!work) return undefined;
+    return this.options.estimates.estimate(work, {id, holdsPrefix}, nowMs);
+  }
+
+  /**
+   * The best option; if loads are outdated, one at random, the less probable the
+   * higher its score, since other routers compare the same loads.
+   */
+  private pick(
+    {hasExactLoads = true}: prefixPlacement.DirectPlacementRequest,
+    options: ReadonlyArray<Option | undefined>,
+  ): Option | undefined {
+    if (hasExactLoads) return this.best(options);
+    const known = options.filter(option => option !== undefined);
+    const weightOf = ({score}: Option) => 1 / (1 + score * score);
+    const total = known.reduce((sum, option) => sum + weightOf(option), 0);
+    let remaining = this.options.random.nextFloat() * total;
+    return (
+      known.find(option => (remaining -= weightOf(option)) < 0) ?? known.at(-1)
+    );
+  }
+
+  /** The lowest score; one of them at random. */
+  private best(options: ReadonlyArray<Option | undefined>): Option | undefined {
+    let best: Option | undefined;
+    let equalCount = 0;
+    for (const option of options) {
+      if (!option || (best && option.score > best.score)) continue;
+      equalCount = best && option.score === best.score ? equalCount + 1 : 1;
+      const isDrawn =
+        equalCount === 1 || this.options.random.nextInt(equalCount) === 0;
+      if (isDrawn) best = option;
+    }
+    return best;
+  }
+
+  /** A few of the endpoints at random, beginning anywhere. */
+  private draw(
+    endpoints: readonly prefixPlacement.DirectCandidate[],
+    maxCount: number,
+  ): readonly prefixPlacement.DirectCandidate[] {
+    if (endpoints.length <= maxCount) return endpoints;
+    const drawn: prefixPlacement.DirectCandidate[] = [];
+    for (let count = 0; count < maxCount; count++) {
+      drawn.push(endpoints[this.options.random.nextInt(endpoints.length)]!);
+    }
+    return drawn;
+  }
+}
+
+function choiceOf(
+  {endpoint, estimate}: Option,
+  reason: prefixPlacement.DirectPlacementReason,
+): prefixPlacement.DirectChoice {
+  return {endpoint, reason, estimate};
+}
+
+/** Whether an endpoint would copy the prefix rather than read it. */
+function canCopy({
+  copyUsPerToken,
+}: prefixPlacement.DirectPlacementRequest): boolean {
+  return copyUsPerToken !== undefined;
+}
--- a/packages/decide/src/prefixplacement.ts
+++ b/packages/decide/src/prefixplacement.ts
@@ -6,6 +6,7 @@
  * without a prefix go to the least loaded endpoint.
  */
 import * as core from '@oleanderrock/core';
+import type * as startEstimates from './startestimates.js';
 
 /** A candidate endpoint. */
 export interface DirectCandidate {
@@ -31,6 +32,15 @@
    * Absent: they are.
    */
   readonly hasExactLoads?: boolean;
+  /** What the request will cost; absent: unknown. */
+  readonly work?: startEstimates.RequestWork;
+  /** Monotonic time, in ms; given with `work`. */
+  readonly nowMs?: number;
+  /**
+   * Time in which an endpoint copies a token of the prefix from one that holds
+   * it, in us; absent if it would have to read the prefix.
+   */
+  readonly copyUsPerToken?: number;
 }
 
 /** Why an endpoint was chosen. */
@@ -42,7 +52,11 @@
   /** The candidates that hold the prefix are at the load bound. */
   | 'spill'
   /** It is the least loaded. */
-  | 'least';
+  | 'least'
+  /** The request starts earlier than where its prefix is held. */
+  | 'earlier'
+  /** The request starts earliest there, weighed by load. */
+  | 'soonest';
 
 /** The chosen endpoint, and why. */
 export interface DirectChoice {
@@ -50,6 +64,8 @@
   readonly reason: DirectPlacementReason;
   /** Load at which an endpoint was skipped; absent if no bound applied. */
   readonly limit?: number;
+  /** When the endpoint can answer; absent if too little is known. */
+  readonly estimate?: startEstimates.StartEstimate;
 }
 
 /** Placement strategy in direct mode. */
@@ -154,10 +170,8 @@
   ): DirectChoice | undefined {
     const {prefix, prefixTokens = 0, homes = []} = request;
     if (prefix === undefined) return this.fallback.choose(request, candidates);
-    const bound =
-      prefixTokens >= LONG_PREFIX_TOKENS
-        ? this.longPrefixBound
-        : this.shortPrefixBound;
+    const isLong = prefixTokens >= LONG_PREFIX_TOKENS;
+    const bound = isLong ? this.longPrefixBound : this.shortPrefixBound;
     const limit = loadLimit(candidates, bound);
     const eligible = candidates.filter(endpoint => endpoint.inFlight < limit);
     if (eligible.length === 0) return this.fallback.choose(request, candidates);
@@ -174,8 +188,17 @@
   }
 }
 
-/** Load at which an endpoint gets no more requests for the prefix. */
-function loadLimit(
+/** Load at which an endpoint gets no more requests for a prefix. */
+export function prefixLimit(
+  candidates: readonly DirectCandidate[],
+  prefixTokens: number,
+): number {
+  const isLong = prefixTokens >= LONG_PREFIX_TOKENS;
+  return loadLimit(candidates, isLong ? LONG_PREFIX_BOUND : SHORT_PREFIX_BOUND);
+}
+
+/** Load at which an endpoint gets no more requests. */
+export function loadLimit(
   candidates: readonly DirectCandidate[],
   {multiple, slack}: LoadBound,
 ): number {
--- a/packages/decide/src/startestimates.ts
+++ b/packages/decide/src/startestimates.ts
@@ -35,6 +35,33 @@
   readonly completeMs: number;
   /** Processing time that the request adds to the endpoint's work, in ms. */
   readonly workMs: number;
+  /**
+   * Part of `firstEventMs` that work of other requests and the pace of the
+   * endpoint add, in ms; absent if it is not known.
+   */
+  readonly delayMs?: number;
+}
+
+/** The load that an endpoint told with a response. */
+export interface EndpointLoad {
+  readonly running: number;
+  readonly waiting: number;
+  /** Requests that it runs at once; absent if it does not say. */
+  readonly slots?: number;
+  /**
+   * How long work takes at this moment; 100 is as usual. Absent if the endpoint
+   * does not say.
+   */
+  readonly pacePercent?: number;
+}
+
+/** A request that was sent, as known to the estimates. */
+export interface SentWork {
+  readonly work: RequestWork;
+  readonly endpoint: EstimatedEndpoint;
+  readonly sentAtMs: number;
+  /** Absent if too little was known. */
+  readonly estimate?: StartEstimate;
 }
 
 /** Estimates when endpoints can answer. */
@@ -47,7 +74,41 @@
   ): StartEstimate | undefined;
 }
 
+/** Observes what endpoints do, so that estimates can be learned from it. */
+export interface WorkObserver {
+  recordSend(
+    work: RequestWork,
+    endpoint: EstimatedEndpoint,
+    nowMs: number,
+  ): SentWork;
+  /**
+   * Records the first event of a stream, or a response without events, that is
+   * no failure.
+   */
+  recordFirstEvent(sent: SentWork, nowMs: number): void;
+  /**
+   * Records that the request has ended or was given up.
+   * @param isComplete whether its response arrived as a whole
+   */
+  recordEnd(sent: SentWork, nowMs: number, isComplete: boolean): void;
+  recordLoad(endpoint: string, load: EndpointLoad, nowMs: number): void;
+}
+
 /** Baseline: knows nothing, so that requests are placed by their number. */
-export class UnknownStartEstimates implements StartEstimates {
+export class UnknownStartEstimates implements StartEstimates, WorkObserver {
   estimate(): undefined {}
+
+  recordSend(
+    work: RequestWork,
+    endpoint: EstimatedEndpoint,
+    nowMs: number,
+  ): SentWork {
+    return {work, endpoint, sentAtMs: nowMs};
+  }
+
+  recordFirstEvent(): void {}
+
+  recordEnd(): void {}
+
+  recordLoad(): void {}
 }
--- a/packages/direct/src/attempt.ts
+++ b/packages/direct/src/attempt.ts
@@ -16,6 +16,7 @@
 import type * as model from './model.js';
 import * as requestWatch from './requestwatch.js';
 import * as responseCheck from './responsecheck.js';
+import * as startRecorder from './startrecorder.js';
 
 /** Options of an attempt. */
 export interface AttemptOptions {
@@ -38,6 +39,8 @@
    * before it processes the prompt.
    */
   readonly contextSource?: model.Endpoint;
+  /** Whether the endpoint holds the context of the prompt's shared part. */
+  readonly holdsPrefix?: boolean;
   /** Monotonic time until which the request may be sent, in ms. */
   readonly permitUntilMs?: number;
 }
@@ -166,11 +169,13 @@
 
   private recordLoad(
     {id}: model.Endpoint,
-    {isMisdirected, inFlight}: wireProtocol.EndpointResponseHead,
+    {isMisdirected, load}: wireProtocol.EndpointResponseHead,
   ): void {
-    if (isMisdirected || inFlight === undefined) return;
-    const load = this.kernel.find(decisions.FLEET_LOAD);
-    load.recordReport(id, inFlight, this.nowMs());
+    if (isMisdirected || !load) return;
+    const nowMs = this.nowMs();
+    const inFlight = load.running + load.waiting;
+    this.kernel.find(decisions.FLEET_LOAD).recordReport(id, inFlight, nowMs);
+    this.kernel.find(decisions.WORK_OBSERVER).recordLoad(id, load, nowMs);
   }
 
   private relayOptions(
@@ -277,6 +282,7 @@
   private readonly controller = new AbortController();
   private readonly watchHandle: requestWatch.WatchHandle;
   private readonly tracked: decide.TrackedRequest;
+  private readonly sendRecord: startRecorder.SendRecord;
   private readonly onCallerGone = () => this.controller.abort();
   private readonly timeout: NodeJS.Timeout;
   private recordedCause: FailureCause | undefined;
@@ -287,6 +293,11 @@
     private readonly options: AttemptOptions,
   ) {
     const {endpoint, request, callerGone, timeoutMs} = options;
+    const {holdsPrefix = false} = options;
+    // Before the count, which includes this request from then on.
+    this.sendRecord = kernel
+      .find(startRecorder.START_RECORDER)
+      .recordSend(request, {id: endpoint.id, holdsPrefix});
     kernel.find(decisions.FLEET_LOAD).recordStart(endpoint.id);
     this.tracked = kernel
       .find(decisions.CRASH_TRACKER)
@@ -320,23 +331,27 @@
     this.kernel.find(decisions.CRASH_TRACKER).recordHead(this.tracked);
   }
 
-  recordBegun(): void {
+  private recordBegun(isSuccess: boolean): void {
+    if (isSuccess) this.sendRecord.recordFirstEvent();
     const nowMs = this.kernel.find(core.CLOCK).nowMs();
     this.kernel.find(decisions.CRASH_TRACKER).recordBegun(this.tracked, nowMs);
   }
 
   openResponse(response: http.IncomingMessage): EndpointResponse {
+    const status = response.statusCode ?? 0;
+    const isSuccess = status >= 200 && status < 300;
     return {
       response,
-      status: response.statusCode ?? 0,
+      status,
       recordActivity: () => this.recordActivity(),
-      recordBegun: () => this.recordBegun(),
-      release: () => this.release(),
+      recordBegun: () => this.recordBegun(isSuccess),
+      release: () => this.release(isSuccess && response.complete),
       abortCause: () => this.abortCause(),
     };
   }
 
-  release(): void {
+  /** @param isComplete whether a successful response arrived as a whole */
+  release(isComplete = false): void {
     if (this.isReleased) return;
     this.isReleased = true;
     clearTimeout(this.timeout);
@@ -344,6 +359,7 @@
     this.watchHandle.remove();
     const {endpoint} = this.options;
     this.kernel.find(decisions.FLEET_LOAD).recordEnd(endpoint.id);
+    this.sendRecord.recordEnd(isComplete);
     this.kernel.find(decisions.CRASH_TRACKER).recordEnd(this.tracked);
   }
 
--- a/packages/direct/src/decisions.ts
+++ b/packages/direct/src/decisions.ts
@@ -68,6 +68,24 @@
   ['estimate'],
 );
 
+/**
+ * The contract under which the observer is registered that learns the estimates
+ * from what endpoints do.
+ */
+export const WORK_OBSERVER = core.contract<decide.WorkObserver>(
+  'work-observer',
+  ['recordSend', 'recordFirstEvent', 'recordEnd', 'recordLoad'],
+);
+
+/** The contract under which the work left at endpoints is registered. */
+export const WORK_LEFT = core.contract<decide.WorkLeft>('work-left', [
+  'recordStart',
+  'recordDone',
+  'applyRemote',
+  'remainingMs',
+  'localWork',
+]);
+
 /** The contract under which the placement strategy is registered. */
 export const PLACEMENT = core.contract<decide.DirectPlacement>(
   'direct-placement',
--- a/packages/direct/src/dispatcher.ts
+++ b/packages/direct/src/dispatcher.ts
@@ -130,7 +130,8 @@
     choice: endpointSelector.EndpointChoice,
     progress: DispatchProgress,
   ): Promise<routedRequest.RequestOutcome | undefined> {
-    const {endpoint, placement, contextSource, permitUntilMs} = choice;
+    const {endpoint, placement, contextSource, holdsPrefix, permitUntilMs} =
+      choice;
     progress.placement = {...placement, contextSource: contextSource?.id};
     progress.sendCount += 1;
     progress.triedIds.add(endpoint.id);
@@ -143,6 +144,7 @@
       callerGone: delivery.callerGone,
       mayRetry: () => this.mayRetry(request, delivery, progress),
       contextSource,
+      holdsPrefix,
       permitUntilMs,
     });
     const deliveryResult =
--- a/packages/direct/src/endpointselector.ts
+++ b/packages/direct/src/endpointselector.ts
@@ -6,7 +6,7 @@
  */
 import * as core from '@oleanderrock/core';
 import type * as decide from '@oleanderrock/decide';
-import type * as routedRequest from './routedrequest.js';
+import * as routedRequest from './routedrequest.js';
 import * as decisions from './decisions.js';
 import * as endpointNotices from './endpointnotices.js';
 import * as endpointRegistry from './endpointregistry.js';
@@ -25,6 +25,8 @@
    * it processes the prompt.
    */
   readonly contextSource?: model.Endpoint;
+  /** Whether the endpoint holds, or copies, the prompt's shared part. */
+  readonly holdsPrefix: boolean;
   /**
    * Monotonic time until which the request may be sent, in ms; absent if the
    * endpoint named no limit.
@@ -158,7 +160,22 @@
       homes,
       nowMs,
     );
-    return {endpoint, placement, contextSource};
+    const holdsPrefix =
+      contextSource !== undefined || homes.includes(endpoint.id);
+    const estimate =
+      placement.estimate ??
+      this.estimate(request, {id: endpoint.id, holdsPrefix}, nowMs);
+    return {endpoint, placement, contextSource, holdsPrefix, estimate};
+  }
+
+  private estimate(
+    request: routedRequest.RoutedRequest,
+    endpoint: decide.EstimatedEndpoint,
+    nowMs: number,
+  ): decide.StartEstimate | undefined {
+    return this.kernel
+      .find(decisions.START_ESTIMATES)
+      .estimate(routedRequest.workOf(request), endpoint, nowMs);
   }
 
   private listCandidates(
@@ -217,15 +234,36 @@
   }
 
   private buildPlacementRequest(
-    {head}: routedRequest.RoutedRequest,
+    request: routedRequest.RoutedRequest,
     homes: readonly string[],
     nowMs: number,
   ): decide.DirectPlacementRequest {
     const {zone} = this.kernel.find(fleetRegistry.FLEET_REGISTRY).self();
     const hasExactLoads = this.kernel.find(decisions.FLEET_LOAD).isExact(nowMs);
-    const {sharedPrefix: prefix, sharedPrefixTokens: prefixTokens} = head;
-    if (prefix === undefined) return {zone, hasExactLoads};
-    return {zone, hasExactLoads, prefix, prefixTokens, homes};
+    const work = routedRequest.workOf(request);
+    const {sharedPrefix: prefix, sharedPrefixTokens: prefixTokens} =
+      request.head;
+    const common = {zone, hasExactLoads, work, nowMs};
+    if (prefix === undefined) return common;
+    const copyUsPerToken = this.copyUsPerToken(request, homes);
+    return {...common, prefix, prefixTokens, homes, copyUsPerToken};
+  }
+
+  /** Undefined if an endpoint without the prefix would have to read it. */
+  private copyUsPerToken(
+    {head, pool}: routedRequest.RoutedRequest,
+    homes: readonly string[],
+  ): number | undefined {
+    const copyUsPerToken = this.kernel
+      .find(activeTables.ACTIVE_TABLES)
+      .copyUsPerToken(pool);
+    const source = this.kernel.find(decisions.CONTEXT_COPIES).chooseSource({
+      target: '',
+      homes,
+      prefixTokens: head.sharedPrefixTokens,
+      copyUsPerToken,
+    });
+    return source === undefined ? undefined : copyUsPerToken;
   }
 
   /**
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -35,6 +35,7 @@
 export * from './crashkeyhomes.js';
 export * as crashNotes from './crashnotes.js';
 export * as permitMessage from './permitmessage.js';
+export * from './startrecorder.js';
 export * from './statesource.js';
 export * as tablesUpdate from './tablesupdate.js';
 export * from './activetables.js';
--- a/packages/direct/src/recorder.ts
+++ b/packages/direct/src/recorder.ts
@@ -162,6 +162,8 @@
       load: placement?.endpoint.inFlight,
       context_from: placement?.contextSource,
       limit: placement?.limit && Math.round(placement.limit),
+      estimate_ms:
+        placement?.estimate && Math.round(placement.estimate.firstEventMs),
       tables: this.kernel.find(activeTables.ACTIVE_TABLES).version(),
       first_ms: firstByteMs && Math.round(firstByteMs),
       duration_ms: Math.round(durationMs),
--- a/packages/direct/src/wireprotocol.ts
+++ b/packages/direct/src/wireprotocol.ts
@@ -6,6 +6,7 @@
  */
 import type * as http from 'node:http';
 import * as core from '@oleanderrock/core';
+import type * as decide from '@oleanderrock/decide';
 import type * as model from './model.js';
 
 /** Head of a caller's request, without method, path and body. */
@@ -79,11 +80,8 @@
    */
   readonly holdOffMs?: number;
   readonly namedLimit: NamedLimit;
-  /**
-   * Requests that run or wait at the endpoint; absent if it does not report its
-   * load.
-   */
-  readonly inFlight?: number;
+  /** Absent if the endpoint does not tell its load. */
+  readonly load?: decide.EndpointLoad;
 }
 
 /** A prompt prefix whose context is in an endpoint's cache. */
--- a/packages/router/src/wiredirect.ts
+++ b/packages/router/src/wiredirect.ts
@@ -44,7 +44,6 @@
     }),
   );
   kernel.register(direct.PERMIT_GRANTER, new decide.PacedPermitGranter());
-  kernel.register(direct.FLEET_LOAD, new decide.SummedFleetLoad());
   kernel.register(direct.PREFIX_HOMES, new decide.SharedPrefixHomes());
   kernel.register(
     direct.DIGEST_ROUNDS,
@@ -54,8 +53,7 @@
     direct.FEED_READERS,
     new decide.RankedFeedReaders({perZone: READERS_PER_ZONE}),
   );
-  kernel.register(direct.START_ESTIMATES, new decide.UnknownStartEstimates());
-  kernel.register(direct.PLACEMENT, new decide.PrefixPlacement({random}));
+  registerCost(kernel);
   kernel.register(direct.CONTEXT_COPIES, new decide.FastCopyPolicy());
   kernel.register(
     direct.RETRY_BUDGET,
@@ -74,6 +72,27 @@
   );
 }
 
+/** What requests cost, and the placement by it. */
+function registerCost(kernel: core.Kernel): void {
+  const random = kernel.find(core.RANDOM);
+  const load = new decide.SummedFleetLoad();
+  const workLeft = new decide.AgingWorkLeft();
+  const estimates = new decide.LearnedStartEstimates({load, workLeft});
+  kernel.register(direct.FLEET_LOAD, load);
+  kernel.register(direct.WORK_LEFT, workLeft);
+  kernel.register(direct.START_ESTIMATES, estimates);
+  kernel.register(direct.WORK_OBSERVER, estimates);
+  const fallback = new decide.PrefixPlacement({random});
+  kernel.register(
+    direct.PLACEMENT,
+    new decide.CostPlacement({estimates, fallback, random}),
+  );
+  kernel.register(
+    direct.START_RECORDER,
+    new direct.MeasuringStartRecorder(kernel),
+  );
+}
+
 function registerState(
   kernel: core.Kernel,
   {name, address, zone}: direct.settings.Settings,
