--- a/packages/decide/src/costplacement.ts
+++ b/packages/decide/src/costplacement.ts
@@ -21,11 +21,12 @@
 const MAX_COMPARED = 8;
 
 /**
- * Requests in flight that weigh as much as a doubled time: with a prompt, slots
- * share the work of an endpoint, so that their number matters less.
+ * Requests in flight that weigh as much as a doubled time. With a prompt,
+ * requests share the work of an endpoint, so that their number matters less; it
+ * counts relative to the bound, which grows with the pool's mean.
  */
-const PROMPT_BALANCE = 8;
 const PLAIN_BALANCE = 1;
+const PROMPT_BALANCE_OF_LIMIT = 2;
 
 /** Load that an endpoint in another zone is taken to have in addition. */
 const FAR_LOAD = 0.5;
@@ -36,6 +37,16 @@
  */
 const MIN_DELAY_MS = 30;
 
+/**
+ * What others lose while an endpoint brings a prefix that is held elsewhere, as a
+ * multiple of its time: reading keeps an endpoint busy, copying does not.
+ */
+const READ_WASTE = 3;
+const COPY_WASTE = 1;
+
+/** Homes of a prefix beyond which it is not brought elsewhere. */
+const MAX_HOMES = 3;
+
 /** A compared endpoint. */
 interface Option {
   readonly endpoint: prefixPlacement.DirectCandidate;
@@ -44,6 +55,16 @@
   readonly score: number;
 }
 
+/** How an endpoint is scored. */
+interface OptionCosts {
+  /** Requests in flight that weigh as much as a doubled time. */
+  readonly balance: number;
+  /** Whether the endpoint has the prefix, or copies it. */
+  readonly holdsPrefix: boolean;
+  /** Time that bringing the prefix there takes, in ms. */
+  readonly bringMs?: number;
+}
+
 /** Compares the estimates of a few endpoints. */
 export class CostPlacement implements prefixPlacement.DirectPlacement {
   constructor(private readonly options: CostPlacementOptions) {}
@@ -61,7 +82,7 @@
     if (!isKnown) return this.options.fallback.choose(request, candidates);
     return request.prefix === undefined
       ? this.chooseSoonest(request, candidates)
-      : this.chooseForPrefix(request, candidates, request.prefix);
+      : this.chooseForPrefix(request, candidates);
   }
 
   /** The best of a few endpoints that are below the bound. */
@@ -78,7 +99,9 @@
       return this.options.fallback.choose(request, candidates);
     }
     const compared = this.draw(eligible, MAX_COMPARED);
-    const options = compared.map(each => this.option(request, each, false));
+    const options = compared.map(each =>
+      this.option(request, each, {balance: PLAIN_BALANCE, holdsPrefix: false}),
+    );
     const best = this.pick(request, options);
     return best && {...choiceOf(best, 'soonest'), limit};
   }
@@ -86,45 +109,50 @@
   private chooseForPrefix(
     request: prefixPlacement.DirectPlacementRequest,
     candidates: readonly prefixPlacement.DirectCandidate[],
-    prefix: string,
   ): prefixPlacement.DirectChoice | undefined {
     const {homes = [], prefixTokens = 0} = request;
     const limit = prefixPlacement.prefixLimit(candidates, prefixTokens);
     const eligible = candidates.filter(({inFlight}) => inFlight < limit);
+    const balance = limit * PROMPT_BALANCE_OF_LIMIT;
     const holders = eligible.filter(({id}) => homes.includes(id));
     const home = this.pick(
       request,
-      holders.map(each => this.option(request, each, true)),
+      holders.map(each =>
+        this.option(request, each, {balance, holdsPrefix: true}),
+      ),
     );
     // Without a home, all routers have to choose the same endpoint.
     if (!home) return this.options.fallback.choose(request, candidates);
-    const earlier = this.earlierThan(home, request, eligible, prefix);
+    const earlier = this.earlierThan(home, request, eligible, balance);
     if (!earlier) return {...choiceOf(home, 'home'), limit};
     return {...choiceOf(earlier, 'earlier'), limit};
   }
 
   /**
    * An endpoint at which the request starts so much earlier than at its home
-   * that it is worth bringing the prefix there: that costs the endpoint's other
-   * requests the same time again. All routers consider the same one, so that a
+   * that it is worth bringing the prefix there, which costs other requests. All
+   * routers consider the same one, so that a
    * prefix gets few homes.
    */
   private earlierThan(
     home: Option,
     request: prefixPlacement.DirectPlacementRequest,
     eligible: readonly prefixPlacement.DirectCandidate[],
-    prefix: string,
+    balance: number,
   ): Option | undefined {
     const {delayMs = 0} = home.estimate;
     if (delayMs < MIN_DELAY_MS) return undefined;
     const bringMs = this.bringMs(home, request);
-    if (delayMs < bringMs * 2) return undefined;
-    const {homes = []} = request;
+    if (delayMs < bringMs * (1 + wasteOf(request))) return undefined;
+    const {prefix = '', homes = []} = request;
+    if (homes.length >= MAX_HOMES) return undefined;
     const others = eligible.filter(({id}) => !homes.includes(id));
     const otherIds = others.map(({id}) => id);
     const topId = core.topNode(prefix, otherIds);
     const top = others.find(({id}) => id === topId);
-    const option = top && this.option(request, top, canCopy(request), bringMs);
+    const holdsPrefix = canCopy(request);
+    const option =
+      top && this.option(request, top, {balance, holdsPrefix, bringMs});
     return option && option.score < home.score ? option : undefined;
   }
 
@@ -142,20 +170,16 @@
     return Math.max(0, withReading.firstEventMs - estimate.firstEventMs);
   }
 
-  /** @param bringMs time that bringing the prefix takes, in ms */
   private option(
     request: prefixPlacement.DirectPlacementRequest,
     endpoint: prefixPlacement.DirectCandidate,
-    holdsPrefix: boolean,
-    bringMs = 0,
+    {balance, holdsPrefix, bringMs = 0}: OptionCosts,
   ): Option | undefined {
     const estimate = this.estimate(request, endpoint, holdsPrefix);
     if (!estimate) return undefined;
     // Reading is part of the estimate, copying is not.
     const copyMs = holdsPrefix ? bringMs : 0;
-    const timeMs = estimate.firstEventMs + copyMs + bringMs;
-    const balance =
-      request.prefix === undefined ? PLAIN_BALANCE : PROMPT_BALANCE;
+    const timeMs = estimate.firstEventMs + copyMs + bringMs * wasteOf(request);
     const farLoad = endpoint.zone === request.zone ? 0 : FAR_LOAD;
     const load = endpoint.inFlight + farLoad;
     return {endpoint, estimate, score: timeMs * (balance + load)};
@@ -223,6 +247,11 @@
   return {endpoint, reason, estimate};
 }
 
+/** What bringing the prefix costs others, as a multiple of its time. */
+function wasteOf(request: prefixPlacement.DirectPlacementRequest): number {
+  return canCopy(request) ? COPY_WASTE : READ_WASTE;
+}
+
 /** Whether an endpoint would copy the prefix rather than read it. */
 function canCopy({
   copyUsPerToken,
--- a/packages/decide/src/endpointpaces.ts
+++ b/packages/decide/src/endpointpaces.ts
@@ -11,18 +11,21 @@
 /** An endpoint's own word on its pace is true for so long, in ms. */
 const TOLD_PACE_VALID_MS = 100;
 
-/** Bounds of the pace that an endpoint tells. */
+/** Bounds of the pace that an endpoint tells, relative to its mean. */
 const MIN_TOLD_PACE = 0.5;
 const MAX_TOLD_PACE = 6;
 
 /** Slots of an endpoint that tells none. */
 const DEFAULT_SLOTS = 16;
 
-/** The paces of an endpoint differ more than its machine's noise. */
-const PACE_RATIO = {priorCount: 2, halfLifeMs: 12_000};
+/** Few observations count, so that a pace that changes is soon known. */
+const PACE_RATIO = {priorCount: 1.5, maxCount: 8, halfLifeMs: 10_000};
 
 interface KnownEndpoint {
+  /** Pace by answers, the mean of what the endpoint tells included. */
   readonly pace: forgettingRatio.ForgettingRatio;
+  /** Mean of the paces that the endpoint told. */
+  readonly told: forgettingRatio.ForgettingRatio;
   load?: startEstimates.EndpointLoad;
   loadAtMs: number;
 }
@@ -41,6 +44,8 @@
     const known = this.entryOf(endpoint);
     known.load = load;
     known.loadAtMs = nowMs;
+    const {pacePercent} = load;
+    if (pacePercent !== undefined) known.told.observe(pacePercent / 100, nowMs);
   }
 
   /** Records how long work took, relative to an endpoint of the usual pace. */
@@ -53,13 +58,14 @@
     return this.endpoints.get(endpoint)?.pace.value(nowMs) ?? 1;
   }
 
-  /** Pace that the endpoint told, while it is true; 1 otherwise. */
+  /** Pace that the endpoint told relative to its mean, while true; else 1. */
   toldPace(endpoint: string, nowMs: number): number {
     const known = this.endpoints.get(endpoint);
     const percent = known?.load?.pacePercent;
     if (!known || percent === undefined) return 1;
     if (nowMs - known.loadAtMs > TOLD_PACE_VALID_MS) return 1;
-    return Math.max(MIN_TOLD_PACE, Math.min(MAX_TOLD_PACE, percent / 100));
+    const ratio = percent / 100 / known.told.value(nowMs);
+    return Math.max(MIN_TOLD_PACE, Math.min(MAX_TOLD_PACE, ratio));
   }
 
   tellsLoad(endpoint: string): boolean {
@@ -75,6 +81,7 @@
     if (known) return known;
     const entry: KnownEndpoint = {
       pace: new forgettingRatio.ForgettingRatio(PACE_RATIO),
+      told: new forgettingRatio.ForgettingRatio(PACE_RATIO),
       loadAtMs: Number.NEGATIVE_INFINITY,
     };
     this.endpoints.set(endpoint, entry);
--- a/packages/decide/src/forgettingratio.ts
+++ b/packages/decide/src/forgettingratio.ts
@@ -12,6 +12,8 @@
 export interface ForgettingRatioOptions {
   /** Number of observations that weigh as much as the assumption of 1. */
   readonly priorCount: number;
+  /** Number of recent observations that count. */
+  readonly maxCount: number;
   /** Time in which the weight of an observation halves, in ms. */
   readonly halfLifeMs: number;
 }
@@ -32,6 +34,10 @@
     const highest = Math.max(0, mean) + MAX_OBSERVED_LOG;
     this.logSum += Math.max(lowest, Math.min(highest, log));
     this.weight += 1;
+    const {maxCount} = this.options;
+    if (this.weight <= maxCount) return;
+    this.logSum *= maxCount / this.weight;
+    this.weight = maxCount;
   }
 
   value(nowMs: number): number {
--- a/packages/decide/src/worktimes.ts
+++ b/packages/decide/src/worktimes.ts
@@ -28,7 +28,7 @@
 /** Routes of one kind that are told apart. */
 const MAX_ROUTES = 256;
 
-const ROUTE_RATIO = {priorCount: 4, halfLifeMs: 60_000};
+const ROUTE_RATIO = {priorCount: 4, maxCount: 60, halfLifeMs: 60_000};
 
 /** Index of the time of a token in the fit of the first event. */
 const TOKENS = 1;
--- a/packages/direct/src/digest.ts
+++ b/packages/direct/src/digest.ts
@@ -12,7 +12,7 @@
 import type * as fleetRegistry from './fleetregistry.js';
 import * as model from './model.js';
 
-const FORMAT_VERSION = 5;
+const FORMAT_VERSION = 6;
 
 const countSchema = v.pipe(v.number(), v.integer(), v.minValue(0));
 
@@ -57,15 +57,22 @@
   /** Uptime of the sender, in s. */
   countSchema,
   /**
-   * Load by endpoint: hash, requests in flight, and scaled counts of good and
-   * failed outcomes, which are left out if both are 0; null if the sender does
-   * not tell its load to all routers.
+   * Load by endpoint: hash, requests in flight, scaled counts of good and failed
+   * outcomes, and scaled work left. What is 0 is left out from the end on. Null
+   * if the sender does not tell its load to all routers.
    */
   v.nullable(
     v.array(
       v.union([
         v.strictTuple([countSchema, countSchema]),
         v.strictTuple([countSchema, countSchema, countSchema, countSchema]),
+        v.strictTuple([
+          countSchema,
+          countSchema,
+          countSchema,
+          countSchema,
+          countSchema,
+        ]),
       ]),
     ),
   ),
@@ -116,6 +123,7 @@
 export interface DigestLoad {
   readonly inFlight: decide.InFlightCounts;
   readonly outcomes: ReadonlyMap<string, decide.Outcomes>;
+  readonly workLeft: decide.WorkByEndpoint;
 }
 
 /** The content of a digest. */
@@ -135,6 +143,9 @@
  */
 const OUTCOME_SCALE = 10;
 
+/** Unit of work left, in ms. */
+const WORK_UNIT_MS = 4;
+
 /** Numbers per report and per failure. */
 const REPORT_FIELDS = 3;
 const FAILURE_FIELDS = 4;
@@ -262,23 +273,31 @@
   };
 }
 
-function encodeLoads({inFlight, outcomes}: DigestLoad): EncodedLoad[] {
-  const ids = new Set([...inFlight.keys(), ...outcomes.keys()]);
-  return [...ids].map(id =>
-    encodeLoad(id, inFlight.get(id) ?? 0, outcomes.get(id)),
-  );
+function encodeLoads(load: DigestLoad): EncodedLoad[] {
+  const {inFlight, outcomes, workLeft} = load;
+  const ids = new Set([
+    ...inFlight.keys(),
+    ...outcomes.keys(),
+    ...workLeft.keys(),
+  ]);
+  return [...ids].map(id => encodeLoad(id, load));
 }
 
 function encodeLoad(
   id: string,
-  inFlight: number,
-  {good, failed}: decide.Outcomes = {good: 0, failed: 0},
+  {inFlight, outcomes, workLeft}: DigestLoad,
 ): EncodedLoad {
   const hash = endpointRegistry.endpointHash(id);
+  const requestCount = inFlight.get(id) ?? 0;
+  const {good, failed} = outcomes.get(id) ?? {good: 0, failed: 0};
+  const scaledWork = Math.round((workLeft.get(id) ?? 0) / WORK_UNIT_MS);
   const scaledGood = Math.round(good * OUTCOME_SCALE);
   const scaledFailed = Math.round(failed * OUTCOME_SCALE);
-  if (scaledGood + scaledFailed === 0) return [hash, inFlight];
-  return [hash, inFlight, scaledGood, scaledFailed];
+  if (scaledWork > 0) {
+    return [hash, requestCount, scaledGood, scaledFailed, scaledWork];
+  }
+  if (scaledGood + scaledFailed === 0) return [hash, requestCount];
+  return [hash, requestCount, scaledGood, scaledFailed];
 }
 
 function decodeLoads(
@@ -287,16 +306,18 @@
 ): DigestLoad {
   const inFlight = new Map<string, number>();
   const outcomes = new Map<string, decide.Outcomes>();
-  for (const [hash, requestCount, good = 0, failed = 0] of loads) {
+  const workLeft = new Map<string, number>();
+  for (const [hash, requestCount, good = 0, failed = 0, work = 0] of loads) {
     const id = findIdByHash(hash);
     if (id === undefined) continue;
     inFlight.set(id, requestCount);
+    if (work > 0) workLeft.set(id, work * WORK_UNIT_MS);
     outcomes.set(id, {
       good: good / OUTCOME_SCALE,
       failed: failed / OUTCOME_SCALE,
     });
   }
-  return {inFlight, outcomes};
+  return {inFlight, outcomes, workLeft};
 }
 
 function groupByEndpoint(
--- a/packages/direct/src/gossip.ts
+++ b/packages/direct/src/gossip.ts
@@ -283,12 +283,13 @@
     const load = this.kernel.find(decisions.FLEET_LOAD);
     const health = this.kernel.find(decisions.ENDPOINT_HEALTH);
     const inFlight = load.localCounts();
+    const workLeft = this.kernel.find(decisions.WORK_LEFT).localWork(nowMs);
     const digest: digestCodec.Digest = {
       sender: this.membership.self(),
       wantsReply,
       status: this.status(),
       ...(this.isComplete
-        ? {load: {inFlight, outcomes: health.localCounts(nowMs)}}
+        ? {load: {inFlight, outcomes: health.localCounts(nowMs), workLeft}}
         : {}),
       reports: this.isComplete ? [] : load.recentReports(MAX_REPORTS, nowMs),
       news,
@@ -353,9 +354,10 @@
 
   private applyLoad(
     router: string,
-    {inFlight, outcomes}: digestCodec.DigestLoad,
+    {inFlight, outcomes, workLeft}: digestCodec.DigestLoad,
     nowMs: number,
   ): void {
+    this.kernel.find(decisions.WORK_LEFT).applyRemote(router, workLeft, nowMs);
     this.kernel.find(decisions.FLEET_LOAD).applyRemote(router, inFlight, nowMs);
     this.kernel
       .find(decisions.ENDPOINT_HEALTH)
--- a/packages/direct/src/tests/digest.test.ts
+++ b/packages/direct/src/tests/digest.test.ts
@@ -44,6 +44,7 @@
     load: {
       inFlight: new Map([['e', 2]]),
       outcomes: new Map([['e', {good: 1.5, failed: 0.5}]]),
+      workLeft: new Map([['e', 120]]),
     },
     reports: [{endpoint: 'f', inFlight: 12, observedAtMs: NOW_MS - 40}],
     news: {
--- a/packages/direct/src/tests/simulatedfleet.ts
+++ b/packages/direct/src/tests/simulatedfleet.ts
@@ -256,6 +256,7 @@
     );
     kernel.register(direct.PERMIT_GRANTER, new decide.PacedPermitGranter());
     kernel.register(direct.FLEET_LOAD, new decide.SummedFleetLoad());
+    kernel.register(direct.WORK_LEFT, new decide.AgingWorkLeft());
     kernel.register(direct.PREFIX_HOMES, new decide.SharedPrefixHomes());
     kernel.register(
       direct.DIGEST_ROUNDS,
