--- a/packages/decide/src/costplacement.ts
+++ b/packages/decide/src/costplacement.ts
@@ -6,6 +6,7 @@
  * little is known for an estimate, requests are placed by their number.
  */
 import * as core from '@oleanderrock/core';
+import * as boundedMap from './boundedmap.js';
 import * as prefixPlacement from './prefixplacement.js';
 import type * as startEstimates from './startestimates.js';
 
@@ -18,7 +19,7 @@
 }
 
 /** Endpoints compared for a request without a prefix; others are not drawn. */
-const MAX_COMPARED = 8;
+const MAX_COMPARED = 6;
 
 /**
  * Requests in flight that weigh as much as a doubled time. With a prompt,
@@ -47,6 +48,9 @@
 /** Homes of a prefix beyond which it is not brought elsewhere. */
 const MAX_HOMES = 3;
 
+/** Prefixes for which the endpoint is kept that would be next. */
+const MAX_RANKED_PREFIXES = 512;
+
 /** A compared endpoint. */
 interface Option {
   readonly endpoint: prefixPlacement.DirectCandidate;
@@ -67,19 +71,16 @@
 
 /** Compares the estimates of a few endpoints. */
 export class CostPlacement implements prefixPlacement.DirectPlacement {
+  private readonly topByPrefix = new boundedMap.BoundedMap<string>(
+    MAX_RANKED_PREFIXES,
+  );
+
   constructor(private readonly options: CostPlacementOptions) {}
 
   choose(
     request: prefixPlacement.DirectPlacementRequest,
     candidates: readonly prefixPlacement.DirectCandidate[],
   ): prefixPlacement.DirectChoice | undefined {
-    const {work} = request;
-    const first = candidates[0];
-    const isKnown =
-      work !== undefined &&
-      first !== undefined &&
-      this.estimate(request, first, false) !== undefined;
-    if (!isKnown) return this.options.fallback.choose(request, candidates);
     return request.prefix === undefined
       ? this.chooseSoonest(request, candidates)
       : this.chooseForPrefix(request, candidates);
@@ -103,7 +104,8 @@
       this.option(request, each, {balance: PLAIN_BALANCE, holdsPrefix: false}),
     );
     const best = this.pick(request, options);
-    return best && {...choiceOf(best, 'soonest'), limit};
+    if (!best) return this.options.fallback.choose(request, candidates);
+    return {...choiceOf(best, 'soonest'), limit};
   }
 
   private chooseForPrefix(
@@ -147,15 +149,30 @@
     const {prefix = '', homes = []} = request;
     if (homes.length >= MAX_HOMES) return undefined;
     const others = eligible.filter(({id}) => !homes.includes(id));
-    const otherIds = others.map(({id}) => id);
-    const topId = core.topNode(prefix, otherIds);
-    const top = others.find(({id}) => id === topId);
+    const top = this.topOf(prefix, others);
     const holdsPrefix = canCopy(request);
     const option =
       top && this.option(request, top, {balance, holdsPrefix, bringMs});
     return option && option.score < home.score ? option : undefined;
   }
 
+  /**
+   * The endpoint with the highest rendezvous score. Ranking all takes long, so
+   * that it is kept while the endpoint stays among them.
+   */
+  private topOf(
+    prefix: string,
+    endpoints: readonly prefixPlacement.DirectCandidate[],
+  ): prefixPlacement.DirectCandidate | undefined {
+    const keptId = this.topByPrefix.get(prefix);
+    const kept = endpoints.find(({id}) => id === keptId);
+    if (kept) return kept;
+    const ids = endpoints.map(({id}) => id);
+    const topId = core.topNode(prefix, ids);
+    if (topId !== undefined) this.topByPrefix.set(prefix, topId);
+    return endpoints.find(({id}) => id === topId);
+  }
+
   /** Time to read the prefix, or to copy it, at another endpoint, in ms. */
   private bringMs(
     {endpoint, estimate}: Option,
--- a/packages/decide/src/expiringsums.ts
+++ b/packages/decide/src/expiringsums.ts
@@ -18,6 +18,7 @@
   /** The longest unchanged report comes first. */
   private readonly reports = new Map<string, Report>();
   private readonly sums = new Map<string, number>();
+  private checkedAtMs = Number.NEGATIVE_INFINITY;
 
   /** @param validMs time after which the values of a source expire */
   constructor(private readonly validMs: number) {}
@@ -50,6 +51,9 @@
   }
 
   private evictExpired(nowMs: number): void {
+    // One selection reads many sums at the same time.
+    if (nowMs === this.checkedAtMs) return;
+    this.checkedAtMs = nowMs;
     for (const [source, {validUntilMs}] of this.reports) {
       if (validUntilMs >= nowMs) return;
       this.remove(source);
--- a/packages/decide/src/forgettingratio.ts
+++ b/packages/decide/src/forgettingratio.ts
@@ -8,6 +8,9 @@
 const MAX_RATIO = 6;
 const MAX_OBSERVED_LOG = Math.log(3);
 
+/** Share of the half-life after which weights are reduced. */
+const MIN_FORGET_SHARE = 0.02;
+
 /** Options of `ForgettingRatio`. */
 export interface ForgettingRatioOptions {
   /** Number of observations that weigh as much as the assumption of 1. */
@@ -49,7 +52,8 @@
 
   private forget(nowMs: number): void {
     const elapsedMs = nowMs - this.updatedAtMs;
-    if (elapsedMs <= 0) return;
+    // Smaller steps would cost time and change little.
+    if (elapsedMs < this.options.halfLifeMs * MIN_FORGET_SHARE) return;
     const keep = 2 ** (-elapsedMs / this.options.halfLifeMs);
     this.weight *= keep;
     this.logSum *= keep;
--- a/packages/decide/src/learnedestimates.ts
+++ b/packages/decide/src/learnedestimates.ts
@@ -146,14 +146,15 @@
     const firstEventMs = startMs * pace + slotMs;
     const streamMs =
       times.streamMs(route, streamFeatures(work, state), nowMs) * learnedPace;
-    const idle = {tokens: unreadTokens, inFlight: 0};
+    const others = {...features, tokens: features.tokens - unreadTokens};
+    const idleMs = startMs - times.startDelayMs(route, others, nowMs);
     const readMs = times.readMs(unreadTokens) * learnedPace;
     const slotTimeMs = work.promptTokens > 0 ? streamMs : firstEventMs;
     return {
       firstEventMs,
       completeMs: firstEventMs + streamMs,
       workMs: readMs + slotTimeMs / this.paces.slots(id),
-      delayMs: firstEventMs - times.startMs(route, idle, nowMs),
+      delayMs: firstEventMs - idleMs,
     };
   }
 
--- a/packages/decide/src/worktimes.ts
+++ b/packages/decide/src/worktimes.ts
@@ -30,8 +30,9 @@
 
 const ROUTE_RATIO = {priorCount: 4, maxCount: 60, halfLifeMs: 60_000};
 
-/** Index of the time of a token in the fit of the first event. */
+/** Indexes of the times of tokens and fill in the fit of the first event. */
 const TOKENS = 1;
+const FILL = 2;
 
 /** A route's ratios to the times of its kind. */
 interface RouteRatios {
@@ -70,8 +71,24 @@
   }
 
   startMs(route: string, features: StartFeatures, nowMs: number): number {
-    const ratio = this.ratiosByRoute.get(route)?.start.value(nowMs) ?? 1;
-    return this.start.predict(startValues(features)) * ratio;
+    return (
+      this.start.predict(startValues(features)) * this.startRatio(route, nowMs)
+    );
+  }
+
+  /** Part of the time until the first event that others cause, in ms. */
+  startDelayMs(
+    route: string,
+    {tokens, inFlight}: StartFeatures,
+    nowMs: number,
+  ): number {
+    const delayMs =
+      this.start.timeOf(TOKENS, tokens) + this.start.timeOf(FILL, inFlight);
+    return delayMs * this.startRatio(route, nowMs);
+  }
+
+  private startRatio(route: string, nowMs: number): number {
+    return this.ratiosByRoute.get(route)?.start.value(nowMs) ?? 1;
   }
 
   streamMs(route: string, features: StreamFeatures, nowMs: number): number {
--- a/packages/direct/src/settings.ts
+++ b/packages/direct/src/settings.ts
@@ -111,6 +111,13 @@
     unit: 'ms',
     meaning: 'interval between digests to the other routers',
   },
+  placement: {
+    schema: core.oneOfSchema(['cost', 'counts']),
+    fallback: 'cost',
+    meaning:
+      'whether requests are placed by their cost where endpoints tell their ' +
+      'load, or by their number',
+  },
   logLevel: {
     schema: core.oneOfSchema(['error', 'warn', 'info', 'debug']),
     fallback: 'info',
--- a/packages/router/src/wiredirect.ts
+++ b/packages/router/src/wiredirect.ts
@@ -53,7 +53,7 @@
     direct.FEED_READERS,
     new decide.RankedFeedReaders({perZone: READERS_PER_ZONE}),
   );
-  registerCost(kernel);
+  registerCost(kernel, routerSettings);
   kernel.register(direct.CONTEXT_COPIES, new decide.FastCopyPolicy());
   kernel.register(
     direct.RETRY_BUDGET,
@@ -73,7 +73,10 @@
 }
 
 /** What requests cost, and the placement by it. */
-function registerCost(kernel: core.Kernel): void {
+function registerCost(
+  kernel: core.Kernel,
+  {placement}: direct.settings.Settings,
+): void {
   const random = kernel.find(core.RANDOM);
   const load = new decide.SummedFleetLoad();
   const workLeft = new decide.AgingWorkLeft();
@@ -82,11 +85,13 @@
   kernel.register(direct.WORK_LEFT, workLeft);
   kernel.register(direct.START_ESTIMATES, estimates);
   kernel.register(direct.WORK_OBSERVER, estimates);
-  const fallback = new decide.PrefixPlacement({random});
-  kernel.register(
-    direct.PLACEMENT,
-    new decide.CostPlacement({estimates, fallback, random}),
-  );
+  const byCounts = new decide.PrefixPlacement({random});
+  const byCost = new decide.CostPlacement({
+    estimates,
+    fallback: byCounts,
+    random,
+  });
+  kernel.register(direct.PLACEMENT, placement === 'cost' ? byCost : byCounts);
   kernel.register(
     direct.START_RECORDER,
     new direct.MeasuringStartRecorder(kernel),
