--- a/packages/direct/src/endpointsends.ts
+++ b/packages/direct/src/endpointsends.ts
@@ -166,10 +166,11 @@
 
   private startAttempt(
     dispatch: dispatchProgress.Dispatch,
-    {endpoint, contextSource, permitUntilMs}: endpointSelector.EndpointChoice,
+    choice: endpointSelector.EndpointChoice,
     callerGone: AbortSignal,
   ): Promise<attempt.AttemptResult> {
     const {request, delivery} = dispatch;
+    const {endpoint, contextSource, holdsPrefix, permitUntilMs} = choice;
     return this.kernel.find(attempt.ATTEMPT_SENDER).send({
       request,
       endpoint,
@@ -178,6 +179,7 @@
       callerGone,
       mayRetry: () => this.allowance.mayRetry(dispatch),
       contextSource,
+      holdsPrefix,
       permitUntilMs,
     });
   }
--- a/packages/direct/src/recorder.ts
+++ b/packages/direct/src/recorder.ts
@@ -171,6 +171,8 @@
       load: placement?.endpoint.inFlight,
       context_from: placement?.contextSource,
       limit: placement?.limit && Math.round(placement.limit),
+      estimate_ms:
+        placement?.estimate && Math.round(placement.estimate.firstEventMs),
       tables: this.kernel.find(activeTables.ACTIVE_TABLES).version(),
       waited_ms: outcome.waitedMs ? Math.round(outcome.waitedMs) : undefined,
       second_send: outcome.secondSend,
--- a/packages/direct/src/tests/simulatedpool.ts
+++ b/packages/direct/src/tests/simulatedpool.ts
@@ -230,7 +230,10 @@
     if (!endpoint) return {type: 'none'};
     const candidate = {id: endpoint.id, zone: endpoint.zone, inFlight: 0};
     const placement = {endpoint: candidate, reason: 'least' as const};
-    return {type: 'selected', choice: {endpoint, placement}};
+    return {
+      type: 'selected',
+      choice: {endpoint, placement, holdsPrefix: false},
+    };
   }
 
   private async send(
--- a/packages/router/src/wiredirect.ts
+++ b/packages/router/src/wiredirect.ts
@@ -49,7 +49,6 @@
     }),
   );
   kernel.register(direct.PERMIT_GRANTER, new decide.PacedPermitGranter());
-  kernel.register(direct.FLEET_LOAD, new decide.SummedFleetLoad());
   kernel.register(direct.PREFIX_HOMES, new decide.SharedPrefixHomes());
   kernel.register(
     direct.DIGEST_ROUNDS,
@@ -62,8 +61,7 @@
   kernel.register(direct.WAIT_POLICY, new decide.TimelyWaitPolicy());
   kernel.register(direct.RETURN_TIMES, new decide.SpreadReturnTimes(random));
   kernel.register(direct.SECOND_SENDS, new decide.UnusualTimeSecondSends());
-  kernel.register(direct.START_ESTIMATES, new decide.UnknownStartEstimates());
-  kernel.register(direct.PLACEMENT, new decide.PrefixPlacement({random}));
+  registerCost(kernel, routerSettings);
   kernel.register(direct.CONTEXT_COPIES, new decide.FastCopyPolicy());
   kernel.register(
     direct.RETRY_BUDGET,
@@ -82,6 +80,32 @@
   );
 }
 
+/** What requests cost, and the placement by it. */
+function registerCost(
+  kernel: core.Kernel,
+  {placement}: direct.settings.Settings,
+): void {
+  const random = kernel.find(core.RANDOM);
+  const load = new decide.SummedFleetLoad();
+  const workLeft = new decide.AgingWorkLeft();
+  const estimates = new decide.LearnedStartEstimates({load, workLeft});
+  kernel.register(direct.FLEET_LOAD, load);
+  kernel.register(direct.WORK_LEFT, workLeft);
+  kernel.register(direct.START_ESTIMATES, estimates);
+  kernel.register(direct.WORK_OBSERVER, estimates);
+  const byCounts = new decide.PrefixPlacement({random});
+  const byCost = new decide.CostPlacement({
+    estimates,
+    fallback: byCounts,
+    random,
+  });
+  kernel.register(direct.PLACEMENT, placement === 'cost' ? byCost : byCounts);
+  kernel.register(
+    direct.START_RECORDER,
+    new direct.MeasuringStartRecorder(kernel),
+  );
+}
+
 function registerState(
   kernel: core.Kernel,
   {name, address, zone}: direct.settings.Settings,
