Record the room of both endpoints of a second send

Cause: a second send that was refused did not mark its endpoint as full. Change: the room is recorded where sends end, not in the dispatcher.

--- a/packages/direct/src/dispatcher.ts
+++ b/packages/direct/src/dispatcher.ts
@@ -7,7 +7,6 @@
 import * as core from '@oleanderrock/core';
 import * as tsPattern from 'ts-pattern';
 import * as routedRequest from './routedrequest.js';
-import type * as attempt from './attempt.js';
 import * as attemptRecorder from './attemptrecorder.js';
 import * as dispatchFailure from './dispatchfailure.js';
 import * as dispatchProgress from './dispatchprogress.js';
@@ -163,7 +162,6 @@
   ): Promise<routedRequest.RequestOutcome | undefined> {
     const {request, delivery, progress} = dispatch;
     const {endpoint, result} = await this.sends.send(dispatch, choice);
-    this.recordRoom(dispatch, endpoint, result);
     const deliveryResult =
       result.type === 'response'
         ? await delivery.deliver(
@@ -178,23 +176,6 @@
     return this.applyResult(endpoint, deliveryResult, progress);
   }
 
-  private recordRoom(
-    {request, progress}: dispatchProgress.Dispatch,
-    {id}: model.Endpoint,
-    result: attempt.AttemptResult,
-  ): void {
-    const room = this.kernel.find(decisions.ENDPOINT_ROOM);
-    if (result.type === 'response') {
-      room.recordAccepted(id);
-      if (progress.waitSpan) this.waitingRoom.recordAccepted(request.pool);
-    } else if (isWithoutRoom(result)) {
-      progress.refusedIds.add(id);
-      room.recordRefusal(id, this.nowMs());
-    } else if (result.type === 'withheld') {
-      progress.refusedIds.add(id);
-    }
-  }
-
   private applyResult(
     endpoint: model.Endpoint,
     result: responseDelivery.DeliveryResult,
@@ -215,11 +196,7 @@
           progress,
         ),
       )
-      .with({type: 'withheld'}, () => {
-        // The request did not reach the endpoint, so it costs no retry.
-        progress.sendCount -= 1;
-        return undefined;
-      })
+      .with({type: 'withheld'}, () => undefined)
       .otherwise(failed => {
         progress.lastFailure = dispatchProgress.failureOf(endpoint.id, failed);
         return undefined;
@@ -234,9 +211,3 @@
     return this.kernel.find(core.CLOCK).nowMs();
   }
 }
-
-/** Whether the endpoint could not take the request, but may take it later. */
-function isWithoutRoom(result: attempt.AttemptResult): boolean {
-  if (result.type === 'not_run') return result.isFull;
-  return result.type === 'not_sent' && result.isUnreachable;
-}
--- a/packages/direct/src/endpointsends.ts
+++ b/packages/direct/src/endpointsends.ts
@@ -47,6 +47,7 @@
     if (!this.couldSendSecond(dispatch)) {
       const {callerGone} = dispatch.delivery;
       const result = await this.startAttempt(dispatch, choice, callerGone);
+      this.recordRoom(dispatch, choice.endpoint, result);
       return {endpoint: choice.endpoint, result};
     }
     this.secondSends.recordSend(dispatch.request.pool);
@@ -56,6 +57,7 @@
       ? await this.firstToAnswer(dispatch, first, second)
       : first;
     const result = await winner.result;
+    this.recordRoom(dispatch, winner.endpoint, result);
     if (result.type === 'response') this.recordTime(dispatch, winner);
     return {endpoint: winner.endpoint, result};
   }
@@ -96,9 +98,7 @@
   /** While requests wait for room, there is none for second sends. */
   private mayOpenSecond(dispatch: dispatchProgress.Dispatch): boolean {
     const {pool} = dispatch.request;
-    const isCrowded = this.kernel
-      .find(waitingRoom.WAITING_ROOM)
-      .hasWaiting(pool);
+    const isCrowded = this.waitingRoom.hasWaiting(pool);
     return !isCrowded && this.allowance.maySendSecond(dispatch);
   }
 
@@ -130,11 +130,31 @@
       this.discard(other);
     } else {
       progress.runs.end(dispatchProgress.runOf(result));
+      this.recordRoom(dispatch, settled.endpoint, result);
       this.recorder.record(request, settled.endpoint, result);
     }
     return winner;
   }
 
+  /** Records whether the endpoint had room for the request. */
+  private recordRoom(
+    {request, progress}: dispatchProgress.Dispatch,
+    {id}: model.Endpoint,
+    result: attempt.AttemptResult,
+  ): void {
+    const room = this.kernel.find(decisions.ENDPOINT_ROOM);
+    if (result.type === 'response') {
+      room.recordAccepted(id);
+      if (progress.waitSpan) this.waitingRoom.recordAccepted(request.pool);
+      return;
+    }
+    if (!isWithoutRoom(result)) return;
+    progress.refusedIds.add(id);
+    // The request did not reach the endpoint, so it costs no retry.
+    if (result.type === 'withheld') progress.sendCount -= 1;
+    else room.recordRefusal(id, this.nowMs());
+  }
+
   /** Ends a send whose answer is not needed. */
   private discard(send: OpenSend): void {
     send.abort();
@@ -207,6 +227,10 @@
     this.secondSends.recordAnswer(kindOf(dispatch), elapsedMs);
   }
 
+  private get waitingRoom() {
+    return this.kernel.find(waitingRoom.WAITING_ROOM);
+  }
+
   private get secondSends() {
     return this.kernel.find(decisions.SECOND_SENDS);
   }
@@ -228,3 +252,10 @@
   progress.sendCount += 1;
   progress.triedIds.add(endpoint.id);
 }
+
+/** Whether the endpoint did not take the request, but may take it later. */
+function isWithoutRoom(result: attempt.AttemptResult): boolean {
+  if (result.type === 'withheld') return true;
+  if (result.type === 'not_run') return result.isFull;
+  return result.type === 'not_sent' && result.isUnreachable;
+}
