--- a/packages/direct/src/tests/simulatedpool.ts
+++ b/packages/direct/src/tests/simulatedpool.ts
@@ -34,6 +34,11 @@
     this.record = {...fields, id, bornMs: 1, isDraining: false};
   }
 
+  /** Number of requests that run now. */
+  get busySlots(): number {
+    return this.running;
+  }
+
   /** Runs a request; false if there is no room. */
   async run(
     {id, workMs}: {readonly id: string; readonly workMs: number},
