Wake the waiting room when a request waits for less than was planned

Cause: found by reading: a task that slept until a far pause of an endpoint did not wake for a new request whose endpoint may be asked sooner. Result: waitingroom (7), overload (5) and endpointsends (4) passed.

--- a/packages/direct/src/tests/waitingroom.test.ts
+++ b/packages/direct/src/tests/waitingroom.test.ts
@@ -116,6 +116,19 @@
     );
   });
 
+  it('goes on at the pause of its endpoint, though a longer one was planned', async () => {
+    endpoint.isRefusing = true;
+    serve('q1', {}, 250);
+    await clock.advance(260);
+    const room = router.kernel.find(direct.ENDPOINT_ROOM);
+    room.recordAccepted('e');
+    const second = serve('q2');
+    await clock.advance(5);
+    endpoint.isRefusing = false;
+    await clock.advance(60 + WORK_MS);
+    expect(kindOf(second)).to.equal('answered');
+  });
+
   it('leaves no task and no request behind', async () => {
     endpoint.isRefusing = true;
     for (let id = 0; id < 200; id++) serve(`q${id}`);
--- a/packages/direct/src/waitingroom.ts
+++ b/packages/direct/src/waitingroom.ts
@@ -219,9 +219,7 @@
     if (pool.wakesAtMs === undefined) {
       const log = this.kernel.find(core.LOGGER);
       core.detach(log, 'waiting-room', () => this.run(pool));
-    } else if (
-      Math.max(waiter.untilMs, nowMs + MIN_PAUSE_MS) < pool.wakesAtMs
-    ) {
+    } else if (nowMs + this.pauseMs(pool) < pool.wakesAtMs) {
       pool.pause.wake();
     }
     return true;
