--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -46,3 +46,4 @@
 export * from './tableschanges.js';
 export * from './jsonfetch.js';
 export * from './waitingroom.js';
+export * from './tablesarrival.js';
