Return sooner after the loss of all routers, with fewer calls to the store

Cause: routers that start together while the store does not answer all read it, each with time-outs and pauses that grow to 1.2 s each, so that the return of the store was noticed late and cost a call for each router and feed.

Change: a router that knows others, none of them ready, leaves the reading to their readers for its first 2.5 s; a reader without state gives a read 300 ms, pauses at most 100 ms, and waits for longer at each fourth read; a router without tables fetches them from another at once, also while it reads itself.

--- a/packages/direct/src/feedfollowers.ts
+++ b/packages/direct/src/feedfollowers.ts
@@ -55,6 +55,8 @@
  */
 const ALONE_DELAY_MS = 60;
 const SERVED_DELAY_MS = 500;
+/** The same if it knows others, none of them ready, and is none of their readers. */
+const LEFT_TO_READERS_MS = 2_500;
 const FIRST_START_DELAY_MS = 4_000;
 
 /** Intervals between checks of whether a feed has to be read, in ms. */
@@ -137,6 +139,7 @@
       pauseMs: () => 0,
       isFullState: true,
       isNeeded,
+      isUrgent: () => !this.hasTables() && this.role().isReader,
       idleCheckMs,
     });
     this.endpointsFollower = new follower.Follower(kernel, {
@@ -149,6 +152,7 @@
         this.isReader() ||
         this.endpointsHandler.graceRemainingMs !== undefined ||
         (this.mustRead() && !this.hasEndpoints()),
+      isUrgent: () => !this.hasEndpoints() && this.role().isReader,
       idleCheckMs,
       isLostElsewhere: () =>
         this.kernel
@@ -251,10 +255,14 @@
     const isServed = this.fleet
       .livePeers()
       .some(({note}) => note.phase === 'ready');
-    const servedDelayMs = isServed ? SERVED_DELAY_MS : ALONE_DELAY_MS;
+    const unservedDelayMs = this.role().isReader
+      ? ALONE_DELAY_MS
+      : LEFT_TO_READERS_MS;
     const delayMs = this.routerSettings.isFirstStart
       ? FIRST_START_DELAY_MS
-      : servedDelayMs;
+      : isServed
+        ? SERVED_DELAY_MS
+        : unservedDelayMs;
     return this.uptimeMs() >= delayMs;
   }
 
--- a/packages/direct/src/follower.ts
+++ b/packages/direct/src/follower.ts
@@ -22,6 +22,15 @@
 const FIRST_RESPONSE_TIMEOUT_MS = 300;
 const MAX_RESPONSE_TIMEOUT_MS = 1_200;
 
+/**
+ * While this router waits for its first state: the response time-out and the
+ * longest backoff, in ms, so that the store's return is noticed at once. Each
+ * PATIENT_INTERVAL-th read waits for longer, since the store may only be slow.
+ */
+const URGENT_RESPONSE_TIMEOUT_MS = 300;
+const URGENT_BACKOFF_MS = 100;
+const PATIENT_INTERVAL = 4;
+
 /**
  * Records that follow each other within BURST_GAP_MS count as a burst. During a
  * burst, only the newest record is read, every BURST_PAUSE_MS. With both, a
@@ -75,6 +84,8 @@
   readonly isNeeded: () => boolean;
   /** Time until the next check if it does not have to, in ms. */
   readonly idleCheckMs: () => number;
+  /** Whether no request can be served until the first read succeeds. */
+  readonly isUrgent?: () => boolean;
   /** Whether other routers cannot reach the store now. */
   readonly isLostElsewhere?: () => boolean;
 }
@@ -148,8 +159,7 @@
   }
 
   private async readLatest(signal: AbortSignal): Promise<number | undefined> {
-    const exponentialMs = FIRST_RESPONSE_TIMEOUT_MS * 2 ** this.failures;
-    const responseTimeoutMs = Math.min(MAX_RESPONSE_TIMEOUT_MS, exponentialMs);
+    const responseTimeoutMs = this.responseTimeoutMs();
     const startMs = this.nowMs();
     const result = await this.options.feed.readLatest({
       responseTimeoutMs,
@@ -167,6 +177,17 @@
     return result.page.nextOffset;
   }
 
+  private responseTimeoutMs(): number {
+    const isPatient = this.failures % PATIENT_INTERVAL === PATIENT_INTERVAL - 1;
+    if (this.isUrgent() && !isPatient) return URGENT_RESPONSE_TIMEOUT_MS;
+    const exponentialMs = FIRST_RESPONSE_TIMEOUT_MS * 2 ** this.failures;
+    return Math.min(MAX_RESPONSE_TIMEOUT_MS, exponentialMs);
+  }
+
+  private isUrgent(): boolean {
+    return this.options.isUrgent?.() ?? false;
+  }
+
   /** Reads on from `offset` until the newest records have to be read again. */
   private async readOn(
     offset: number,
@@ -239,7 +260,8 @@
     }
     const exponentialMs =
       FIRST_BACKOFF_MS * 2 ** Math.min(this.failures - 1, 5);
-    const backoffMs = Math.min(exponentialMs, MAX_BACKOFF_MS);
+    const maxBackoffMs = this.isUrgent() ? URGENT_BACKOFF_MS : MAX_BACKOFF_MS;
+    const backoffMs = Math.min(exponentialMs, maxBackoffMs);
     const jitter = 0.5 + this.kernel.find(core.RANDOM).nextFloat() / 2;
     await this.sleep(backoffMs * jitter, signal);
   }
--- a/packages/direct/src/tablescatchup.ts
+++ b/packages/direct/src/tablescatchup.ts
@@ -273,6 +273,8 @@
   }
 
   private fetchDelayMs(): number {
+    // Without tables no request is served, so both ways are tried.
+    if (!this.tables.current()) return 0;
     const isReading = this.kernel
       .find(feedFollowers.FEED_FOLLOWERS)
       .isReadingTables();
--- a/packages/direct/src/tests/simulatedfleet.ts
+++ b/packages/direct/src/tests/simulatedfleet.ts
@@ -73,6 +73,8 @@
   readonly endpoints = new simulatedTopic.SimulatedTopic<direct.Endpoint>();
   readonly listed = new simulatedTopic.SimulatedTopic<direct.Router>();
   isStoreDown = false;
+  /** Whether calls to the store stay without an answer. */
+  isStoreSilent = false;
   /** Number of fetches of state by all routers. */
   stateFetches = 0;
   private readonly random: core.Random;
@@ -361,7 +363,8 @@
     topic: simulatedTopic.SimulatedTopic<T>,
   ): direct.Feed<T> {
     return {
-      readLatest: async () => {
+      readLatest: async ({responseTimeoutMs}) => {
+        if (this.isStoreSilent) await this.clock.sleep(responseTimeoutMs);
         if (!(await this.callStore(router))) return UNAVAILABLE;
         const page = {records: topic.latest(), nextOffset: topic.rows.length};
         await this.receive(router, page.records);
@@ -397,7 +400,7 @@
   private async callStore(router: SimulatedRouter): Promise<boolean> {
     router.storeCalls += 1;
     await this.clock.sleep(STORE_DELAY_MS);
-    return !this.isStoreDown && !router.isTurnedAway;
+    return !this.isStoreDown && !this.isStoreSilent && !router.isTurnedAway;
   }
 
   private delayMs(from: SimulatedRouter, to: SimulatedRouter): number {
