Take an endpoint's slots from its pool until it tells them

Cause: in a large fleet a router rarely hears from each endpoint, and assumed 16 slots.

Change: the slots last told in the pool hold for the others.

--- a/packages/decide/src/endpointpaces.ts
+++ b/packages/decide/src/endpointpaces.ts
@@ -15,9 +15,6 @@
 const MIN_TOLD_PACE = 0.5;
 const MAX_TOLD_PACE = 6;
 
-/** Slots of an endpoint that tells none. */
-const DEFAULT_SLOTS = 16;
-
 /** Few observations count, so that a pace that changes is soon known. */
 const PACE_RATIO = {priorCount: 1.5, maxCount: 8, halfLifeMs: 10_000};
 
@@ -72,8 +69,9 @@
     return this.endpoints.get(endpoint)?.load !== undefined;
   }
 
-  slots(endpoint: string): number {
-    return this.endpoints.get(endpoint)?.load?.slots ?? DEFAULT_SLOTS;
+  /** Slots that the endpoint told. */
+  slots(endpoint: string): number | undefined {
+    return this.endpoints.get(endpoint)?.load?.slots;
   }
 
   private entryOf(endpoint: string): KnownEndpoint {
--- a/packages/decide/src/learnedestimates.ts
+++ b/packages/decide/src/learnedestimates.ts
@@ -91,6 +91,7 @@
     const {id} = sent.endpoint;
     if (!this.paces.tellsLoad(id)) return;
     const {times, work, state} = sent;
+    times.slots = this.slotsOf(id, times);
     const ownMs = Math.max(1, nowMs - sent.sentAtMs - state.slotMs);
     const toldPace = this.paces.toldPace(id, nowMs);
     const usualMs = times.startMs(work.route, state.features, nowMs);
@@ -153,7 +154,7 @@
     return {
       firstEventMs,
       completeMs: firstEventMs + streamMs,
-      workMs: readMs + slotTimeMs / this.paces.slots(id),
+      workMs: readMs + slotTimeMs / this.slotsOf(id, times),
       delayMs: firstEventMs - idleMs,
     };
   }
@@ -173,7 +174,7 @@
       promptTokens > 0 ? this.options.workLeft.remainingMs(id, nowMs) : 0;
     const tokens = unreadTokens + times.tokensIn(backlogMs / learnedPace);
     const features = {tokens, inFlight};
-    const slots = this.paces.slots(id);
+    const slots = this.slotsOf(id, times);
     const excess = inFlight + 1 - slots;
     const slotMs =
       excess > 0
@@ -182,6 +183,11 @@
     return {unreadTokens, features, learnedPace, slotMs};
   }
 
+  /** Endpoints of one pool usually have the same number of slots. */
+  private slotsOf(endpoint: string, times: workTimes.WorkTimes): number {
+    return this.paces.slots(endpoint) ?? times.slots;
+  }
+
   /** Time for which a request like this keeps a slot, in ms. */
   private slotTimeMs(
     work: startEstimates.RequestWork,
--- a/packages/decide/src/worktimes.ts
+++ b/packages/decide/src/worktimes.ts
@@ -42,8 +42,13 @@
   readonly streamTime: forgettingFit.ForgettingFit;
 }
 
+/** Slots of an endpoint as long as none has told any. */
+const DEFAULT_SLOTS = 16;
+
 /** Times that are learned from the answers that pass this router. */
 export class WorkTimes {
+  /** Slots of an endpoint that has not told its own. */
+  slots = DEFAULT_SLOTS;
   private readonly start = new forgettingFit.ForgettingFit([
     {unit: 1, priorMs: 50, minMs: 0.1, maxMs: 60_000},
     {unit: 1_000, priorMs: 10, minMs: 0.1, maxMs: 1_000},
