Leave homes only for goals at risk, and notice slow endpoints sooner

Cause: homes were left although the request was expected in time, which moves contexts for nothing; a pace was forgotten within seconds; and an endpoint that does not answer at all looked no slower than before.

Change: a home is left only if the expected time exceeds 0.35 of what is left until the route's goal. Paces follow within some five answers and are kept for longer. An overdue request counts as a slower pace at once.

--- a/packages/decide/src/costplacement.ts
+++ b/packages/decide/src/costplacement.ts
@@ -38,6 +38,12 @@
  */
 const MIN_DELAY_MS = 30;
 
+/**
+ * Share of the time until the first event is wanted up to which a request waits
+ * for its home: true times may be more than twice the estimate.
+ */
+const MAX_GOAL_SHARE = 0.35;
+
 /**
  * What others lose while an endpoint brings a prefix that is held elsewhere, as a
  * multiple of its time: reading keeps an endpoint busy, copying does not.
@@ -142,8 +148,10 @@
     eligible: readonly prefixPlacement.DirectCandidate[],
     balance: number,
   ): Option | undefined {
-    const {delayMs = 0} = home.estimate;
+    const {delayMs = 0, firstEventMs} = home.estimate;
     if (delayMs < MIN_DELAY_MS) return undefined;
+    const {goalMs = 0} = request;
+    if (firstEventMs < goalMs * MAX_GOAL_SHARE) return undefined;
     const bringMs = this.bringMs(home, request);
     if (delayMs < bringMs * (1 + wasteOf(request))) return undefined;
     const {prefix = '', homes = []} = request;
--- a/packages/decide/src/endpointpaces.ts
+++ b/packages/decide/src/endpointpaces.ts
@@ -16,7 +16,7 @@
 const MAX_TOLD_PACE = 6;
 
 /** Few observations count, so that a pace that changes is soon known. */
-const PACE_RATIO = {priorCount: 1.5, maxCount: 8, halfLifeMs: 10_000};
+const PACE_RATIO = {priorCount: 0.7, maxCount: 5, halfLifeMs: 30_000};
 
 interface KnownEndpoint {
   /** Pace by answers, the mean of what the endpoint tells included. */
--- a/packages/decide/src/learnedestimates.ts
+++ b/packages/decide/src/learnedestimates.ts
@@ -7,6 +7,7 @@
 import type * as fleetLoad from './fleetload.js';
 import * as endpointPaces from './endpointpaces.js';
 import type * as startEstimates from './startestimates.js';
+import * as unansweredSends from './unansweredsends.js';
 import * as workTimes from './worktimes.js';
 import type * as workLeft from './workleft.js';
 
@@ -33,6 +34,7 @@
   readonly state: EndpointState;
   /** Work that delays the first events of others, in ms. */
   readonly readMs: number;
+  readonly unanswered?: unansweredSends.UnansweredSend;
   firstEventAtMs?: number;
   isEnded: boolean;
 }
@@ -43,6 +45,7 @@
 {
   private readonly timesByKind = new Map<string, workTimes.WorkTimes>();
   private readonly paces = new endpointPaces.EndpointPaces();
+  private readonly unanswered = new unansweredSends.UnansweredSends();
 
   constructor(private readonly options: LearnedStartEstimatesOptions) {}
 
@@ -71,6 +74,11 @@
     if (readMs > 0) {
       this.options.workLeft.recordStart(endpoint.id, readMs, nowMs);
     }
+    const unanswered = estimate && {
+      sentAtMs: nowMs,
+      expectedMs: estimate.firstEventMs,
+    };
+    if (unanswered) this.unanswered.add(endpoint.id, unanswered);
     const sent: ObservedWork = {
       work,
       endpoint,
@@ -79,6 +87,7 @@
       times,
       state,
       readMs,
+      unanswered,
       isEnded: false,
     };
     return sent;
@@ -87,7 +96,7 @@
   recordFirstEvent(sent: startEstimates.SentWork, nowMs: number): void {
     if (!isObserved(sent) || sent.firstEventAtMs !== undefined) return;
     sent.firstEventAtMs = nowMs;
-    this.recordRead(sent, nowMs);
+    this.recordAnswered(sent, nowMs);
     const {id} = sent.endpoint;
     if (!this.paces.tellsLoad(id)) return;
     const {times, work, state} = sent;
@@ -111,7 +120,7 @@
   ): void {
     if (!isObserved(sent) || sent.isEnded) return;
     sent.isEnded = true;
-    if (sent.firstEventAtMs === undefined) this.recordRead(sent, nowMs);
+    if (sent.firstEventAtMs === undefined) this.recordAnswered(sent, nowMs);
     if (!isComplete || sent.firstEventAtMs === undefined) return;
     const {times, work, state} = sent;
     const streamMs = (nowMs - sent.firstEventAtMs) / state.learnedPace;
@@ -127,10 +136,12 @@
     this.paces.recordLoad(endpoint, load, nowMs);
   }
 
-  private recordRead({endpoint, readMs}: ObservedWork, nowMs: number): void {
-    if (readMs > 0) {
-      this.options.workLeft.recordDone(endpoint.id, readMs, nowMs);
-    }
+  private recordAnswered(
+    {endpoint: {id}, readMs, unanswered}: ObservedWork,
+    nowMs: number,
+  ): void {
+    if (readMs > 0) this.options.workLeft.recordDone(id, readMs, nowMs);
+    if (unanswered) this.unanswered.remove(id, unanswered);
   }
 
   private estimateIn(
@@ -142,7 +153,12 @@
   ): startEstimates.StartEstimate {
     const {route} = work;
     const {unreadTokens, features, learnedPace, slotMs} = state;
-    const pace = learnedPace * this.paces.toldPace(id, nowMs);
+    const pace =
+      learnedPace *
+      Math.max(
+        this.paces.toldPace(id, nowMs),
+        this.unanswered.overdueRatio(id, nowMs),
+      );
     const startMs = times.startMs(route, features, nowMs);
     const firstEventMs = startMs * pace + slotMs;
     const streamMs =
--- a/packages/decide/src/prefixplacement.ts
+++ b/packages/decide/src/prefixplacement.ts
@@ -34,6 +34,11 @@
   readonly hasExactLoads?: boolean;
   /** What the request will cost; absent: unknown. */
   readonly work?: startEstimates.RequestWork;
+  /**
+   * Time left until the first event is wanted, in ms; absent: as soon as
+   * possible.
+   */
+  readonly goalMs?: number;
   /** Monotonic time, in ms; given with `work`. */
   readonly nowMs?: number;
   /**
--- a/packages/decide/src/tests/costestimates.test.ts
+++ b/packages/decide/src/tests/costestimates.test.ts
@@ -6,6 +6,7 @@
 import * as endpointPaces from '../endpointpaces.js';
 import * as forgettingFit from '../forgettingfit.js';
 import * as forgettingRatio from '../forgettingratio.js';
+import * as unansweredSends from '../unansweredsends.js';
 
 const {expect} = chai;
 
@@ -160,6 +161,20 @@
   });
 });
 
+describe('unanswered requests', () => {
+  it('tell that an endpoint is slow until they are answered', () => {
+    const unanswered = new unansweredSends.UnansweredSends();
+    const send = {sentAtMs: 0, expectedMs: 100};
+    unanswered.add('e', send);
+    expect(unanswered.overdueRatio('e', 120)).to.equal(1);
+    expect(unanswered.overdueRatio('e', 300)).to.equal(3);
+    expect(unanswered.overdueRatio('e', 9_000)).to.equal(6);
+    expect(unanswered.overdueRatio('f', 300)).to.equal(1);
+    unanswered.remove('e', send);
+    expect(unanswered.overdueRatio('e', 300)).to.equal(1);
+  });
+});
+
 describe('learned estimates', () => {
   it('are those of the pool once a few answers have come', () => {
     const {estimates} = createEstimates();
@@ -316,6 +331,16 @@
     expect(chosenWith(900)).to.equal('earlier');
   });
 
+  it('keeps to the home while the request is expected well within its goal', () => {
+    const all = candidatesOf([1, 1, 1]);
+    const times = {e0: {held: 900, unheld: 1_000}};
+    const placement = placementWith(fixedEstimates(times));
+    const reasonFor = (goalMs: number) =>
+      placement.choose({...request, goalMs}, all)!.reason;
+    expect(reasonFor(10_000)).to.equal('home');
+    expect(reasonFor(1_000)).to.equal('earlier');
+  });
+
   it('leaves the home sooner if the context can be copied', () => {
     const all = candidatesOf([1, 1, 1]);
     const times = {e0: {held: 200, unheld: 300}};
--- a/packages/decide/src/tests/replay/replay.ts
+++ b/packages/decide/src/tests/replay/replay.ts
@@ -127,7 +127,7 @@
   private place(arrival: loadPattern.Arrival): void {
     const {nowMs} = this;
     const router = this.routers[arrival.router]!;
-    const {prefix, sharedTokens: prefixTokens} = arrival;
+    const {prefix, sharedTokens: prefixTokens, goalMs} = arrival;
     const work = {pool: 'p', ...arrival};
     const homes = router.homes.homesOf(prefix, nowMs);
     const candidates = this.endpoints.map(({id}) => ({
@@ -139,7 +139,16 @@
       homes.length > 0 ? this.pattern.copyUsPerToken : undefined;
     const copyMs = copyUsPerToken && (copyUsPerToken * prefixTokens) / 1_000;
     const choice = router.placement.choose(
-      {prefix, prefixTokens, homes, zone: 'z', work, nowMs, copyUsPerToken},
+      {
+        prefix,
+        prefixTokens,
+        homes,
+        zone: 'z',
+        work,
+        nowMs,
+        goalMs,
+        copyUsPerToken,
+      },
       candidates,
     )!;
     const {id} = choice.endpoint;
--- a/packages/direct/src/endpointselector.ts
+++ b/packages/direct/src/endpointselector.ts
@@ -243,7 +243,8 @@
     const work = routedRequest.workOf(request);
     const {sharedPrefix: prefix, sharedPrefixTokens: prefixTokens} =
       request.head;
-    const common = {zone, hasExactLoads, work, nowMs};
+    const goalMs = request.arrivedMs + request.route.goalMs - nowMs;
+    const common = {zone, hasExactLoads, work, goalMs, nowMs};
     if (prefix === undefined) return common;
     const copyUsPerToken = this.copyUsPerToken(request, homes);
     return {...common, prefix, prefixTokens, homes, copyUsPerToken};
