Tell what slows all endpoints from one slow endpoint

Cause: a lack of processor time of the router itself made single endpoints look slow, and moved contexts away from them.

Change: estimates follow the ratio of the last answers of all endpoints to the fit, with a half-life of 3 s, before a pace is learned from an answer.

--- a/packages/decide/src/tests/costestimates.test.ts
+++ b/packages/decide/src/tests/costestimates.test.ts
@@ -210,6 +210,27 @@
     expect(later.firstEventMs).to.be.lessThan(150);
   });
 
+  it('take what slows all endpoints alike for no delay at one of them', () => {
+    const {estimates} = createEstimates();
+    teach(estimates);
+    const work = workOf(8_000);
+    for (let index = 0; index < 20; index++) {
+      const atMs = 40_000 + index * 50;
+      const endpoint = {id: `e${index % 4}`, holdsPrefix: true};
+      const sent = estimates.recordSend(work, endpoint, atMs);
+      estimates.recordLoad(endpoint.id, LOAD, atMs + 200);
+      estimates.recordFirstEvent(sent, atMs + 200);
+      estimates.recordEnd(sent, atMs + 300, true);
+    }
+    const slowed = estimates.estimate(
+      work,
+      {id: 'e0', holdsPrefix: true},
+      41_500,
+    )!;
+    expect(slowed.firstEventMs).to.be.within(110, 260);
+    expect(slowed.delayMs).to.be.lessThan(slowed.firstEventMs / 2);
+  });
+
   it('of other endpoints are hardly spoiled by one that is slow or lies', () => {
     const {estimates} = createEstimates();
     teach(estimates);
--- a/packages/decide/src/worktimes.ts
+++ b/packages/decide/src/worktimes.ts
@@ -30,6 +30,13 @@
 
 const ROUTE_RATIO = {priorCount: 4, maxCount: 60, halfLifeMs: 60_000};
 
+/**
+ * What slows all endpoints down, such as a lack of processor time of this router,
+ * has to be known sooner than the fit learns it, or single endpoints would seem
+ * slow.
+ */
+const RECENT_RATIO = {priorCount: 4, maxCount: 16, halfLifeMs: 3_000};
+
 /** Indexes of the times of tokens and fill in the fit of the first event. */
 const TOKENS = 1;
 const FILL = 2;
@@ -59,6 +66,8 @@
     {unit: 100, priorMs: 500, minMs: 1, maxMs: 100_000},
     {unit: 1_000, priorMs: 100, minMs: 0, maxMs: 100_000},
   ]);
+  /** Recent times at all endpoints, relative to the fit. */
+  private readonly recent = new forgettingRatio.ForgettingRatio(RECENT_RATIO);
   private readonly ratiosByRoute = new Map<string, RouteRatios>();
 
   get isKnown(): boolean {
@@ -93,7 +102,8 @@
   }
 
   private startRatio(route: string, nowMs: number): number {
-    return this.ratiosByRoute.get(route)?.start.value(nowMs) ?? 1;
+    const routeRatio = this.ratiosByRoute.get(route)?.start.value(nowMs) ?? 1;
+    return routeRatio * this.recent.value(nowMs);
   }
 
   streamMs(route: string, features: StreamFeatures, nowMs: number): number {
@@ -115,6 +125,7 @@
     const values = startValues(features);
     const kindMs = this.start.predict(values);
     this.start.observe(values, timeMs / routeRatio.value(nowMs));
+    this.recent.observe(timeMs / (kindMs * routeRatio.value(nowMs)), nowMs);
     routeRatio.observe(timeMs / kindMs, nowMs);
   }
 
