--- a/packages/decide/src/tests/costestimates.test.ts
+++ b/packages/decide/src/tests/costestimates.test.ts
@@ -6,6 +6,7 @@
 import * as endpointPaces from '../endpointpaces.js';
 import * as forgettingFit from '../forgettingfit.js';
 import * as forgettingRatio from '../forgettingratio.js';
+import * as unansweredSends from '../unansweredsends.js';
 
 const {expect} = chai;
 
@@ -160,6 +161,20 @@
   });
 });
 
+describe('unanswered requests', () => {
+  it('tell that an endpoint is slow until they are answered', () => {
+    const unanswered = new unansweredSends.UnansweredSends();
+    const send = {sentAtMs: 0, expectedMs: 100};
+    unanswered.add('e', send);
+    expect(unanswered.overdueRatio('e', 120)).to.equal(1);
+    expect(unanswered.overdueRatio('e', 300)).to.equal(3);
+    expect(unanswered.overdueRatio('e', 9_000)).to.equal(6);
+    expect(unanswered.overdueRatio('f', 300)).to.equal(1);
+    unanswered.remove('e', send);
+    expect(unanswered.overdueRatio('e', 300)).to.equal(1);
+  });
+});
+
 describe('learned estimates', () => {
   it('are those of the pool once a few answers have come', () => {
     const {estimates} = createEstimates();
@@ -195,6 +210,27 @@
     expect(later.firstEventMs).to.be.lessThan(150);
   });
 
+  it('take what slows all endpoints alike for no delay at one of them', () => {
+    const {estimates} = createEstimates();
+    teach(estimates);
+    const work = workOf(8_000);
+    for (let index = 0; index < 20; index++) {
+      const atMs = 40_000 + index * 50;
+      const endpoint = {id: `e${index % 4}`, holdsPrefix: true};
+      const sent = estimates.recordSend(work, endpoint, atMs);
+      estimates.recordLoad(endpoint.id, LOAD, atMs + 200);
+      estimates.recordFirstEvent(sent, atMs + 200);
+      estimates.recordEnd(sent, atMs + 300, true);
+    }
+    const slowed = estimates.estimate(
+      work,
+      {id: 'e0', holdsPrefix: true},
+      41_500,
+    )!;
+    expect(slowed.firstEventMs).to.be.within(110, 260);
+    expect(slowed.delayMs).to.be.lessThan(slowed.firstEventMs / 2);
+  });
+
   it('of other endpoints are hardly spoiled by one that is slow or lies', () => {
     const {estimates} = createEstimates();
     teach(estimates);
@@ -316,6 +352,16 @@
     expect(chosenWith(900)).to.equal('earlier');
   });
 
+  it('keeps to the home while the request is expected well within its goal', () => {
+    const all = candidatesOf([1, 1, 1]);
+    const times = {e0: {held: 900, unheld: 1_000}};
+    const placement = placementWith(fixedEstimates(times));
+    const reasonFor = (goalMs: number) =>
+      placement.choose({...request, goalMs}, all)!.reason;
+    expect(reasonFor(10_000)).to.equal('home');
+    expect(reasonFor(1_000)).to.equal('earlier');
+  });
+
   it('leaves the home sooner if the context can be copied', () => {
     const all = candidatesOf([1, 1, 1]);
     const times = {e0: {held: 200, unheld: 300}};
