Limit what all routers together send to a cold endpoint

Cause: nobody read that an endpoint is cold, so one that had just started or come back attracted requests of all routers at once, since it had nothing to do.

The fact comes from the list, from responses, from the end of an evacuation and from an absence; it is told to others in digests and state. Each router asks for such an endpoint in turns, three questions for each permit of the fleet.

--- a/packages/decide/src/endpointhealth.ts
+++ b/packages/decide/src/endpointhealth.ts
@@ -51,6 +51,14 @@
   filterUsable(pool: readonly string[], nowMs: number): readonly string[];
   /** False for a while after a failed connection to the endpoint. */
   isReachable(endpoint: string, nowMs: number): boolean;
+  /** Whether any endpoint may have come back a short time ago. */
+  areAnyReturning(): boolean;
+  /**
+   * Whether the endpoint could not be reached a short time ago, so that it may
+   * have started anew without having said so. False if most could not be: then
+   * it was rather this router that was cut off.
+   */
+  isReturning(endpoint: string, nowMs: number): boolean;
   /** Drops the records of an endpoint that has been removed. */
   forget(endpoint: string): void;
 }
@@ -85,6 +93,16 @@
 /** Age at which a note of a failure is ignored, in ms. */
 const MAX_NOTE_AGE_MS = 2_000;
 
+/**
+ * How long an endpoint counts as one that has come back after it could not be
+ * reached, in ms: until its exclusion ends and the list of endpoints says how it
+ * is.
+ */
+const RETURNING_MS = 4_500;
+
+/** Absences that are believed however few endpoints this router has used. */
+const MAX_FEW_ABSENCES = 2;
+
 /**
  * Weight of other routers' notes from which an endpoint counts as unreachable:
  * two recent ones, since a single router may be cut off itself.
@@ -133,6 +151,8 @@
   /** Ids of received notes, with the time at which they arrived, in ms. */
   private readonly seenNotes = new Map<number, number>();
   private unsentFailures: FailureNote[] = [];
+  /** When endpoints that could not be reached last failed to, in ms. */
+  private readonly absences = new Map<string, number>();
 
   constructor(private readonly options: DecayingHealthOptions) {}
 
@@ -152,6 +172,7 @@
   }
 
   recordUnreachable(endpoint: string, nowMs: number): void {
+    this.recordAbsence(endpoint, nowMs);
     const record = this.decayedRecord(endpoint, nowMs);
     if (nowMs < record.unreachableUntilMs) return;
     record.failed += 1;
@@ -208,6 +229,7 @@
     }
     record.notedUnreachable += 1;
     if (record.notedUnreachable < MIN_UNREACHABLE_WEIGHT) return true;
+    this.recordAbsence(endpoint, nowMs);
     record.unreachableUntilMs = Math.max(
       record.unreachableUntilMs,
       nowMs + NOTED_EXCLUDED_MS,
@@ -234,6 +256,19 @@
     return (this.records.get(endpoint)?.unreachableUntilMs ?? 0) <= nowMs;
   }
 
+  areAnyReturning(): boolean {
+    return this.absences.size > 0;
+  }
+
+  isReturning(endpoint: string, nowMs: number): boolean {
+    if (!this.absences.has(endpoint)) return false;
+    this.evictAbsences(nowMs);
+    const isMost =
+      this.absences.size > MAX_FEW_ABSENCES &&
+      this.absences.size * 2 > this.records.size;
+    return this.absences.has(endpoint) && !isMost;
+  }
+
   forget(endpoint: string): void {
     this.records.delete(endpoint);
   }
@@ -275,6 +310,19 @@
     return (ownWeight * otherRouters) / Math.max(1, pool.length);
   }
 
+  private recordAbsence(endpoint: string, nowMs: number): void {
+    // Deleting first keeps the order of the times.
+    this.absences.delete(endpoint);
+    this.absences.set(endpoint, nowMs);
+  }
+
+  private evictAbsences(nowMs: number): void {
+    for (const [endpoint, atMs] of this.absences) {
+      if (nowMs - atMs <= RETURNING_MS) return;
+      this.absences.delete(endpoint);
+    }
+  }
+
   private queueNote(
     endpoint: string,
     isUnreachable: boolean,
@@ -369,5 +417,13 @@
     return true;
   }
 
+  areAnyReturning(): boolean {
+    return false;
+  }
+
+  isReturning(): boolean {
+    return false;
+  }
+
   forget(): void {}
 }
--- a/packages/decide/src/index.ts
+++ b/packages/decide/src/index.ts
@@ -5,6 +5,7 @@
 export * from './admission.js';
 export * from './budget.js';
 export * from './claims.js';
+export * from './coldendpoints.js';
 export * from './config.js';
 export * from './contextcopies.js';
 export * from './crashevidence.js';
--- a/packages/direct/src/activetables.ts
+++ b/packages/direct/src/activetables.ts
@@ -51,6 +51,8 @@
    * undefined if copying is not possible.
    */
   copyUsPerToken(pool: string): number | undefined;
+  /** The row of the pool; undefined if it has none. */
+  findPool(name: string): model.Pool | undefined;
   /** Calls `listener` after each version that comes into force. */
   onChange(listener: (tables: model.Tables) => void): void;
 }
@@ -66,6 +68,7 @@
   'findRoute',
   'findKeyHolder',
   'copyUsPerToken',
+  'findPool',
   'onChange',
 ]);
 
@@ -165,8 +168,11 @@
   }
 
   copyUsPerToken(pool: string): number | undefined {
-    const matchingPool = this.tables?.pools.find(({name}) => name === pool);
-    return matchingPool?.copyUsPerToken;
+    return this.findPool(pool)?.copyUsPerToken;
+  }
+
+  findPool(name: string): model.Pool | undefined {
+    return this.tables?.pools.find(pool => pool.name === name);
   }
 
   onChange(listener: (tables: model.Tables) => void): void {
--- a/packages/direct/src/attempt.ts
+++ b/packages/direct/src/attempt.ts
@@ -16,6 +16,7 @@
 import type * as model from './model.js';
 import * as requestWatch from './requestwatch.js';
 import * as responseCheck from './responsecheck.js';
+import * as sendPermits from './sendpermits.js';
 
 /** Options of an attempt. */
 export interface AttemptOptions {
@@ -215,7 +216,9 @@
 
   private mayDispatch({endpoint, permitUntilMs}: AttemptOptions): boolean {
     const isPermitted =
-      permitUntilMs === undefined || this.nowMs() <= permitUntilMs;
+      permitUntilMs === undefined
+        ? !this.kernel.find(sendPermits.SEND_PERMITS).isLimited(endpoint)
+        : this.nowMs() <= permitUntilMs;
     return isPermitted && endpointNotices.isWilling(this.kernel, endpoint);
   }
 
--- a/packages/direct/src/decisions.ts
+++ b/packages/direct/src/decisions.ts
@@ -15,6 +15,8 @@
     'applyFailure',
     'filterUsable',
     'isReachable',
+    'areAnyReturning',
+    'isReturning',
     'forget',
   ],
 );
@@ -37,6 +39,12 @@
   ['recordResponse', 'applyNote', 'limitOf', 'takeNews', 'all'],
 );
 
+/** The contract under which it is registered which endpoints are cold. */
+export const COLD_ENDPOINTS = core.contract<decide.ColdEndpoints>(
+  'cold-endpoints',
+  ['recordCold', 'applyNote', 'areAny', 'leftMs', 'takeNews', 'all'],
+);
+
 /** The contract under which the granter of send permits is registered. */
 export const PERMIT_GRANTER = core.contract<decide.PermitGranter>(
   'permit-granter',
--- a/packages/direct/src/digest.ts
+++ b/packages/direct/src/digest.ts
@@ -100,6 +100,11 @@
    * withdrawn.
    */
   v.optional(v.array(v.tuple([v.string(), v.number(), flagSchema])), []),
+  /** Cold endpoints: hash, start time, and for how long they are, in ms. */
+  v.optional(
+    v.array(v.tuple([countSchema, v.nullable(v.number()), countSchema])),
+    [],
+  ),
 ]);
 
 type EncodedDigest = v.InferOutput<typeof digestSchema>;
@@ -114,6 +119,7 @@
   readonly placements: readonly decide.PrefixLocation[];
   readonly failures: readonly decide.FailureNote[];
   readonly limits: readonly decide.LimitNote[];
+  readonly cold: readonly decide.ColdNote[];
   readonly members: readonly decide.MemberNote[];
 }
 
@@ -185,6 +191,11 @@
       offset,
       isEvacuated ? 1 : 0,
     ]),
+    news.cold.map(({id, bornMs = null, untilMs}) => [
+      endpointRegistry.endpointHash(id),
+      bornMs,
+      Math.max(0, Math.ceil(untilMs - nowMs)),
+    ]),
   ];
   return msgpackr.pack(encoded);
 }
@@ -227,6 +238,7 @@
     members,
     limits,
     evacuations,
+    cold,
   ] = parsed.output;
   const note = decodeMember(sender);
   const timeOf = (age: number) => nowMs - age * crashNotes.AGE_UNIT_MS;
@@ -253,6 +265,11 @@
       }),
       failures: decodeFailures(failures, findIdByHash, nowMs),
       limits: decodeLimits(limits, findIdByHash, timeOf),
+      cold: cold.flatMap(([hash, bornMs, leftMs]) => {
+        const id = findIdByHash(hash);
+        if (id === undefined) return [];
+        return [{id, bornMs: bornMs ?? undefined, untilMs: nowMs + leftMs}];
+      }),
       members: members
         .map(decodeMember)
         .filter(({router}) => v.is(model.routerSchema, router)),
--- a/packages/direct/src/endpointchanges.ts
+++ b/packages/direct/src/endpointchanges.ts
@@ -9,8 +9,8 @@
 const countSchema = v.pipe(v.number(), v.integer(), v.minValue(0));
 
 /**
- * An endpoint: pool, address, port, failure domain, 1 if it is draining, and
- * start time.
+ * An endpoint: pool, address, port, failure domain, 1 if it is draining, start
+ * time, and for how long it is still cold, in ms.
  */
 const endpointSchema = v.tuple([
   v.string(),
@@ -19,6 +19,7 @@
   v.string(),
   v.picklist([0, 1]),
   v.nullable(v.number()),
+  v.optional(countSchema, 0),
 ]);
 
 /**
@@ -76,14 +77,16 @@
 ): EncodedEndpoint | null {
   if (!value) return null;
   const {pool, address, port, zone, isDraining, bornMs = null} = value;
-  return [pool, address, port, zone, isDraining ? 1 : 0, bornMs];
+  const warmupLeftMs = Math.ceil(value.warmupLeftMs ?? 0);
+  const draining = isDraining ? 1 : 0;
+  return [pool, address, port, zone, draining, bornMs, warmupLeftMs];
 }
 
 function decodeEndpoint(
   id: string,
   encoded: EncodedEndpoint,
 ): model.Endpoint | undefined {
-  const [pool, address, port, zone, drainingFlag, bornMs] = encoded;
+  const [pool, address, port, zone, drainingFlag, bornMs, leftMs] = encoded;
   const isDraining = drainingFlag === 1;
   const startTime = bornMs === null ? {} : {bornMs};
   const parsed = v.safeParse(model.endpointSchema, {
@@ -94,6 +97,7 @@
     zone,
     isDraining,
     ...startTime,
+    ...(leftMs > 0 ? {warmupLeftMs: leftMs} : {}),
   });
   return parsed.success ? parsed.output : undefined;
 }
--- a/packages/direct/src/endpointnotices.ts
+++ b/packages/direct/src/endpointnotices.ts
@@ -6,6 +6,7 @@
  * some requests, is also told by other routers.
  */
 import * as core from '@oleanderrock/core';
+import * as coldStarts from './coldstarts.js';
 import * as decisions from './decisions.js';
 import * as endpointRegistry from './endpointregistry.js';
 import * as evacuatedZones from './evacuatedzones.js';
@@ -32,6 +33,10 @@
     log.info('endpoint_leaving', {endpoint: id, pool});
   }
   recordLimit(kernel, endpoint, head);
+  if (head.coldMs !== undefined) {
+    const starts = kernel.find(coldStarts.COLD_STARTS);
+    starts.recordStatement(endpoint, head.coldMs);
+  }
   if (head.holdOffMs === undefined) return;
   const nowMs = kernel.find(core.CLOCK).nowMs();
   if (notices.recordHoldOff(endpoint, nowMs + head.holdOffMs, nowMs)) {
--- a/packages/direct/src/endpointrecords.ts
+++ b/packages/direct/src/endpointrecords.ts
@@ -3,6 +3,7 @@
  * lifetime, its health, prefix homes and connections are dropped.
  */
 import * as core from '@oleanderrock/core';
+import * as coldStarts from './coldstarts.js';
 import * as connections from './connections.js';
 import * as decisions from './decisions.js';
 import * as endpointRegistry from './endpointregistry.js';
@@ -23,6 +24,11 @@
     source === 'feed'
       ? endpoints.applyFeedRecord(record, nowMs)
       : endpoints.applyPeerRecord(record, nowMs);
+  const warmupLeftMs = record.value?.warmupLeftMs ?? 0;
+  if (isNewer && record.value && warmupLeftMs > 0) {
+    const starts = kernel.find(coldStarts.COLD_STARTS);
+    starts.recordStatement(record.value, warmupLeftMs);
+  }
   if (!isNewer || !previous) return;
   // An endpoint restarted under the same id has an empty cache and new
   // connections.
--- a/packages/direct/src/evacuatedzones.ts
+++ b/packages/direct/src/evacuatedzones.ts
@@ -5,6 +5,7 @@
  */
 import * as core from '@oleanderrock/core';
 import * as decide from '@oleanderrock/decide';
+import * as coldStarts from './coldstarts.js';
 import * as decisions from './decisions.js';
 import * as endpointRegistry from './endpointregistry.js';
 
@@ -62,6 +63,7 @@
       this.startsMs.set(zone, this.kernel.find(core.CLOCK).nowMs());
     } else {
       this.startsMs.delete(zone);
+      this.kernel.find(coldStarts.COLD_STARTS).recordReturn(zone);
     }
     return true;
   }
--- a/packages/direct/src/gossip.ts
+++ b/packages/direct/src/gossip.ts
@@ -62,6 +62,7 @@
   placements: [],
   failures: [],
   limits: [],
+  cold: [],
   members: [],
 };
 
--- a/packages/direct/src/gossipnews.ts
+++ b/packages/direct/src/gossipnews.ts
@@ -20,6 +20,7 @@
 const MAX_PROOFS = 16;
 const MAX_FAILURES = 12;
 const MAX_LIMITS = 16;
+const MAX_COLD = 16;
 
 /** Limit on the keys of the crashes in one digest; most notes have few. */
 const MAX_CRASH_KEYS = 96;
@@ -71,6 +72,10 @@
     MAX_QUEUED,
   );
 
+  private readonly cold = new decide.BoundedRumorQueue<decide.ColdNote>(
+    MAX_QUEUED,
+  );
+
   constructor(private readonly kernel: core.Kernel) {}
 
   /**
@@ -106,6 +111,7 @@
       ),
       failures: this.failures.take(MAX_FAILURES).filter(isFresh),
       limits: this.limits.take(MAX_LIMITS),
+      cold: this.cold.take(MAX_COLD).filter(({untilMs}) => untilMs > nowMs),
       members: this.members.take(MAX_MEMBERS),
     };
   }
@@ -126,12 +132,14 @@
     this.applyPlacements(news, isPassedOn, nowMs);
     const areFailuresNew = this.applyFailures(news, isPassedOn, nowMs);
     const areLimitsNew = this.applyLimits(news, isPassedOn);
+    const areColdNew = this.applyCold(news, isPassedOn, nowMs);
     return (
       areEndpointsNew ||
       areMembersNew ||
       areCrashesNew ||
       areFailuresNew ||
-      areLimitsNew
+      areLimitsNew ||
+      areColdNew
     );
   }
 
@@ -180,6 +188,9 @@
     for (const note of this.kernel.find(decisions.ENDPOINT_LIMITS).takeNews()) {
       this.limits.add(note.id, note, limitRepeats);
     }
+    for (const note of this.kernel.find(decisions.COLD_ENDPOINTS).takeNews()) {
+      this.cold.add(note.id, note, limitRepeats);
+    }
     const failures = this.kernel.find(decisions.ENDPOINT_HEALTH).takeFailures();
     // In a small fleet the counts of outcomes tell all routers the failures.
     if (isForAll) return;
@@ -286,6 +297,21 @@
     }
     return newNotes.length > 0;
   }
+
+  private applyCold(
+    news: digestCodec.DigestNews,
+    isPassedOn: boolean,
+    nowMs: number,
+  ): boolean {
+    const cold = this.kernel.find(decisions.COLD_ENDPOINTS);
+    const newNotes = news.cold.filter(note => cold.applyNote(note, nowMs));
+    if (isPassedOn) {
+      for (const note of newNotes) {
+        this.cold.add(note.id, note, SAMPLED_REPEATS);
+      }
+    }
+    return newNotes.length > 0;
+  }
 }
 
 function crashNoteKey({crash, reporter, keys}: decide.CrashNote): string {
--- a/packages/direct/src/homerecovery.ts
+++ b/packages/direct/src/homerecovery.ts
@@ -181,9 +181,10 @@
   /** Endpoints of pools that cache the context of prompts. */
   private cachingEndpoints(): readonly model.Endpoint[] {
     const tables = this.kernel.find(activeTables.ACTIVE_TABLES).current();
-    return (tables?.pools ?? []).flatMap(({name}) =>
-      endpointNotices.willingEndpoints(this.kernel, name),
-    );
+    const pools = tables?.pools ?? [];
+    return pools
+      .filter(({cachesContext}) => cachesContext !== false)
+      .flatMap(({name}) => endpointNotices.willingEndpoints(this.kernel, name));
   }
 
   private async fetchFromEndpoint(
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -8,6 +8,7 @@
 export * from './checkedwait.js';
 export * as endpointNotices from './endpointnotices.js';
 export * from './endpointselector.js';
+export * from './coldstarts.js';
 export * from './connections.js';
 export * from './datagrams.js';
 export * from './decisions.js';
--- a/packages/direct/src/model.ts
+++ b/packages/direct/src/model.ts
@@ -79,7 +79,7 @@
 /** A customer. */
 export type Customer = v.InferOutput<typeof customerSchema>;
 
-/** Schema of a pool whose endpoints cache the context of prompts. */
+/** Schema of a pool whose endpoints cache prompts, or start cold. */
 export const poolSchema = v.object({
   name: v.string(),
   /**
@@ -87,6 +87,12 @@
    * copying is not possible.
    */
   copyUsPerToken: v.optional(v.number()),
+  /** Time for which an endpoint is cold after its start, in ms. */
+  warmupMs: v.optional(v.number()),
+  /** Requests a second that a cold endpoint takes from all routers together. */
+  coldPerSecond: v.optional(v.number()),
+  /** False if there is nothing to cache, so that only the limits count. */
+  cachesContext: v.optional(v.boolean()),
 });
 
 /** A pool. */
@@ -104,7 +110,7 @@
   /** Increases with each version, not always by one. */
   version: v.number(),
   routes: v.array(routeSchema),
-  /** Pools whose endpoints cache the context of prompts. */
+  /** Pools whose endpoints cache the context of prompts, or start cold. */
   pools: v.array(poolSchema),
   /** Absent: requests need no API keys. */
   customers: v.optional(v.array(customerSchema)),
@@ -135,6 +141,11 @@
   isDraining: v.boolean(),
   /** Wall-clock time of the endpoint's start, in ms. */
   bornMs: v.optional(v.number()),
+  /**
+   * Time for which the endpoint was still cold when this was written, in ms;
+   * absent if it was warm.
+   */
+  warmupLeftMs: v.optional(v.number()),
 });
 
 /** An endpoint. */
--- a/packages/direct/src/routerstate.ts
+++ b/packages/direct/src/routerstate.ts
@@ -42,6 +42,12 @@
   isEvacuated: v.boolean(),
 });
 
+const coldSchema = v.object({
+  id: v.string(),
+  bornMs: v.optional(v.number()),
+  leftMs: v.number(),
+});
+
 /** Schema of the state on the wire. */
 export const stateSchema = v.object({
   endpoints: core.validItems(
@@ -59,6 +65,8 @@
   limits: v.optional(core.validItems(limitSchema), []),
   /** Evacuations of failure domains, withdrawn ones included. */
   evacuations: v.optional(core.validItems(evacuationSchema), []),
+  /** Cold endpoints. */
+  cold: v.optional(core.validItems(coldSchema), []),
 });
 
 /** The endpoint records and members known to a router. */
@@ -71,7 +79,7 @@
   const nowMs = kernel.find(core.CLOCK).nowMs();
   const others = [...membership.live(), ...membership.down(nowMs)];
   return {
-    endpoints: endpoints.allRecords().map(record => ({...record})),
+    endpoints: endpoints.allRecords().map(withoutWarmup),
     endpointsOffset: endpoints.nextOffset(),
     members: [membership.self(), ...others].map(note => ({...note})),
     crashes: kernel
@@ -91,18 +99,35 @@
       .find(evacuatedZones.EVACUATED_ZONES)
       .records()
       .map(record => ({...record})),
+    cold: kernel
+      .find(decisions.COLD_ENDPOINTS)
+      .all(nowMs)
+      .map(({untilMs, ...note}) => ({...note, leftMs: untilMs - nowMs})),
   };
 }
 
+/** The record without what held when it was written only. */
+function withoutWarmup({
+  value,
+  ...record
+}: endpointRegistry.EndpointRecord): RouterState['endpoints'][number] {
+  return {...record, value: value && {...value, warmupLeftMs: undefined}};
+}
+
 /**
  * Merges another router's state into this one's; older records have no effect.
  */
 export function merge(kernel: core.Kernel, state: RouterState): void {
   const {members, endpointsOffset, crashes, limits, evacuations} = state;
+  const {cold} = state;
   const nowMs = kernel.find(core.CLOCK).nowMs();
   // The evacuations go first, since the endpoints get requests at once.
   const zones = kernel.find(evacuatedZones.EVACUATED_ZONES);
   for (const record of evacuations) zones.apply(record, 'router');
+  const coldEndpoints = kernel.find(decisions.COLD_ENDPOINTS);
+  for (const {leftMs, ...note} of cold) {
+    coldEndpoints.applyNote({...note, untilMs: nowMs + leftMs}, nowMs);
+  }
   const endpoints = kernel.find(endpointRegistry.ENDPOINT_REGISTRY);
   for (const {key, offset, value} of state.endpoints) {
     endpointRecords.applyRecord(kernel, {key, offset, value}, 'router');
--- a/packages/direct/src/sendpermits.ts
+++ b/packages/direct/src/sendpermits.ts
@@ -1,5 +1,6 @@
 /**
- * Permits to send to endpoints that name a limit for all routers together. The
+ * Permits to send to endpoints that name a limit for all routers together, or
+ * are cold. The
  * home of such an endpoint, the same live router by all views of the fleet,
  * counts what all of them send. A router asks it before each send, and sends
  * nothing if there is no reply: a permit is one of the whole limit, so a home
@@ -7,6 +8,7 @@
  */
 import * as core from '@oleanderrock/core';
 import type * as decide from '@oleanderrock/decide';
+import * as coldStarts from './coldstarts.js';
 import * as datagrams from './datagrams.js';
 import * as decisions from './decisions.js';
 import type * as model from './model.js';
@@ -59,6 +61,12 @@
  */
 const PERMIT_VALID_MS = 400;
 
+/** Questions that the fleet asks for each permit of a cold endpoint. */
+const QUESTIONS_PER_PERMIT = 3;
+
+/** How long a router that hears of no other leaves a cold endpoint, in ms. */
+const ISOLATED_HOLD_MS = 500;
+
 /** Maximum number of denials that are remembered. */
 const MAX_HELD_BACK = 4_096;
 
@@ -94,11 +102,15 @@
   }
 
   isLimited(endpoint: model.Endpoint): boolean {
-    return this.limits.limitOf(endpoint) !== undefined;
+    return this.limitOf(endpoint) !== undefined;
   }
 
   heldBackMs(endpoint: model.Endpoint): number {
     const untilMs = this.heldBackUntilMs.get(endpoint.id);
+    const coldPerSecond = this.coldStarts.limitOf(endpoint);
+    if (coldPerSecond !== undefined) {
+      return this.coldHeldBackMs(endpoint.id, coldPerSecond, untilMs);
+    }
     if (untilMs === undefined || !this.isLimited(endpoint)) return 0;
     return Math.max(0, untilMs - this.nowMs());
   }
@@ -107,8 +119,10 @@
     endpoint: model.Endpoint,
     maxWaitMs: number,
   ): Promise<SendPermit> {
-    const perSecond = this.limits.limitOf(endpoint);
+    const perSecond = this.limitOf(endpoint);
     if (perSecond === undefined) return UNLIMITED;
+    const coldPerSecond = this.coldStarts.limitOf(endpoint);
+    if (coldPerSecond !== undefined) this.takeTurn(endpoint.id, coldPerSecond);
     const lifetime = lifetimeHash(endpoint);
     const decision = await this.ask(endpoint, {
       lifetime,
@@ -120,10 +134,51 @@
       const fromMs = nowMs + decision.delayMs;
       return {type: 'granted', fromMs, untilMs: fromMs + PERMIT_VALID_MS};
     }
-    this.holdBack(endpoint.id, nowMs + decision.retryInMs);
+    const untilMs = Math.max(
+      nowMs + decision.retryInMs,
+      this.heldBackUntilMs.get(endpoint.id) ?? 0,
+    );
+    this.holdBack(endpoint.id, untilMs);
     return decision;
   }
 
+  /** The lower one of the limits that the endpoint named and that of a cold one. */
+  private limitOf(endpoint: model.Endpoint): number | undefined {
+    const named = this.limits.limitOf(endpoint);
+    const cold = this.coldStarts.limitOf(endpoint);
+    if (named === undefined || cold === undefined) return named ?? cold;
+    return Math.min(named, cold);
+  }
+
+  /**
+   * All routers want to send to an endpoint that has nothing to do, and only few
+   * may, so each asks in turns of its own. One that hears of no other router
+   * would be its own home.
+   */
+  private coldHeldBackMs(
+    id: string,
+    perSecond: number,
+    untilMs: number | undefined,
+  ): number {
+    const nowMs = this.nowMs();
+    if (this.membership.isIsolated(nowMs)) return ISOLATED_HOLD_MS;
+    if (untilMs !== undefined) return Math.max(0, untilMs - nowMs);
+    const delayMs = this.turnIntervalMs(perSecond) * this.random.nextFloat();
+    this.holdBack(id, nowMs + delayMs);
+    return delayMs;
+  }
+
+  private takeTurn(id: string, perSecond: number): void {
+    const factor = 0.5 + this.random.nextFloat();
+    const delayMs = this.turnIntervalMs(perSecond) * factor;
+    this.holdBack(id, this.nowMs() + delayMs);
+  }
+
+  private turnIntervalMs(perSecond: number): number {
+    const routers = this.membership.live().length + 1;
+    return (routers * 1_000) / (QUESTIONS_PER_PERMIT * perSecond);
+  }
+
   private async ask(
     {id}: model.Endpoint,
     question: Question,
@@ -235,6 +290,14 @@
     this.kernel.find(datagrams.DATAGRAMS).send('permit', bytes, address);
   }
 
+  private get coldStarts(): coldStarts.ColdStarts {
+    return this.kernel.find(coldStarts.COLD_STARTS);
+  }
+
+  private get random(): core.Random {
+    return this.kernel.find(core.RANDOM);
+  }
+
   private get limits(): decide.EndpointLimits {
     return this.kernel.find(decisions.ENDPOINT_LIMITS);
   }
--- a/packages/direct/src/tests/digest.test.ts
+++ b/packages/direct/src/tests/digest.test.ts
@@ -60,6 +60,7 @@
         {id: 'e', bornMs: 5, perSecond: 4.25, observedAtMs: NOW_MS - 60},
         {...ENDED_LIMIT, observedAtMs: NOW_MS},
       ],
+      cold: [{id: 'e', bornMs: 5, untilMs: NOW_MS + 900}],
       crashes: [
         {
           crash: 2 ** 32 - 1,
--- a/packages/direct/src/tests/simulateddecisions.ts
+++ b/packages/direct/src/tests/simulateddecisions.ts
@@ -9,12 +9,19 @@
   readonly random: core.Random;
   /** Creates what keeps the evacuations, the product's own by default. */
   readonly createEvacuations?: () => decide.Evacuations;
+  /** Creates what keeps the cold endpoints, likewise. */
+  readonly createColdEndpoints?: () => decide.ColdEndpoints;
 }
 
 /** Registers the decisions of a router. */
 export function registerDecisions(
   kernel: core.Kernel,
-  {name, random, createEvacuations}: SimulatedDecisionsOptions,
+  {
+    name,
+    random,
+    createEvacuations,
+    createColdEndpoints,
+  }: SimulatedDecisionsOptions,
 ): void {
   kernel.register(
     direct.ENDPOINT_HEALTH,
@@ -30,6 +37,11 @@
       onNews: () => kernel.find(direct.GOSSIP).sendSoon(),
     }),
   );
+  const onNews = () => kernel.find(direct.GOSSIP).sendSoon();
+  const coldEndpoints =
+    createColdEndpoints?.() ?? new decide.WarmingEndpoints({onNews});
+  kernel.register(direct.COLD_ENDPOINTS, coldEndpoints);
+  kernel.register(direct.COLD_STARTS, new direct.PooledColdStarts(kernel));
   kernel.register(direct.PERMIT_GRANTER, new decide.PacedPermitGranter());
   kernel.register(direct.FLEET_LOAD, new decide.SummedFleetLoad());
   kernel.register(direct.PREFIX_HOMES, new decide.SharedPrefixHomes());
--- a/packages/direct/src/tests/simulatedfleet.ts
+++ b/packages/direct/src/tests/simulatedfleet.ts
@@ -29,6 +29,8 @@
   readonly costs?: simulatedTransfers.TransferCosts;
   /** Creates what keeps a router's evacuations. */
   readonly createEvacuations?: () => decide.Evacuations;
+  /** Creates what keeps the cold endpoints that a router knows. */
+  readonly createColdEndpoints?: () => decide.ColdEndpoints;
   /** Tables of the first version; by default there are no routes. */
   readonly tables?: direct.Tables;
 }
@@ -234,7 +236,7 @@
     const {kernel, name, address, zone} = router;
     const self = {name, address, zone};
     const {seed = 1, isFirstStart = false} = this.options;
-    const {createEvacuations} = this.options;
+    const {createEvacuations, createColdEndpoints} = this.options;
     const random = new core.SeededRandom(seed * 1_000 + Number(name.slice(1)));
     const routerSettings = {
       address,
@@ -258,6 +260,7 @@
       name,
       random,
       createEvacuations,
+      createColdEndpoints,
     });
     kernel.register(direct.ACTIVE_TABLES, new direct.IndexedTables(kernel));
     kernel.register(
--- a/packages/direct/src/wireprotocol.ts
+++ b/packages/direct/src/wireprotocol.ts
@@ -79,6 +79,8 @@
    */
   readonly holdOffMs?: number;
   readonly namedLimit: NamedLimit;
+  /** How long the endpoint is still cold, in ms; absent if it does not say. */
+  readonly coldMs?: number;
   /**
    * Requests that run or wait at the endpoint; absent if it does not report its
    * load.
--- a/packages/router/src/wiredirect.ts
+++ b/packages/router/src/wiredirect.ts
@@ -43,6 +43,13 @@
       onNews: () => kernel.find(direct.GOSSIP).sendSoon(),
     }),
   );
+  kernel.register(
+    direct.COLD_ENDPOINTS,
+    new decide.WarmingEndpoints({
+      onNews: () => kernel.find(direct.GOSSIP).sendSoon(),
+    }),
+  );
+  kernel.register(direct.COLD_STARTS, new direct.PooledColdStarts(kernel));
   kernel.register(direct.PERMIT_GRANTER, new decide.PacedPermitGranter());
   kernel.register(direct.FLEET_LOAD, new decide.SummedFleetLoad());
   kernel.register(direct.PREFIX_HOMES, new decide.SharedPrefixHomes());
