List no router for callers that ended some seconds before

The last router of a fleet named all others for ever, since one that hears nobody reports none as down.

--- a/packages/decide/src/fleetmembership.ts
+++ b/packages/decide/src/fleetmembership.ts
@@ -64,6 +64,11 @@
   live(): readonly MemberNote[];
   /** The other routers that are down and may return. */
   down(nowMs: number): readonly MemberNote[];
+  /**
+   * Names of live routers that may have ended with others of their failure
+   * domain, and are not pinged yet.
+   */
+  suspects(nowMs: number): readonly string[];
   /** Whether no message of any router has arrived for a while. */
   isIsolated(nowMs: number): boolean;
   /**
@@ -91,6 +96,15 @@
  */
 const PAUSE_MS = 1_000;
 
+/**
+ * Routers of a failure domain, in number and share, that went down within a time,
+ * in ms, from which the others there are suspects: random pings find the last of
+ * many late. A lossy network makes a few of them seem down.
+ */
+const MIN_SUSPICIOUS_DOWN = 2;
+const SUSPICIOUS_DOWN_SHARE = 0.1;
+const SUSPICIOUS_MS = 4_000;
+
 /** How long a router that is down is remembered, in ms. */
 const FORGET_DOWN_MS = 30_000;
 
@@ -212,6 +226,16 @@
     return notes;
   }
 
+  suspects(nowMs: number): readonly string[] {
+    const zones = this.suspectZones(nowMs);
+    if (zones.size === 0) return [];
+    return this.live()
+      .map(({router}) => router)
+      .filter(({zone}) => zones.has(zone))
+      .map(({name}) => name)
+      .filter(name => !this.pendingPings.has(name));
+  }
+
   isIsolated(nowMs: number): boolean {
     return nowMs - this.lastHeardMs > ISOLATION_MS;
   }
@@ -220,6 +244,22 @@
     return (this.othersFingerprint ^ this.ownFingerprint) >>> 0;
   }
 
+  private suspectZones(nowMs: number): ReadonlySet<string> {
+    const counts = new Map<string, {all: number; down: number}>();
+    for (const {note, downSinceMs = 0} of this.members.values()) {
+      const count = counts.get(note.router.zone) ?? {all: 0, down: 0};
+      const isRecent = nowMs - downSinceMs <= SUSPICIOUS_MS;
+      count.all += 1;
+      if (note.phase === 'down' && isRecent) count.down += 1;
+      counts.set(note.router.zone, count);
+    }
+    const zones = [...counts].filter(
+      ([, {all, down}]) =>
+        down >= Math.max(MIN_SUSPICIOUS_DOWN, all * SUSPICIOUS_DOWN_SHARE),
+    );
+    return new Set(zones.map(([zone]) => zone));
+  }
+
   /** Answers a note about this router that claims an epoch of its own. */
   private refute(note: MemberNote): MemberNote | undefined {
     if (!isNewer(note, this.ownNote)) return undefined;
--- a/packages/direct/src/auxiliarylisteners.ts
+++ b/packages/direct/src/auxiliarylisteners.ts
@@ -88,6 +88,31 @@
   }
 }
 
+/**
+ * Time without a word of any router beyond which the others are not listed any
+ * more, in ms: a router that hears nothing reports none as down, since it may be
+ * cut off itself, but they may have ended.
+ */
+const UNHEARD_LISTED_MS = 4_000;
+
+/** The routers that callers may use. */
+export function listedRouters(kernel: core.Kernel): model.Router[] {
+  const fleet = kernel.find(fleetRegistry.FLEET_REGISTRY);
+  const nowMs = kernel.find(core.CLOCK).nowMs();
+  const areUnheard = kernel
+    .find(decisions.MEMBERSHIP)
+    .isIsolated(nowMs - UNHEARD_LISTED_MS);
+  const routers = areUnheard
+    ? []
+    : fleet
+        .livePeers()
+        .filter(({note}) => note.phase === 'ready')
+        .map(({note}) => note.router);
+  const phase = kernel.find(runState.RUN_STATE).phase();
+  if (phase === 'ready') routers.push(fleet.self());
+  return routers;
+}
+
 /** Serves to callers the addresses of the routers to use. */
 export class AddressListener extends AuxiliaryListener {
   constructor(kernel: core.Kernel, routerSettings: settings.Settings) {
@@ -122,12 +147,7 @@
    * enough.
    */
   private routersFor(zone: string | undefined): readonly model.Router[] {
-    const fleet = this.kernel.find(fleetRegistry.FLEET_REGISTRY);
-    const readyRouters = fleet
-      .livePeers()
-      .filter(({note}) => note.phase === 'ready')
-      .map(({note}) => note.router);
-    if (this.phase() === 'ready') readyRouters.push(fleet.self());
+    const readyRouters = listedRouters(this.kernel);
     const sameZoneRouters = readyRouters.filter(router => router.zone === zone);
     return this.sample(
       sameZoneRouters.length >= MIN_SAME_ZONE_ROUTERS
--- a/packages/direct/src/decisions.ts
+++ b/packages/direct/src/decisions.ts
@@ -133,6 +133,7 @@
   'find',
   'live',
   'down',
+  'suspects',
   'isIsolated',
   'fingerprint',
 ]);
--- a/packages/direct/src/gossip.ts
+++ b/packages/direct/src/gossip.ts
@@ -173,6 +173,7 @@
     if (others.length > 0) this.send(this.encode(news), others);
     if (pinged !== undefined) this.ping([pinged], news, nowMs);
     this.pingDownRouter(nowMs);
+    if (!this.isComplete) this.pingSuspect(nowMs);
     return round.intervalMs;
   }
 
@@ -227,6 +228,12 @@
     this.sendToAddresses(bytes, [note.router.address]);
   }
 
+  private pingSuspect(nowMs: number): void {
+    const suspects = this.membership.suspects(nowMs);
+    const name = suspects[this.random.nextInt(Math.max(1, suspects.length))];
+    if (name !== undefined) this.ping([name], this.newsForOne(nowMs), nowMs);
+  }
+
   private pingSeeds(nowMs: number): void {
     const downAddresses = this.membership
       .down(nowMs)
