--- a/packages/direct/src/evacuatedzones.ts
+++ b/packages/direct/src/evacuatedzones.ts
@@ -5,6 +5,7 @@
  */
 import * as core from '@oleanderrock/core';
 import * as decide from '@oleanderrock/decide';
+import * as coldStarts from './coldstarts.js';
 import * as decisions from './decisions.js';
 import * as endpointRegistry from './endpointregistry.js';
 
@@ -15,6 +16,8 @@
 export interface EvacuatedZones {
   /** Applies a record; returns whether it changes what is in force here. */
   apply(record: decide.EvacuationRecord, source: EvacuationSource): boolean;
+  /** Whether any zone is evacuated. */
+  areAny(): boolean;
   /** Whether no request may be sent to the endpoints of the zone. */
   isEvacuated(zone: string): boolean;
   /** The newest record of each zone, those of ended evacuations included. */
@@ -30,7 +33,15 @@
 /** The contract under which the evacuated zones are registered. */
 export const EVACUATED_ZONES = core.contract<EvacuatedZones>(
   'evacuated-zones',
-  ['apply', 'isEvacuated', 'records', 'digestRecords', 'inFlight', 'sinceMs'],
+  [
+    'apply',
+    'areAny',
+    'isEvacuated',
+    'records',
+    'digestRecords',
+    'inFlight',
+    'sinceMs',
+  ],
 );
 
 /** Maximum number of records in one digest, so that it fits a datagram. */
@@ -62,10 +73,15 @@
       this.startsMs.set(zone, this.kernel.find(core.CLOCK).nowMs());
     } else {
       this.startsMs.delete(zone);
+      this.kernel.find(coldStarts.COLD_STARTS).recordReturn(zone);
     }
     return true;
   }
 
+  areAny(): boolean {
+    return this.evacuations.areAny();
+  }
+
   isEvacuated(zone: string): boolean {
     return this.evacuations.isEvacuated(zone);
   }
--- a/packages/direct/src/gossip.ts
+++ b/packages/direct/src/gossip.ts
@@ -62,6 +62,7 @@
   placements: [],
   failures: [],
   limits: [],
+  cold: [],
   members: [],
 };
 
@@ -172,6 +173,7 @@
     if (others.length > 0) this.send(this.encode(news), others);
     if (pinged !== undefined) this.ping([pinged], news, nowMs);
     this.pingDownRouter(nowMs);
+    if (!this.isComplete) this.pingSuspect(nowMs);
     return round.intervalMs;
   }
 
@@ -226,6 +228,12 @@
     this.sendToAddresses(bytes, [note.router.address]);
   }
 
+  private pingSuspect(nowMs: number): void {
+    const suspects = this.membership.suspects(nowMs);
+    const name = suspects[this.random.nextInt(Math.max(1, suspects.length))];
+    if (name !== undefined) this.ping([name], this.newsForOne(nowMs), nowMs);
+  }
+
   private pingSeeds(nowMs: number): void {
     const downAddresses = this.membership
       .down(nowMs)
--- a/packages/direct/src/wireprotocol.ts
+++ b/packages/direct/src/wireprotocol.ts
@@ -82,6 +82,8 @@
   readonly namedLimit: NamedLimit;
   /** Absent if the endpoint does not tell its load. */
   readonly load?: decide.EndpointLoad;
+  /** How long the endpoint is still cold, in ms; absent if it does not say. */
+  readonly coldMs?: number;
 }
 
 /** A prompt prefix whose context is in an endpoint's cache. */
