--- a/packages/direct/src/settings.ts
+++ b/packages/direct/src/settings.ts
@@ -111,6 +111,25 @@
     unit: 'ms',
     meaning: 'interval between digests to the other routers',
   },
+  memoryMb: {
+    schema: core.wholeNumberSchema(64, 1_048_576),
+    fallback: '202',
+    unit: 'MB',
+    meaning: 'memory of the machine that this process may use',
+  },
+  heldMb: {
+    schema: core.wholeNumberSchema(0, 1_048_576),
+    fallback: '0',
+    unit: 'MB',
+    meaning:
+      'memory for requests and answers that are received, wait or are sent; ' +
+      '0: a quarter of the memory',
+  },
+  maxFds: {
+    schema: core.wholeNumberSchema(64, 1_048_576),
+    fallback: '2069',
+    meaning: 'descriptors that this process may open',
+  },
   logLevel: {
     schema: core.oneOfSchema(['error', 'warn', 'info', 'debug']),
     fallback: 'info',
