Decide who gives way when callers hold too much

A budget of bytes with one account a caller: the largest and slowest gives way, never a small one that makes progress nor a request that an endpoint may be running; a quarter is kept for small accounts. Seats bound the connections of a listener: the one that never asked and rests longest leaves for a new one. Nothing uses them yet.

--- a/packages/decide/src/index.ts
+++ b/packages/decide/src/index.ts
@@ -4,8 +4,10 @@
  */
 export * from './admission.js';
 export * from './budget.js';
+export * from './heldbytes.js';
 export * from './claims.js';
 export * from './config.js';
+export * from './connectionseats.js';
 export * from './contextcopies.js';
 export * from './crashevidence.js';
 export * from './crashkeys.js';
