--- a/packages/core/src/connection.ts
+++ b/packages/core/src/connection.ts
@@ -4,6 +4,7 @@
  */
 import type * as http from 'node:http';
 import type * as net from 'node:net';
+import * as callerMemory from './callermemory.js';
 import type * as errors from './errors.js';
 import * as mailbox from './mailbox.js';
 import * as parseErrors from './parseerrors.js';
@@ -14,6 +15,13 @@
  */
 const MAX_WAITING = 16;
 
+/**
+ * Memory of a request that waits or is served, apart from its body: what each
+ * takes, and each name and value of a field.
+ */
+const CALL_BYTES = 6_144;
+const FIELD_TEXT_BYTES = 64;
+
 /** Time for which a caller may read a refusal before its connection closes. */
 const LINGER_MS = 500;
 
@@ -21,6 +29,7 @@
 export interface Call {
   readonly request: http.IncomingMessage;
   readonly response: http.ServerResponse;
+  readonly memory: callerMemory.CallMemory;
 }
 
 /** A failure to read a request, and the request id to answer it with. */
@@ -37,6 +46,9 @@
   private isServing = false;
   private refusal: Refusal | undefined;
   private isEnded = false;
+  /** Whether nothing more is read, and the connection closes soon. */
+  private isStopped = false;
+  private readonly memory: callerMemory.ConnectionMemory | undefined;
   private newestCall: Call | undefined;
   /** Time at which the refusal was first seen to be written, in ms. */
   private endedMs: number | undefined;
@@ -51,14 +63,39 @@
   constructor(
     private readonly socket: net.Socket,
     private receivingSinceMs: number,
+    bounds: callerMemory.ConnectionBounds,
   ) {
-    socket.once('close', () => this.calls.close());
+    this.memory = bounds.admit({
+      address: socket.remoteAddress ?? '',
+      cut: reason => this.cut(reason),
+    });
+    socket.once('close', () => {
+      this.calls.close();
+      this.memory?.close();
+    });
     // Node.js resumes the socket whenever the body of a request is read.
     socket.on('resume', () => this.limitReading());
   }
 
-  /** Adds a call whose head has arrived. */
-  put(call: Call): void {
+  /** Whether there is room for the connection. */
+  get isAdmitted(): boolean {
+    return this.memory !== undefined;
+  }
+
+  /** Adds a request whose head has arrived. */
+  put(request: http.IncomingMessage, response: http.ServerResponse): void {
+    if (this.isStopped || !this.memory) return;
+    const memory = new callerMemory.CallMemory(this.memory, () =>
+      this.stop(response),
+    );
+    const textCount = request.rawHeaders.length;
+    if (!memory.hold(CALL_BYTES + FIELD_TEXT_BYTES * textCount)) {
+      this.memory.recordCut('memory');
+      this.stopAfterWaiting();
+      return;
+    }
+    this.memory.setResting(false);
+    const call = {request, response, memory};
     this.newestCall = call;
     this.calls.put(call);
     this.limitReading();
@@ -73,8 +110,9 @@
     this.isServing = false;
     const call = await this.calls.take();
     if (!call || (this.refusal && !call.request.complete)) {
-      if (this.refusal) await this.awaitResponse();
-      this.end();
+      if (this.refusal || this.isStopped) await this.awaitResponse();
+      if (this.isStopped) this.endStopped();
+      else this.end();
       return undefined;
     }
     this.currentCall = call;
@@ -83,6 +121,20 @@
     return call;
   }
 
+  /**
+   * Ends a call that was handled. The next one is taken only when its response
+   * was written, so that a caller who reads nothing is owed one response.
+   */
+  async finish({response, memory}: Call): Promise<void> {
+    if (!response.writableFinished && this.socket.writableLength > 0) {
+      memory.connection.setAwaitsCaller(true);
+      await this.awaitResponse();
+      memory.connection.setAwaitsCaller(false);
+    }
+    memory.end();
+    if (this.calls.size === 0) memory.connection.setResting(true);
+  }
+
   /**
    * Ends the connection with an error response, after the responses to all
    * requests that arrived before the unreadable one.
@@ -115,6 +167,28 @@
     if (nowMs - this.endedMs > LINGER_MS) this.socket.destroy();
   }
 
+  /** Gives way: refuses the body that arrives, or closes the connection. */
+  private cut(reason: callerMemory.CutReason): void {
+    if (this.currentCall?.memory.refuseBody(reason)) return;
+    this.isStopped = true;
+    stopParsing(this.socket);
+    this.socket.destroy();
+  }
+
+  /** Reads nothing more; the connection closes after the response. */
+  private stop(response: http.ServerResponse): void {
+    this.stopAfterWaiting();
+    response.shouldKeepAlive = false;
+  }
+
+  /** Reads nothing more; the connection closes after the waiting calls. */
+  private stopAfterWaiting(): void {
+    this.isStopped = true;
+    stopParsing(this.socket);
+    this.socket.pause();
+    this.calls.close();
+  }
+
   private isReceiving(): boolean {
     const call = this.newestCall;
     if (this.refusal) return false;
@@ -143,6 +217,12 @@
     parseErrors.endWithProblem(this.socket, failure, requestId);
   }
 
+  /** Ends the connection; the caller has some time to read the response. */
+  private endStopped(): void {
+    this.isEnded = true;
+    if (this.socket.writable) this.socket.end();
+  }
+
   /** Resolves when the current response was written, or cannot be. */
   private async awaitResponse(): Promise<void> {
     const {socket} = this;
@@ -160,6 +240,24 @@
   }
 
   private limitReading(): void {
-    if (this.isEnded || this.calls.size >= MAX_WAITING) this.socket.pause();
+    const isFull = this.calls.size >= MAX_WAITING;
+    if (this.isEnded || this.isStopped || isFull) this.socket.pause();
   }
 }
+
+/** The part of the parser of a connection that is used here. */
+interface RequestParser {
+  onIncoming?: unknown;
+}
+
+/** What the parser is told to take the bytes behind a head for no request. */
+const NOT_HTTP = 2;
+
+/**
+ * Makes the parser of the connection stop at the next head: what was read of the
+ * socket may hold a thousand further requests.
+ */
+function stopParsing(socket: net.Socket): void {
+  const {parser} = socket as {parser?: RequestParser | null};
+  if (parser) parser.onIncoming = () => NOT_HTTP;
+}
--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -52,6 +52,7 @@
   head_too_large: notRetryable(431, 'The request head is above the limit'),
   customer_limit: retryable(429, 'The customer is over its limit'),
   pool_empty: retryable(503, 'The pool has no live endpoint'),
+  overloaded: retryable(503, 'The router has no memory for the request'),
   queue_full: retryable(503, 'The queue is full'),
   wait_timeout: retryable(503, 'No endpoint had room in time'),
   saturated: retryable(503, 'The endpoint has no room'),
--- a/packages/core/src/hash.ts
+++ b/packages/core/src/hash.ts
@@ -13,6 +13,24 @@
   return xxhashApi.h64ToString(text);
 }
 
+/** Number of bytes of a long input that are hashed at a time. */
+const HASHED_BYTES = 16_384;
+
+/**
+ * The same as `hash64` of the text and the bytes as Latin-1. The hash function
+ * copies its input into memory that is never given back, so it is fed piecewise.
+ */
+export function hash64Bytes(text: string, bytes: Buffer): string {
+  if (bytes.length <= HASHED_BYTES) {
+    return hash64(text + bytes.toString('latin1'));
+  }
+  const hash = xxhashApi.create64().update(text);
+  for (let start = 0; start < bytes.length; start += HASHED_BYTES) {
+    hash.update(bytes.toString('latin1', start, start + HASHED_BYTES));
+  }
+  return hash.digest().toString(16).padStart(16, '0');
+}
+
 /**
  * Score of `node` for `key` in rendezvous hashing: a key belongs to the node
  * with the highest score, so adding or removing a node moves only the keys of
--- a/packages/core/src/heapcollector.ts
+++ b/packages/core/src/heapcollector.ts
@@ -15,20 +15,37 @@
 /** Heap growth since the last collection that triggers the next, in bytes. */
 const TRIGGER_GROWTH_BYTES = 768 * 1_024;
 
+/** Part of the released bytes after which bytes that passed are collected. */
+const PASSED_PART = 0.5;
+
 /** Service that triggers garbage collections. */
-export type HeapCollector = kernels.Lifecycle;
+export interface HeapCollector extends kernels.Lifecycle {
+  /** Records bytes outside the heap that were held and are held no longer. */
+  recordReleased(bytes: number): void;
+  /** Records bytes outside the heap that were held for a moment only. */
+  recordPassed(bytes: number): void;
+}
 
 /** Kernel contract of the heap collector. */
 export const HEAP_COLLECTOR = kernels.contract<HeapCollector>(
   'heap-collector',
-  ['start', 'stop'],
+  ['start', 'stop', 'recordReleased', 'recordPassed'],
 );
 
 /** Triggers a collection when the used heap has grown by a fixed amount. */
 export class GrowthHeapCollector implements HeapCollector {
   private readonly tasks: tasks.TaskGroup;
+  private releasedBytes = 0;
+  private passedBytes = 0;
 
-  constructor(private readonly kernel: kernels.Kernel) {
+  /**
+   * @param triggerBytes released bytes outside the heap after which a collection
+   *     follows at once; V8 waits for tens of MB of them
+   */
+  constructor(
+    private readonly kernel: kernels.Kernel,
+    private readonly triggerBytes: number,
+  ) {
     this.tasks = new tasks.TaskGroup(kernel.find(logger.LOGGER));
   }
 
@@ -42,6 +59,21 @@
     return this.tasks.stop();
   }
 
+  recordReleased(bytes: number): void {
+    this.releasedBytes += bytes;
+    if (this.releasedBytes < this.triggerBytes) return;
+    this.releasedBytes = 0;
+    this.passedBytes = 0;
+    void globalThis.gc?.();
+  }
+
+  recordPassed(bytes: number): void {
+    this.passedBytes += bytes;
+    if (this.passedBytes < PASSED_PART * this.triggerBytes) return;
+    this.passedBytes = 0;
+    void globalThis.gc?.({type: 'minor'});
+  }
+
   private async run(
     collect: NodeJS.GCFunction,
     signal: AbortSignal,
@@ -52,6 +84,7 @@
       const {heapUsed} = process.memoryUsage();
       if (heapUsed > liveBytes + TRIGGER_GROWTH_BYTES) {
         collect();
+        this.releasedBytes = 0;
         liveBytes = process.memoryUsage().heapUsed;
       }
       await timeSource.sleep(CHECK_INTERVAL_MS, signal);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 /** Schemas, utilities and services shared by all packages. */
 export * from './build.js';
+export * from './callermemory.js';
 export * from './clock.js';
 export * from './commandline.js';
 export * from './errors.js';
--- a/packages/core/src/listener.ts
+++ b/packages/core/src/listener.ts
@@ -4,6 +4,7 @@
  */
 import * as http from 'node:http';
 import * as net from 'node:net';
+import * as callerMemory from './callermemory.js';
 import * as connections from './connection.js';
 import * as errors from './errors.js';
 import * as headerNames from './headers.js';
@@ -13,6 +14,8 @@
 import * as requestTimeouts from './requesttimeouts.js';
 import * as tasks from './tasks.js';
 
+export * from './requestbody.js';
+
 /** Default keep-alive timeout of idle connections, in ms. */
 const DEFAULT_KEEP_ALIVE_MS = 30_000;
 /** Maximum number of unreadable requests that are logged in a second. */
@@ -32,6 +35,8 @@
   /** Keep-alive timeout of idle connections. */
   readonly keepAliveMs?: number;
   readonly log: logger.Logger;
+  /** Bounds on what the connections hold; none by default. */
+  readonly bounds?: callerMemory.ConnectionBounds;
   /**
    * Creates the request ids in responses to unparsable requests; by default
    * these ids are empty.
@@ -76,7 +81,7 @@
     this.server.on('close', () => this.timeouts.stop());
     this.server.on('connection', socket => this.acceptConnection(socket));
     this.server.on('request', (request, response) => {
-      this.connections.get(request.socket)?.put({request, response});
+      this.connections.get(request.socket)?.put(request, response);
     });
     // Without this listener, Node.js destroys a connection at its keep-alive
     // timeout.
@@ -152,8 +157,17 @@
   }
 
   private acceptConnection(socket: net.Socket): void {
+    const bounds = this.options.bounds ?? callerMemory.UNBOUNDED;
+    const connection = new connections.Connection(
+      socket,
+      this.timeouts.nowMs,
+      bounds,
+    );
+    if (!connection.isAdmitted) {
+      socket.destroy();
+      return;
+    }
     socket.setKeepAlive(true, 1_000);
-    const connection = new connections.Connection(socket, this.timeouts.nowMs);
     this.connections.set(socket, connection);
     socket.once('close', () => this.connections.delete(socket));
     this.tasks.spawn(`${this.options.name} connection`, () =>
@@ -205,6 +219,7 @@
       if (!call) return;
       if (this.isKeepAliveOff) call.response.setHeader('connection', 'close');
       await this.handle(call);
+      await connection.finish(call);
     }
   }
 
@@ -272,45 +287,3 @@
     ...headers,
   });
 }
-
-/** The complete body, or why it could not be read. */
-export type BodyResult = errors.Result<Buffer>;
-
-/**
- * Reads a request body of up to `maxBytes`. A body is only incomplete once its
- * connection has closed, so that the failure can no longer be sent.
- */
-export async function readBody(
-  request: http.IncomingMessage,
-  maxBytes: number,
-): Promise<BodyResult> {
-  const declaredBytes = Number(request.headers['content-length'] ?? 0);
-  const tooLarge = () =>
-    errors.fail(
-      'too_large',
-      `the request body is larger than ${maxBytes} bytes`,
-    );
-  if (declaredBytes > maxBytes) return tooLarge();
-  // The rest of a larger body is read and dropped, so that the connection can be
-  // used again.
-  const reader = request.iterator({destroyOnReturn: false});
-  const chunks: Buffer[] = [];
-  let receivedBytes = 0;
-  try {
-    for await (const chunk of reader) {
-      receivedBytes += (chunk as Buffer).length;
-      if (receivedBytes > maxBytes) break;
-      chunks.push(chunk as Buffer);
-    }
-  } catch (error) {
-    return errors.fail(
-      'caller_gone',
-      `the request body is incomplete: ${errors.errorMessage(error)}`,
-    );
-  }
-  if (receivedBytes > maxBytes) {
-    request.resume();
-    return tooLarge();
-  }
-  return errors.succeed(Buffer.concat(chunks));
-}
--- a/packages/decide/src/connectionseats.ts
+++ b/packages/decide/src/connectionseats.ts
@@ -2,15 +2,19 @@
  * Seats for the connections of callers, fewer than the descriptors of the
  * process, so that own connections always find one. If all are taken, a new
  * connection takes the seat of one that has asked for nothing: of the address
- * that has most seats, the one that rests longest. Connections with a request
- * in progress keep their seats.
+ * that has most seats, the one that rests longest. After these come connections
+ * on which nothing has arrived for some time, between requests or within one.
+ * Connections whose request is being served keep their seats.
  */
 
 /** A connection that has a seat. */
 export interface Seat {
   /** Address of the caller. */
   readonly address: string;
-  /** Time since which it has no request in progress; undefined with one. */
+  /**
+   * Time since which nothing has arrived on it; undefined while a request is
+   * being served.
+   */
   restsSinceMs: number | undefined;
   /** Whether it has ever made a request. */
   hasAsked: boolean;
--- a/packages/decide/src/heldbytes.ts
+++ b/packages/decide/src/heldbytes.ts
@@ -103,11 +103,12 @@
     return true;
   }
 
-  /** Takes bytes off the account, at most those that it holds. */
-  release(account: ByteAccount, bytes: number): void {
+  /** Takes bytes off the account, at most those that it holds; returns them. */
+  release(account: ByteAccount, bytes: number): number {
     const releasedBytes = Math.min(bytes, account.heldBytes);
     account.heldBytes -= releasedBytes;
     this.usedBytes -= releasedBytes;
+    return releasedBytes;
   }
 
   /** Closes the account and releases what it holds. */
@@ -141,7 +142,8 @@
   }
 
   private cut(account: ByteAccount, reason: CutReason): void {
-    this.close(account);
+    account.isClosed = true;
     account.holder.cut(reason);
+    this.close(account);
   }
 }
--- a/packages/direct/src/auxiliarylisteners.ts
+++ b/packages/direct/src/auxiliarylisteners.ts
@@ -5,6 +5,7 @@
 import * as core from '@oleanderrock/core';
 import type * as decide from '@oleanderrock/decide';
 import * as v from 'valibot';
+import * as callerBounds from './callerbounds.js';
 import * as decisions from './decisions.js';
 import * as wireProtocol from './wireprotocol.js';
 import * as fleetRegistry from './fleetregistry.js';
@@ -20,6 +21,9 @@
 const MAX_HEAD_BYTES = 16_384;
 const REQUEST_TIMEOUT_MS = 5_000;
 
+/** What is read of a body that nobody asked for, in bytes. */
+const MAX_SKIPPED_BYTES = 65_536;
+
 /**
  * Minimum number of ready routers in the caller's failure domain for the
  * address list to contain only those.
@@ -64,7 +68,8 @@
       maxHeaderBytes: MAX_HEAD_BYTES,
       requestTimeoutMs: REQUEST_TIMEOUT_MS,
       log: kernel.find(core.LOGGER),
-      serve: call => this.serve(call),
+      bounds: kernel.find(callerBounds.CALLER_BOUNDS).of(name),
+      serve: call => this.serveWithoutBody(call),
     });
   }
 
@@ -76,8 +81,23 @@
     return this.listener.close();
   }
 
+  /** Whether the request's body is read by `serve`. */
+  protected readsBody(call: core.listener.Call): boolean {
+    void call;
+    return false;
+  }
+
   protected abstract serve(call: core.listener.Call): Promise<void>;
 
+  /** Serves the call after its body was dropped, which none should have. */
+  private async serveWithoutBody(call: core.listener.Call): Promise<void> {
+    if (!this.readsBody(call)) {
+      const {request, memory} = call;
+      await core.listener.skipBody(request, MAX_SKIPPED_BYTES, memory);
+    }
+    await this.serve(call);
+  }
+
   protected sendNotFound({request, response}: core.listener.Call): void {
     const detail = `no such path: ${request.url ?? '/'}`;
     core.listener.sendProblem(response, {kind: 'not_found', detail}, '');
@@ -183,6 +203,11 @@
     this.tablesUpdates = new tablesUpdate.EncodedUpdates(kernel);
   }
 
+  protected override readsBody({request}: core.listener.Call): boolean {
+    const version = tablesUpdate.readTablesUrl(request.url ?? '');
+    return version !== undefined && request.method === 'POST';
+  }
+
   protected async serve(call: core.listener.Call): Promise<void> {
     const {request, response} = call;
     const url = request.url ?? '';
@@ -205,12 +230,13 @@
 
   /** Serves the difference for a router that sent a summary of its rows. */
   private async serveDifference(
-    {request, response}: core.listener.Call,
+    {request, response, memory}: core.listener.Call,
     version: number,
   ): Promise<void> {
     const body = await core.listener.readBody(
       request,
       tablesDifference.MAX_SUMMARY_BYTES,
+      memory,
     );
     const hashes = body.ok
       ? v.safeParse(tablesDifference.summarySchema, body.value)
--- a/packages/direct/src/callerlistener.ts
+++ b/packages/direct/src/callerlistener.ts
@@ -3,11 +3,11 @@
  * and customer, refuses invalid requests itself, and passes the rest to the
  * dispatcher.
  */
-import type * as http from 'node:http';
 import * as timers from 'node:timers/promises';
 import * as core from '@oleanderrock/core';
 import * as decide from '@oleanderrock/decide';
 import type * as routedRequest from './routedrequest.js';
+import * as callerBounds from './callerbounds.js';
 import * as callerResponses from './callerresponse.js';
 import * as decisions from './decisions.js';
 import * as wireProtocol from './wireprotocol.js';
@@ -22,6 +22,9 @@
 /** Maximum size of a request's head, in bytes. */
 const MAX_HEAD_BYTES = 65_536;
 
+/** What is read and dropped of the body of a request without route, in bytes. */
+const MAX_SKIPPED_BYTES = 1_048_576;
+
 /** Longest time for a complete request to arrive, in ms. */
 const REQUEST_TIMEOUT_MS = 30_000;
 
@@ -89,6 +92,7 @@
       maxHeaderBytes: MAX_HEAD_BYTES,
       requestTimeoutMs: REQUEST_TIMEOUT_MS,
       log: kernel.find(core.LOGGER),
+      bounds: kernel.find(callerBounds.CALLER_BOUNDS).of('entry'),
       serve: call => this.serve(call),
     });
     kernel.find(activeTables.ACTIVE_TABLES).onChange(({limits}) => {
@@ -116,23 +120,27 @@
     const endRequest = this.kernel.find(runState.RUN_STATE).beginRequest();
     const clock = this.kernel.find(core.CLOCK);
     const arrivedMs = clock.nowMs();
-    const {request, response} = call;
+    const {request, response, memory} = call;
     const protocol = this.kernel.find(wireProtocol.WIRE_PROTOCOL);
     const head = protocol.readCallerRequest(request.headers);
     const callerResponse = new callerResponses.HttpCallerResponse(
       response,
+      memory,
       clock,
     );
     try {
-      const routing = await this.readRequest(request, head, arrivedMs);
-      if (routing.ok) await processPendingSocketEvents();
+      const routing = await this.readRequest(call, head, arrivedMs);
+      if (routing.ok) {
+        memory.connection.setServed(true);
+        await processPendingSocketEvents();
+      }
       const dispatched: routedRequest.RequestOutcome = routing.ok
         ? await this.kernel
             .find(dispatcher.DISPATCHER)
             .serve(routing.value, callerResponse)
         : {type: 'failed', failure: routing.failure, sendCount: 0};
       const outcome = this.withholdUnfounded(dispatched, head);
-      this.sendFailure(outcome, head, callerResponse);
+      await this.sendFailure(outcome, head, callerResponse);
       const routed = routing.ok ? routing.value : undefined;
       const {startedMs: responseStartedMs} = callerResponse;
       const path = request.url ?? '';
@@ -140,13 +148,14 @@
         .find(recorder.REQUEST_RECORDER)
         .recordEnd({head, path, arrivedMs, responseStartedMs, routed}, outcome);
     } finally {
+      memory.connection.setServed(false);
       endRequest();
     }
   }
 
   /** Matches the request to its route and reads the body. */
   private async readRequest(
-    request: http.IncomingMessage,
+    {request, memory}: core.listener.Call,
     head: wireProtocol.CallerRequestHead,
     arrivedMs: number,
   ): Promise<core.Result<routedRequest.RoutedRequest>> {
@@ -158,10 +167,10 @@
     if (!match.ok) {
       // The body is still read, because an unread body would make the
       // connection unusable.
-      await core.listener.readBody(request, Math.max(maxBytes, MAX_HEAD_BYTES));
+      await core.listener.skipBody(request, MAX_SKIPPED_BYTES, memory);
       return match;
     }
-    const body = await core.listener.readBody(request, maxBytes);
+    const body = await core.listener.readBody(request, maxBytes, memory);
     if (!body.ok) return body;
     const {route, keyHolder} = match.value;
     const method = request.method ?? 'GET';
@@ -238,8 +247,7 @@
     customer: string | undefined,
     body: Buffer,
   ): string {
-    const text = body.toString('latin1');
-    return core.hash64(`${method} ${path} ${customer ?? ''} ${text}`);
+    return core.hash64Bytes(`${method} ${path} ${customer ?? ''} `, body);
   }
 
   /**
@@ -268,13 +276,13 @@
     outcome: routedRequest.RequestOutcome,
     {requestId}: wireProtocol.CallerRequestHead,
     callerResponse: callerResponses.HttpCallerResponse,
-  ): void {
-    if (outcome.type === 'answered') return;
+  ): Promise<void> {
+    if (outcome.type === 'answered') return Promise.resolve();
     const {failure} = outcome;
     const headers = this.kernel
       .find(wireProtocol.WIRE_PROTOCOL)
       .failureHeaders(requestId, failure.retryAfterMs);
-    callerResponse.sendFailure(failure, requestId, headers);
+    return callerResponse.sendFailure(failure, requestId, headers);
   }
 }
 
--- a/packages/direct/src/callerresponse.ts
+++ b/packages/direct/src/callerresponse.ts
@@ -4,6 +4,9 @@
 import type * as routedRequest from './routedrequest.js';
 import type * as wireProtocol from './wireprotocol.js';
 
+/** What the connection of an endpoint holds while its answer isn't read. */
+const PAUSED_BYTES = 98_304;
+
 /** Writes to Node's `ServerResponse`. */
 export class HttpCallerResponse implements routedRequest.CallerResponse {
   private readonly callerGoneController = new AbortController();
@@ -15,6 +18,7 @@
 
   constructor(
     private readonly response: http.ServerResponse,
+    readonly memory: core.CallMemory,
     private readonly clock: core.Clock,
   ) {
     response.once('close', () => {
@@ -53,9 +57,21 @@
   }
 
   async write(chunk: Buffer): Promise<void> {
-    if (!this.callerGone.aborted) {
-      await core.responses.writeChunk(this.response, chunk);
+    if (this.callerGone.aborted) return;
+    const {response, memory} = this;
+    memory.connection.recordPassed(chunk.length);
+    const written = core.responses.writeChunk(response, chunk);
+    if (!response.writableNeedDrain) return written;
+    const waitingBytes = response.writableLength + PAUSED_BYTES;
+    if (!memory.hold(waitingBytes)) {
+      memory.connection.recordCut('memory');
+      this.abort();
+      return;
     }
+    memory.connection.setAwaitsCaller(true);
+    await written;
+    memory.connection.setAwaitsCaller(false);
+    memory.release(waitingBytes);
   }
 
   end(): void {
@@ -70,11 +86,11 @@
    * Sends a failure as a problem document, or closes the connection of a
    * response that has begun.
    */
-  sendFailure(
+  async sendFailure(
     failure: core.Failure,
     requestId: string,
     headers: wireProtocol.HeaderMap,
-  ): void {
+  ): Promise<void> {
     if (this.callerGone.aborted) return;
     if (this.hasBegun) {
       this.abort();
@@ -86,6 +102,14 @@
       'content-length': String(Buffer.byteLength(body)),
       ...headers,
     });
-    this.response.end(body);
+    const {dropped} = this.memory;
+    if (!dropped) {
+      this.response.end(body);
+      return;
+    }
+    // After the end of the response, Node.js drops the body without end.
+    this.response.write(body);
+    await dropped;
+    this.response.end();
   }
 }
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -15,6 +15,7 @@
 export * from './auxiliarylisteners.js';
 export * from './dispatcher.js';
 export * from './endpointregistry.js';
+export * from './callerbounds.js';
 export * as callerListener from './callerlistener.js';
 export * from './eventsplitter.js';
 export * from './feeds.js';
--- a/packages/direct/src/responsebody.ts
+++ b/packages/direct/src/responsebody.ts
@@ -1,4 +1,5 @@
 /** Reads the bodies of endpoints' responses chunk by chunk. */
+import type * as core from '@oleanderrock/core';
 import type * as attempt from './attempt.js';
 
 /**
@@ -41,6 +42,7 @@
 export async function readBuffered(
   endpointResponse: attempt.EndpointResponse,
   chunks: ChunkIterator,
+  memory: core.CallMemory,
 ): Promise<BufferedBody | Error> {
   const bufferedChunks: Buffer[] = [];
   let byteCount = 0;
@@ -50,7 +52,8 @@
       if (!chunk) break;
       bufferedChunks.push(chunk);
       byteCount += chunk.length;
-      if (byteCount > MAX_BUFFERED_BYTES) {
+      // Without memory for it, the rest isn't read before the caller takes it.
+      if (byteCount > MAX_BUFFERED_BYTES || !memory.hold(chunk.length)) {
         return {body: Buffer.concat(bufferedChunks), exceedsBuffer: true};
       }
     }
@@ -58,5 +61,6 @@
     return error as Error;
   }
   if (!endpointResponse.response.complete) return TRUNCATED;
+  memory.connection.recordPassed(byteCount);
   return {body: Buffer.concat(bufferedChunks), exceedsBuffer: false};
 }
--- a/packages/direct/src/responsedelivery.ts
+++ b/packages/direct/src/responsedelivery.ts
@@ -115,7 +115,8 @@
       return {type: 'failed_run', status};
     }
     const chunks = response[Symbol.asyncIterator]() as bodies.ChunkIterator;
-    const buffered = await bodies.readBuffered(incoming, chunks);
+    const {memory} = this.outgoing;
+    const buffered = await bodies.readBuffered(incoming, chunks, memory);
     if (buffered instanceof Error) return this.breakResult(incoming, buffered);
     const {body, exceedsBuffer} = buffered;
     if (exceedsBuffer) return this.relayUnbuffered(incoming, body, chunks);
@@ -175,6 +176,8 @@
     if (framing === 'marked') {
       sentHeaders['content-length'] = String(body.length);
     }
+    // What waits for the caller is held by the write.
+    this.outgoing.memory.release(body.length);
     this.outgoing.writeHead(status, sentHeaders, framing);
     if (body.length > 0) void this.outgoing.write(body);
     this.outgoing.end();
--- a/packages/direct/src/routedrequest.ts
+++ b/packages/direct/src/routedrequest.ts
@@ -55,6 +55,8 @@
 
 /** The response to the caller. */
 export interface CallerResponse {
+  /** What the request and its response hold. */
+  readonly memory: core.CallMemory;
   /** Whether the head was sent. */
   readonly hasBegun: boolean;
   /** Aborts when the caller disconnects before the response is complete. */
--- a/packages/direct/src/settings.ts
+++ b/packages/direct/src/settings.ts
@@ -130,6 +130,14 @@
     fallback: '2069',
     meaning: 'descriptors that this process may open',
   },
+  stallMs: {
+    schema: core.wholeNumberSchema(100, MAX_MS),
+    fallback: '15000',
+    unit: 'ms',
+    meaning:
+      'longest time for which a caller may send nothing of a body, or take ' +
+      'nothing of an answer',
+  },
   logLevel: {
     schema: core.oneOfSchema(['error', 'warn', 'info', 'debug']),
     fallback: 'info',
--- a/packages/router/src/wiredirect.ts
+++ b/packages/router/src/wiredirect.ts
@@ -19,6 +19,9 @@
  */
 const MAX_DIGESTS_PER_SECOND = 60;
 
+/** Part of the bytes to be held whose release triggers a collection. */
+const COLLECTED_PART = 0.2;
+
 const MAX_SEED = 2 ** 31;
 
 /** Destination of log lines. */
@@ -209,7 +212,15 @@
   kernel.register(core.RANDOM, new core.SeededRandom(seed));
   const metrics = new core.ProcessMetrics({withRuntime: false});
   kernel.register(core.METRICS, metrics);
-  kernel.register(core.HEAP_COLLECTOR, new core.GrowthHeapCollector(kernel));
+  const collectedBytes = direct.heldLimitBytes(routerSettings) * COLLECTED_PART;
+  kernel.register(
+    core.HEAP_COLLECTOR,
+    new core.GrowthHeapCollector(kernel, collectedBytes),
+  );
+  kernel.register(
+    direct.CALLER_BOUNDS,
+    new direct.BudgetedCallerBounds(kernel, routerSettings),
+  );
   registerDecisions(kernel, routerSettings);
   registerState(kernel, routerSettings);
   registerCrashTracker(kernel, routerSettings);
