--- a/packages/core/src/connection.ts
+++ b/packages/core/src/connection.ts
@@ -70,6 +70,8 @@
       cut: reason => this.cut(reason),
     });
     socket.once('close', () => {
+      // Nobody is left to answer.
+      this.calls.drain();
       this.calls.close();
       this.memory?.close();
     });
@@ -82,6 +84,11 @@
     return this.memory !== undefined;
   }
 
+  /** Whether further requests have arrived. */
+  get hasWaiting(): boolean {
+    return this.calls.size > 0;
+  }
+
   /** Adds a request whose head has arrived. */
   put(request: http.IncomingMessage, response: http.ServerResponse): void {
     if (this.isStopped || !this.memory) return;
--- a/packages/core/src/listener.ts
+++ b/packages/core/src/listener.ts
@@ -4,6 +4,7 @@
  */
 import * as http from 'node:http';
 import * as net from 'node:net';
+import * as timers from 'node:timers/promises';
 import * as callerMemory from './callermemory.js';
 import * as connections from './connection.js';
 import * as errors from './errors.js';
@@ -220,6 +221,8 @@
       if (this.isKeepAliveOff) call.response.setHeader('connection', 'close');
       await this.handle(call);
       await connection.finish(call);
+      // One that has sent many requests ahead takes turns with the others.
+      if (connection.hasWaiting) await timers.setImmediate();
     }
   }
 
--- a/packages/core/src/requestbody.ts
+++ b/packages/core/src/requestbody.ts
@@ -15,6 +15,17 @@
 /** Number of first pieces that are kept as they arrived, whatever their size. */
 const FIRST_PIECES = 4;
 
+/** Number of bytes that count as progress, and are recorded together. */
+const RECORDED_BYTES = 1_024;
+
+/**
+ * What a short piece counts beside its bytes, since many of them keep the process
+ * busy; so many pieces at a time, and no more than some.
+ */
+const SHORT_PIECE_BYTES = 256;
+const CHARGED_PIECES = 16;
+const MAX_CHARGED_PIECES = 4_096;
+
 /** Memory of a piece beside its bytes. */
 const PIECE_BYTES = 512;
 
@@ -27,17 +38,18 @@
 const BLOCK_BYTES = 16_384;
 
 /**
- * What is read and dropped of a body above its limit, as a multiple of the limit
- * and at least so many bytes, before its connection is closed.
+ * What is read and dropped at least of a body above its limit before its
+ * connection is closed, in bytes.
  */
-const DROPPED_MULTIPLE = 4;
-const MIN_DROPPED_BYTES = 4_194_304;
+const MIN_EXCESS_BYTES = 4_194_304;
 
 /** The pieces of one body. */
 class Pieces {
   private readonly complete: Buffer[] = [];
   private block: Buffer | undefined;
   private blockBytes = 0;
+  /** Number of short pieces that were copied. */
+  private shortCount = 0;
   private heldBytes = 0;
 
   constructor(private readonly memory: callerMemory.CallMemory) {}
@@ -51,6 +63,11 @@
       this.complete.push(piece);
       return true;
     }
+    this.shortCount += 1;
+    const isCharged = this.shortCount % CHARGED_PIECES === 0;
+    if (isCharged && this.shortCount <= MAX_CHARGED_PIECES) {
+      if (!this.hold(CHARGED_PIECES * SHORT_PIECE_BYTES)) return false;
+    }
     if (this.blockBytes + piece.length > (this.block?.length ?? 0)) {
       if (!this.hold(BLOCK_BYTES)) return false;
       this.endBlock();
@@ -139,6 +156,7 @@
 ): Promise<BodyResult> {
   const pieces = new Pieces(memory);
   let receivedBytes = 0;
+  let unrecordedBytes = 0;
   return new Promise(resolve => {
     const finish = (result: BodyResult) => {
       request.off('data', add);
@@ -150,8 +168,12 @@
     };
     const add = (piece: Buffer) => {
       receivedBytes += piece.length;
-      memory.connection.recordProgress();
-      memory.connection.recordPassed(piece.length);
+      unrecordedBytes += piece.length;
+      if (unrecordedBytes >= RECORDED_BYTES) {
+        memory.connection.recordProgress();
+        memory.connection.recordPassed(unrecordedBytes);
+        unrecordedBytes = 0;
+      }
       if (receivedBytes > maxBytes) {
         pieces.clear();
         finish(tooLarge(maxBytes));
@@ -189,7 +211,7 @@
 
 /** What is dropped of a body above its limit before its connection closes. */
 function excessBytes(maxBytes: number): number {
-  return Math.max(DROPPED_MULTIPLE * maxBytes, MIN_DROPPED_BYTES);
+  return Math.max(maxBytes, MIN_EXCESS_BYTES);
 }
 
 /**
@@ -205,17 +227,21 @@
   memory.dropped = new Promise(resolve => {
     const finish = () => {
       request.off('data', count);
+      memory.connection.setAwaitsCaller(false);
       resolve();
     };
     const count = (piece: Buffer) => {
       leftBytes -= piece.length + DROPPED_PIECE_BYTES;
-      memory.connection.recordProgress();
-      memory.connection.recordPassed(piece.length);
+      if (piece.length >= RECORDED_BYTES) {
+        memory.connection.recordProgress();
+        memory.connection.recordPassed(piece.length);
+      }
       if (leftBytes >= 0) return;
       memory.stopReading();
       finish();
     };
     if (request.complete || request.destroyed) resolve();
+    else memory.connection.setAwaitsCaller(true);
     request.on('data', count);
     request.once('end', finish);
     request.once('close', finish);
