--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,6 +1,7 @@
 /** Schemas, utilities and services shared by all packages. */
 export * from './bodyreader.js';
 export * from './build.js';
+export * from './callermemory.js';
 export * from './clock.js';
 export * from './commandline.js';
 export * from './errors.js';
--- a/packages/core/src/relay.ts
+++ b/packages/core/src/relay.ts
@@ -130,7 +130,7 @@
 }
 
 /** Largest body that is written together with the head, in bytes. */
-const MAX_JOINED_BYTES = 16_384;
+export const MAX_JOINED_BYTES = 16_384;
 
 /**
  * Ends a message with the body. Node.js writes a text with the head at once, and
--- a/packages/decide/src/index.ts
+++ b/packages/decide/src/index.ts
@@ -4,9 +4,11 @@
  */
 export * from './admission.js';
 export * from './budget.js';
+export * from './heldbytes.js';
 export * from './claims.js';
 export * from './coldendpoints.js';
 export * from './config.js';
+export * from './connectionseats.js';
 export * from './contextcopies.js';
 export * from './costplacement.js';
 export * from './crashevidence.js';
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -18,6 +18,7 @@
 export * from './endpointregistry.js';
 export * from './evacuatedzones.js';
 export * from './evacuationmetrics.js';
+export * from './callerbounds.js';
 export * as callerListener from './callerlistener.js';
 export * from './eventsplitter.js';
 export * from './feeds.js';
--- a/packages/direct/src/responsebody.ts
+++ b/packages/direct/src/responsebody.ts
@@ -39,6 +39,7 @@
 export async function readBuffered(
   endpointResponse: attempt.EndpointResponse,
   reader: core.BodyReader,
+  memory: core.CallMemory,
 ): Promise<BufferedBody | Error> {
   const bufferedChunks: Buffer[] = [];
   let byteCount = 0;
@@ -48,7 +49,8 @@
       if (!chunk) break;
       bufferedChunks.push(chunk);
       byteCount += chunk.length;
-      if (byteCount > MAX_BUFFERED_BYTES) {
+      // Without memory for it, the rest isn't read before the caller takes it.
+      if (byteCount > MAX_BUFFERED_BYTES || !memory.hold(chunk.length)) {
         return {body: Buffer.concat(bufferedChunks), exceedsBuffer: true};
       }
     }
@@ -56,6 +58,7 @@
     return error as Error;
   }
   if (!endpointResponse.response.complete) return TRUNCATED;
+  memory.connection.recordPassed(byteCount);
   const [first] = bufferedChunks;
   const body =
     bufferedChunks.length === 1 ? first! : Buffer.concat(bufferedChunks);
--- a/packages/direct/src/responsedelivery.ts
+++ b/packages/direct/src/responsedelivery.ts
@@ -115,7 +115,8 @@
       return {type: 'failed_run', status};
     }
     const reader = new core.BodyReader(response);
-    const buffered = await bodies.readBuffered(incoming, reader);
+    const {memory} = this.outgoing;
+    const buffered = await bodies.readBuffered(incoming, reader, memory);
     if (buffered instanceof Error) return this.breakResult(incoming, buffered);
     const {body, exceedsBuffer} = buffered;
     if (exceedsBuffer) return this.relayUnbuffered(incoming, body, reader);
@@ -175,6 +176,8 @@
     if (framing === 'marked') {
       sentHeaders['content-length'] = String(body.length);
     }
+    // What waits for the caller is held by the write.
+    this.outgoing.memory.release(body.length);
     this.outgoing.writeHead(status, sentHeaders, framing);
     this.outgoing.end(body);
   }
--- a/packages/direct/src/settings.ts
+++ b/packages/direct/src/settings.ts
@@ -118,6 +118,33 @@
       'whether requests are placed by their cost where endpoints tell their ' +
       'load, or by their number',
   },
+  memoryMb: {
+    schema: core.wholeNumberSchema(64, 1_048_576),
+    fallback: '202',
+    unit: 'MB',
+    meaning: 'memory of the machine that this process may use',
+  },
+  heldMb: {
+    schema: core.wholeNumberSchema(0, 1_048_576),
+    fallback: '0',
+    unit: 'MB',
+    meaning:
+      'memory for requests and answers that are received, wait or are sent; ' +
+      '0: a quarter of the memory',
+  },
+  maxFds: {
+    schema: core.wholeNumberSchema(64, 1_048_576),
+    fallback: '2069',
+    meaning: 'descriptors that this process may open',
+  },
+  stallMs: {
+    schema: core.wholeNumberSchema(100, MAX_MS),
+    fallback: '15000',
+    unit: 'ms',
+    meaning:
+      'longest time for which a caller may send nothing of a body, or take ' +
+      'nothing of an answer',
+  },
   logLevel: {
     schema: core.oneOfSchema(['error', 'warn', 'info', 'debug']),
     fallback: 'info',
