--- a/packages/direct/src/callerlistener.ts
+++ b/packages/direct/src/callerlistener.ts
@@ -18,7 +18,6 @@
 import * as recorder from './recorder.js';
 import type * as settings from './settings.js';
 import * as activeTables from './activetables.js';
-import * as tablesArrival from './tablesarrival.js';
 
 /** Maximum size of a request's head, in bytes. */
 const MAX_HEAD_BYTES = 65_536;
@@ -125,11 +124,6 @@
       clock,
     );
     try {
-      if (!this.kernel.find(activeTables.ACTIVE_TABLES).current()) {
-        await this.kernel
-          .find(tablesArrival.TABLES_ARRIVAL)
-          .wait(head.callerTimeoutMs, callerResponse.callerGone);
-      }
       const routing = await this.readRequest(request, head, arrivedMs);
       if (routing.ok) await processPendingSocketEvents();
       const dispatched: routedRequest.RequestOutcome = routing.ok
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -40,4 +40,3 @@
 export * from './activetables.js';
 export * from './requestwatch.js';
 export * from './waitingroom.js';
-export * from './tablesarrival.js';
--- a/packages/router/src/wiredirect.ts
+++ b/packages/router/src/wiredirect.ts
@@ -106,10 +106,6 @@
     new direct.InMemoryFleetRegistry(kernel, self),
   );
   kernel.register(direct.RUN_STATE, new direct.RouterRunState(kernel));
-  kernel.register(
-    direct.TABLES_ARRIVAL,
-    new direct.BoundedTablesArrival(kernel),
-  );
 }
 
 /** Finds what requests that crash endpoints have in common. */
