--- a/packages/router/src/wiredirect.ts
+++ b/packages/router/src/wiredirect.ts
@@ -148,10 +148,6 @@
     new direct.EvacuationMetrics(kernel),
   );
   kernel.register(direct.RUN_STATE, new direct.RouterRunState(kernel));
-  kernel.register(
-    direct.TABLES_ARRIVAL,
-    new direct.BoundedTablesArrival(kernel),
-  );
 }
 
 /** Finds what requests that crash endpoints have in common. */
