--- a/packages/decide/src/costplacement.ts
+++ b/packages/decide/src/costplacement.ts
@@ -120,9 +120,10 @@
   ): prefixPlacement.DirectChoice | undefined {
     const {homes = [], prefixTokens = 0} = request;
     const limit = prefixPlacement.prefixLimit(candidates, prefixTokens);
-    const eligible = candidates.filter(({inFlight}) => inFlight < limit);
     const balance = limit * PROMPT_BALANCE_OF_LIMIT;
-    const holders = eligible.filter(({id}) => homes.includes(id));
+    const holders = candidates.filter(
+      ({id, inFlight}) => inFlight < limit && homes.includes(id),
+    );
     const home = this.pick(
       request,
       holders.map(each =>
@@ -131,7 +132,7 @@
     );
     // Without a home, all routers have to choose the same endpoint.
     if (!home) return this.options.fallback.choose(request, candidates);
-    const earlier = this.earlierThan(home, request, eligible, balance);
+    const earlier = this.earlierThan(home, request, candidates, limit);
     if (!earlier) return {...choiceOf(home, 'home'), limit};
     return {...choiceOf(earlier, 'earlier'), limit};
   }
@@ -139,14 +140,13 @@
   /**
    * An endpoint at which the request starts so much earlier than at its home
    * that it is worth bringing the prefix there, which costs other requests. All
-   * routers consider the same one, so that a
-   * prefix gets few homes.
+   * routers consider the same one, so that a prefix gets few homes.
    */
   private earlierThan(
     home: Option,
     request: prefixPlacement.DirectPlacementRequest,
-    eligible: readonly prefixPlacement.DirectCandidate[],
-    balance: number,
+    candidates: readonly prefixPlacement.DirectCandidate[],
+    limit: number,
   ): Option | undefined {
     const {delayMs = 0, firstEventMs} = home.estimate;
     if (delayMs < MIN_DELAY_MS) return undefined;
@@ -156,7 +156,10 @@
     if (delayMs < bringMs * (1 + wasteOf(request))) return undefined;
     const {prefix = '', homes = []} = request;
     if (homes.length >= MAX_HOMES) return undefined;
-    const others = eligible.filter(({id}) => !homes.includes(id));
+    const others = candidates.filter(
+      ({id, inFlight}) => inFlight < limit && !homes.includes(id),
+    );
+    const balance = limit * PROMPT_BALANCE_OF_LIMIT;
     const top = this.topOf(prefix, others);
     const holdsPrefix = canCopy(request);
     const option =
--- a/packages/decide/src/prefixplacement.ts
+++ b/packages/decide/src/prefixplacement.ts
@@ -207,9 +207,7 @@
   candidates: readonly DirectCandidate[],
   {multiple, slack}: LoadBound,
 ): number {
-  const total = candidates.reduce(
-    (sum, endpoint) => sum + endpoint.inFlight,
-    0,
-  );
+  let total = 0;
+  for (const {inFlight} of candidates) total += inFlight;
   return (total / Math.max(1, candidates.length)) * multiple + slack;
 }
