Notice that a response ended before its body is read

Cause: the reader of a body waited for events that had already come when a response and the end of its connection were read together, as after a pause of the process: the request then hung until its deadline (joinedheads.test.js, late bytes of a router that stood still).

Change: the reader looks at the state of the message first.

--- a/packages/core/src/bodyreader.ts
+++ b/packages/core/src/bodyreader.ts
@@ -27,6 +27,11 @@
     message.once('close', () => {
       if (!this.isEnded) this.fail(new Error('the connection closed'));
     });
+    // Both may have come with the head; no event follows then.
+    if (message.readableEnded) this.isEnded = true;
+    else if (message.destroyed) {
+      this.fail(message.errored ?? new Error('the connection closed'));
+    }
   }
 
   /**
