--- a/packages/router/src/tests/notrun.test.ts
+++ b/packages/router/src/tests/notrun.test.ts
@@ -147,6 +147,7 @@
   hop_limit: 'owners.test.ts',
   not_owner: 'lists.test.ts',
   not_ready: 'inforce.test.ts',
+  overloaded: 'overloaded.test.ts',
   stale_config: 'inforce.test.ts',
   poison: 'poison.test.ts',
   request_timeout: 'badinput.test.ts',
