--- a/packages/direct/src/tests/simulatedpool.ts
+++ b/packages/direct/src/tests/simulatedpool.ts
@@ -156,6 +156,10 @@
       }),
     );
     kernel.register(direct.ENDPOINT_HEALTH, new decide.NaiveHealth());
+    kernel.register(
+      direct.EVACUATED_ZONES,
+      new direct.LoggedEvacuatedZones(kernel, new decide.NewestEvacuations()),
+    );
     kernel.register(
       direct.ENDPOINT_NOTICES,
       new decide.RecentEndpointNotices(),
@@ -216,6 +220,7 @@
     const response = {
       hasBegun: false,
       callerGone: caller.signal,
+      memory: new core.CallMemory(),
       writeHead: () => undefined,
       write: () => Promise.resolve(),
       end: () => undefined,
