Estimate costs and send twice only where endpoints tell how long work takes

Cause: learning, comparing estimates and watching for second sends take processor time for each request.

Change: the setting placement has the value auto, the default: estimates are made once an endpoint has told its pace, which those do that share their instances; second sends likewise. cost makes them always, counts never.

--- a/packages/decide/src/costplacement.ts
+++ b/packages/decide/src/costplacement.ts
@@ -87,6 +87,8 @@
     request: prefixPlacement.DirectPlacementRequest,
     candidates: readonly prefixPlacement.DirectCandidate[],
   ): prefixPlacement.DirectChoice | undefined {
+    const {estimates, fallback} = this.options;
+    if (!estimates.isOn) return fallback.choose(request, candidates);
     return request.prefix === undefined
       ? this.chooseSoonest(request, candidates)
       : this.chooseForPrefix(request, candidates);
--- a/packages/decide/src/index.ts
+++ b/packages/decide/src/index.ts
@@ -29,6 +29,7 @@
 export * from './endpointlimits.js';
 export * from './endpointnotices.js';
 export * from './endpointroom.js';
+export * from './ondemandestimates.js';
 export * from './ownership.js';
 export * from './permitgranter.js';
 export * from './placement.js';
--- a/packages/decide/src/learnedestimates.ts
+++ b/packages/decide/src/learnedestimates.ts
@@ -43,6 +43,7 @@
 export class LearnedStartEstimates
   implements startEstimates.StartEstimates, startEstimates.WorkObserver
 {
+  readonly isOn = true;
   private readonly timesByKind = new Map<string, workTimes.WorkTimes>();
   private readonly paces = new endpointPaces.EndpointPaces();
   private readonly unanswered = new unansweredSends.UnansweredSends();
--- a/packages/decide/src/secondsends.ts
+++ b/packages/decide/src/secondsends.ts
@@ -15,6 +15,8 @@
 
 /** Decides on second sends. */
 export interface SecondSends {
+  /** Whether there are any. */
+  readonly isOn: boolean;
   /** Records that a request was sent that could be sent a second time. */
   recordSend(pool: string): void;
   /** Records the time until the answer began, or the wait for it ended. */
@@ -69,6 +71,13 @@
   /** Second sends that each pool may make now. */
   private readonly creditByPool = new Map<string, number>();
 
+  /** @param isCalledFor whether endpoints are so uneven that they help */
+  constructor(private readonly isCalledFor: () => boolean = () => true) {}
+
+  get isOn(): boolean {
+    return this.isCalledFor();
+  }
+
   recordSend(pool: string): void {
     const credit = this.creditByPool.get(pool) ?? 0;
     this.creditByPool.set(pool, Math.min(MAX_BURST, credit + MAX_SHARE));
@@ -131,6 +140,8 @@
 
 /** Baseline: no second sends. */
 export class NoSecondSends implements SecondSends {
+  readonly isOn = false;
+
   recordSend(): void {}
 
   recordAnswer(): void {}
--- a/packages/decide/src/startestimates.ts
+++ b/packages/decide/src/startestimates.ts
@@ -66,6 +66,8 @@
 
 /** Estimates when endpoints can answer. */
 export interface StartEstimates {
+  /** Whether estimates are made at all. */
+  readonly isOn: boolean;
   /** Undefined as long as too little is known of the pool. */
   estimate(
     work: RequestWork,
@@ -96,6 +98,8 @@
 
 /** Baseline: knows nothing, so that requests are placed by their number. */
 export class UnknownStartEstimates implements StartEstimates, WorkObserver {
+  readonly isOn = false;
+
   estimate(): undefined {}
 
   recordSend(
--- a/packages/decide/src/tests/costestimates.test.ts
+++ b/packages/decide/src/tests/costestimates.test.ts
@@ -266,6 +266,7 @@
     timesMs: Readonly<Record<string, {held: number; unheld: number}>>,
   ): decide.StartEstimates {
     return {
+      isOn: true,
       estimate: (work, {id, holdsPrefix}) => {
         const {held, unheld} = timesMs[id] ?? {held: 50, unheld: 150};
         const firstEventMs = holdsPrefix ? held : unheld;
--- a/packages/direct/src/endpointsends.ts
+++ b/packages/direct/src/endpointsends.ts
@@ -66,7 +66,8 @@
     delivery,
     progress,
   }: dispatchProgress.Dispatch): boolean {
-    return !delivery.hasBegun && progress.runs.maySendAfterOpen();
+    if (!this.secondSends.isOn || delivery.hasBegun) return false;
+    return progress.runs.maySendAfterOpen();
   }
 
   /** Opens the second send once it is due; undefined if there is none. */
--- a/packages/direct/src/settings.ts
+++ b/packages/direct/src/settings.ts
@@ -112,11 +112,11 @@
     meaning: 'interval between digests to the other routers',
   },
   placement: {
-    schema: core.oneOfSchema(['cost', 'counts']),
-    fallback: 'cost',
+    schema: core.oneOfSchema(['auto', 'cost', 'counts']),
+    fallback: 'auto',
     meaning:
-      'whether requests are placed by their cost where endpoints tell their ' +
-      'load, or by their number',
+      'whether requests are placed by their cost or by their number, and slow ' +
+      'ones sent twice; auto: by cost where endpoints tell how long work takes',
   },
   memoryMb: {
     schema: core.wholeNumberSchema(64, 1_048_576),
--- a/packages/router/src/wiredirect.ts
+++ b/packages/router/src/wiredirect.ts
@@ -70,7 +70,12 @@
   );
   kernel.register(direct.WAIT_POLICY, new decide.TimelyWaitPolicy());
   kernel.register(direct.RETURN_TIMES, new decide.SpreadReturnTimes(random));
-  kernel.register(direct.SECOND_SENDS, new decide.UnusualTimeSecondSends());
+  kernel.register(
+    direct.SECOND_SENDS,
+    new decide.UnusualTimeSecondSends(
+      () => kernel.find(direct.START_ESTIMATES).isOn,
+    ),
+  );
   registerCost(kernel, routerSettings);
   kernel.register(direct.CONTEXT_COPIES, new decide.FastCopyPolicy());
   kernel.register(
@@ -98,7 +103,12 @@
   const random = kernel.find(core.RANDOM);
   const load = new decide.SummedFleetLoad();
   const workLeft = new decide.AgingWorkLeft();
-  const estimates = new decide.LearnedStartEstimates({load, workLeft});
+  const learned = new decide.LearnedStartEstimates({load, workLeft});
+  const isAlwaysOn = placement === 'cost';
+  const estimates =
+    placement === 'counts'
+      ? new decide.UnknownStartEstimates()
+      : new decide.OnDemandStartEstimates({learned, isAlwaysOn});
   kernel.register(direct.FLEET_LOAD, load);
   kernel.register(direct.WORK_LEFT, workLeft);
   kernel.register(direct.START_ESTIMATES, estimates);
@@ -109,7 +119,7 @@
     fallback: byCounts,
     random,
   });
-  kernel.register(direct.PLACEMENT, placement === 'cost' ? byCost : byCounts);
+  kernel.register(direct.PLACEMENT, placement === 'counts' ? byCounts : byCost);
   kernel.register(
     direct.START_RECORDER,
     new direct.MeasuringStartRecorder(kernel),
