Send no stream again to an endpoint that refused it

Cause: a request that waited for room was sent again to endpoints that had refused it.

Change: a refused request returns only to endpoints that got no byte of it, unless it may be repeated, or runs once on a connection of its own.

--- a/packages/direct/src/dispatcher.ts
+++ b/packages/direct/src/dispatcher.ts
@@ -107,7 +107,19 @@
     const nowMs = this.nowMs();
     return endpointNotices
       .openEndpoints(this.kernel, request.pool)
-      .some(each => notices.earliestWillingMs([each], nowMs) !== undefined);
+      .some(
+        each =>
+          this.mayTake(progress, each) &&
+          notices.earliestWillingMs([each], nowMs) !== undefined,
+      );
+  }
+
+  /** Whether the request may be sent to the endpoint, now or after a wait. */
+  private mayTake(
+    {triedIds, returnableIds}: dispatchProgress.DispatchProgress,
+    {id}: model.Endpoint,
+  ): boolean {
+    return !triedIds.has(id) || returnableIds.has(id);
   }
 
   /** Waits until an endpoint may have room; false if none will in time. */
@@ -125,8 +137,11 @@
     progress.waitedMs += this.nowMs() - startedMs;
     if (end.type === 'room') {
       progress.waitSpan = end.span;
-      for (const id of progress.refusedIds) progress.triedIds.delete(id);
-      progress.refusedIds.clear();
+      for (const id of progress.returnableIds) {
+        progress.triedIds.delete(id);
+        progress.refusedIds.delete(id);
+      }
+      progress.returnableIds.clear();
       return true;
     }
     if (end.type === 'refused') {
--- a/packages/direct/src/dispatchprogress.ts
+++ b/packages/direct/src/dispatchprogress.ts
@@ -19,8 +19,13 @@
   sendCount: number;
   readonly runs: decide.RequestRuns;
   readonly triedIds: Set<string>;
-  /** Those of `triedIds` that refused the request for want of room. */
+  /** Those of `triedIds` that had no room for the request. */
   readonly refusedIds: Set<string>;
+  /**
+   * Those of `refusedIds` to which the request may be sent again, so that it may
+   * wait for room there.
+   */
+  readonly returnableIds: Set<string>;
   lastFailure: core.Failure;
   /** Placement of the last send. */
   placement?: routedRequest.PlacementDecision;
@@ -45,6 +50,7 @@
     }),
     triedIds: new Set(),
     refusedIds: new Set(),
+    returnableIds: new Set(),
     lastFailure: {kind: 'pool_empty', detail: `${pool} has no endpoint`},
     waitedMs: 0,
   };
--- a/packages/direct/src/endpointsends.ts
+++ b/packages/direct/src/endpointsends.ts
@@ -10,6 +10,7 @@
 import * as dispatchProgress from './dispatchprogress.js';
 import * as endpointSelector from './endpointselector.js';
 import type * as model from './model.js';
+import * as routedRequest from './routedrequest.js';
 import type * as sendAllowance from './sendallowance.js';
 import * as waitingRoom from './waitingroom.js';
 
@@ -151,6 +152,9 @@
     }
     if (!isWithoutRoom(result)) return;
     progress.refusedIds.add(id);
+    if (result.type !== 'not_run' || mayReturn(request.route)) {
+      progress.returnableIds.add(id);
+    }
     // The request did not reach the endpoint, so it costs no retry.
     if (result.type === 'withheld') progress.sendCount -= 1;
     else room.recordRefusal(id, this.nowMs());
@@ -261,3 +265,13 @@
   if (result.type === 'not_run') return result.isFull;
   return result.type === 'not_sent' && result.isUnreachable;
 }
+
+/**
+ * Whether a request of the route may be sent again to an endpoint that refused
+ * it: a late copy of the refusal must not pass for the answer to that send. One
+ * that runs once uses a new connection for each send; one that may be repeated
+ * may run twice.
+ */
+function mayReturn(route: model.Route): boolean {
+  return route.repeat === 'once' || routedRequest.isRetryable(route);
+}
