Send a request again to an endpoint that refused it on new connections only

It had returned, after a wait, to an endpoint that had refused it, over a kept connection; a late copy of the refusal passed for the answer to the second send.

Change: of refused requests, only those that use a new connection for each send return to an endpoint that refused them.

--- a/packages/direct/src/endpointsends.ts
+++ b/packages/direct/src/endpointsends.ts
@@ -10,7 +10,6 @@
 import * as dispatchProgress from './dispatchprogress.js';
 import * as endpointSelector from './endpointselector.js';
 import type * as model from './model.js';
-import * as routedRequest from './routedrequest.js';
 import type * as sendAllowance from './sendallowance.js';
 import * as waitingRoom from './waitingroom.js';
 
@@ -268,10 +267,9 @@
 
 /**
  * Whether a request of the route may be sent again to an endpoint that refused
- * it: a late copy of the refusal must not pass for the answer to that send. One
- * that runs once uses a new connection for each send; one that may be repeated
- * may run twice.
+ * it. Only one that uses a new connection for each send may: on a kept one, a
+ * late copy of the refusal would pass for the answer to the second send.
  */
-function mayReturn(route: model.Route): boolean {
-  return route.repeat === 'once' || routedRequest.isRetryable(route);
+function mayReturn({repeat}: model.Route): boolean {
+  return repeat === 'once';
 }
