Register bounds of callers in the test of the listener for other routers

Change: the test registers none, as promises.test.ts does.

Result: tablesdifference.test.ts passes.

--- a/packages/direct/src/tests/tablesdifference.test.ts
+++ b/packages/direct/src/tests/tablesdifference.test.ts
@@ -140,6 +140,7 @@
     const kernel = new core.Kernel();
     kernel.register(core.LOGGER, new core.SilentLogger());
     kernel.register(core.CLOCK, new core.SystemClock());
+    kernel.register(direct.CALLER_BOUNDS, {of: () => core.UNBOUNDED});
     tables = new direct.IndexedTables(kernel);
     kernel.register(direct.ACTIVE_TABLES, tables);
     tables.activate(routedTables.largeTables(4, 300), 'store');
