--- a/review/harness-2.mjs
+++ b/review/harness-2.mjs
@@ -445,9 +445,10 @@
  */
 export function call(options) {
   const {address, port, method = 'POST', path, headers, body} = options;
+  const {agent = false} = options;
   return new Promise(resolve => {
     const request = http.request(
-      {host: address, port, method, path, headers, agent: false},
+      {host: address, port, method, path, headers, agent},
       response => {
         const chunks = [];
         response.on('data', chunk => chunks.push(chunk));
