--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,58 +1,59 @@
 /**
- * A crowd of clients sends requests of legal size ahead on their connections and
- * reads no answers. The router must not end, and the requests of other
- * clients must be answered.
+ * One of eight model engines sends interim response heads (status 102) without
+ * end. Calls to another service must still be answered by their route's timeout.
  */
-import * as fs from 'node:fs';
-import * as http from 'node:http';
-import * as net from 'node:net';
+import * as childProcess from 'node:child_process';
+import * as url from 'node:url';
 import * as harness from '../harness-2.mjs';
 
 const ROUTERS = 2;
-const ENGINES = 8;
-const EVENTS = 50;
-const EVENT_INTERVAL_MS = 200;
+const SOUND_ENGINES = 7;
+const DESKS = 4;
+const EVENTS = 20;
+const EVENT_INTERVAL_MS = 100;
 
-/** Ordinary clients, each of which sends requests on a kept connection. */
-const CALLERS = 20;
+/** Route timeout and deadline of the calls that are judged, in ms. */
+const TIMEOUT_MS = 800;
+const DEADLINE_MS = 1_501;
 
-/** Requests passed on and not answered that the rule allows. */
-const MAX_LOST = 3;
+/** Time after the route's timeout by which its answer is due, in ms. */
+const ANSWER_SLACK_MS = 500;
+const MIN_LATE = 8;
 
-const CLIENTS = 450;
-
-/** Requests that each client sends ahead, beside the one that is served. */
-const REQUESTS_AHEAD = 20;
-
-/** Size of a field of the requests sent ahead, in bytes. */
-const FIELD_BYTES = 15_500;
-
-/** The config's limit on the head of a request, in bytes. */
-const MAX_HEAD_BYTES = 16_384;
-
-/** Clients that connect together, and the pause after them, in ms. */
-const GROUP_SIZE = 10;
-const GROUP_PAUSE_MS = 60;
-
-const WAIT_MS = 3_000;
-const DEADLINE_MS = 12_004;
+/** How long the engine is in trouble, in ms. */
+const LENGTH_MS = 6_500;
+const CALL_INTERVAL_MS = 100;
+const STREAM_INTERVAL_MS = 60;
+const READY_INTERVAL_MS = 1_000;
 
 const ROUTES = [
   {
-    name: 'report-draft',
+    name: 'norm-check',
     host: harness.HOST,
-    pathPrefix: '/draft/',
+    pathPrefix: '/norm/',
     kind: 'streaming',
-    timeoutMs: 12_000,
+    timeoutMs: 10_000,
     goalMs: 800,
-    priority: 0,
+    priority: 1,
     service: 'pool',
-    maxAttempts: 2,
+    maxAttempts: 1,
     public: false,
     sticky: true,
-    resumable: true,
+    resumable: false,
     gapTargetMs: 400,
   },
+  {
+    name: 'cert-issue',
+    host: harness.HOST,
+    pathPrefix: '/cert/',
+    kind: 'non_idempotent',
+    timeoutMs: TIMEOUT_MS,
+    goalMs: 100,
+    priority: 2,
+    service: 'desk',
+    maxAttempts: 1,
+    public: false,
+  },
 ];
 
 async function stream(run, response, engine) {
@@ -67,148 +68,143 @@
   response.end();
 }
 
+async function issue(run, response, engine) {
+  await harness.sleep(20);
+  response.writeHead(200, engine.answerHeaders(run.id)).end('issued');
+}
+
 async function startEngines(store, engines) {
-  for (let index = 0; index < ENGINES; index++) {
+  const count = SOUND_ENGINES + (harness.hasTrouble ? 0 : 1);
+  for (let index = 0; index < count; index++) {
     const id = `engine-${index}`;
     engines.push(
       new harness.Engine(store, {id, service: 'pool', answer: stream}),
     );
   }
+  for (let index = 0; index < DESKS; index++) {
+    const id = `desk-${index}`;
+    engines.push(
+      new harness.Engine(store, {id, service: 'desk', slots: 6, answer: issue}),
+    );
+  }
   for (const engine of engines) await engine.start();
 }
 
-/** Sends requests on one kept connection until one of them is not answered. */
-async function sendRequests({address}, port, state, record) {
-  const agent = new http.Agent({keepAlive: true, maxSockets: 1});
-  while (!state.isOver) {
-    const id = harness.newAttemptId();
-    const {status, error, isComplete} = await harness.call({
-      address,
-      port,
-      agent,
-      path: '/draft/1',
-      headers: harness.clientHeaders(id, DEADLINE_MS),
-      body: 'x',
-      timeoutMs: DEADLINE_MS,
+/** Starts the engine in trouble and keeps its entry; returns a handle of it. */
+async function startTroubledEngine(store, record) {
+  const program = url.fileURLToPath(new URL('engine.mjs', import.meta.url));
+  const id = 'engine-in-trouble';
+  const child = childProcess.fork(program, [id], {stdio: 'inherit'});
+  const troubled = {runs: 0, stop: () => undefined};
+  const port = await new Promise(resolve => {
+    child.on('message', message => {
+      if (message.port) resolve(message.port);
+      if (!message.ran) return;
+      troubled.runs += 1;
+      record.write(`${id} began ${message.ran}`);
     });
-    state.sentCount += 1;
-    if (isComplete) continue;
-    record.write(`${id} of an ordinary client: ${status} ${error}`);
-    state.unanswered.push(id);
-    break;
-  }
-  agent.destroy();
-}
-
-function requestText(field) {
-  const headers = {
-    ...harness.clientHeaders(harness.newAttemptId(), DEADLINE_MS),
-    'content-length': '1',
-    ...(field === undefined ? {} : {'x-note': field}),
+  });
+  const entry = new harness.Engine(store, {id, service: 'pool'});
+  entry.port = port;
+  entry.writeEntry();
+  const heartbeat = setInterval(() => entry.writeEntry(), 1_200);
+  troubled.begin = () => child.send('begin');
+  troubled.recover = () => child.send('recover');
+  troubled.stop = () => {
+    clearInterval(heartbeat);
+    child.kill('SIGKILL');
   };
-  const lines = Object.entries(headers).map(
-    ([name, value]) => `${name}: ${value}`,
-  );
-  const head = ['POST /draft/1 HTTP/1.1', ...lines, '', ''].join('\r\n');
-  if (head.length > MAX_HEAD_BYTES) throw new Error('the head is too large');
-  return `${head}x`;
+  return troubled;
 }
 
-/** What one client sends: a request that is served, and those sent ahead. */
-function clientText(client) {
-  const ahead = harness.hasTrouble ? REQUESTS_AHEAD : 0;
-  const texts = [requestText()];
-  for (let n = 0; n < ahead; n++) {
-    // No two fields are alike.
-    texts.push(requestText(`${client}-${n}-`.padEnd(FIELD_BYTES, 'n')));
+async function measureLag(state) {
+  while (!state.isOver) {
+    const startMs = performance.now();
+    await harness.sleep(20);
+    state.lagMs = Math.max(state.lagMs, performance.now() - startMs - 20);
   }
-  return texts.join('');
 }
 
-function memoryMb({child}) {
-  try {
-    const status = fs.readFileSync(`/proc/${child.pid}/status`, 'utf8');
-    return Math.round(Number(/VmRSS:\s+(\d+)/.exec(status)[1]) / 1_024);
-  } catch {
-    return 0;
+async function checkReadiness(state, fleet, record, router) {
+  while (!state.isOver) {
+    const status = await fleet.readiness(router);
+    record.write(
+      `readiness of ${router.name}: ${status || 'no answer in 1 s'}`,
+    );
+    await harness.sleep(READY_INTERVAL_MS);
   }
 }
 
-function connectClient(client, {address}, port, state) {
-  const socket = net.connect({host: address, port});
-  state.sockets.push(socket);
-  socket.on('connect', () => (state.connected += 1));
-  socket.on('close', () => (state.closed += 1));
-  socket.on('error', () => undefined);
-  socket.pause();
-  socket.write(clientText(client));
-}
-
 await harness.runCase(
   import.meta.url,
   async ({record, store, fleet, engines}) => {
     store.put('keyed.op', 'config', harness.createConfig(1, ROUTES));
     await startEngines(store, engines);
     await fleet.start(ROUTERS);
-    const [router] = fleet.routers;
     const {entry: port} = fleet.ports;
-    const state = {
-      isOver: false,
-      sockets: [],
-      connected: 0,
-      closed: 0,
-      sentCount: 0,
-      unanswered: [],
+    const state = {isOver: false, lagMs: 0};
+    void measureLag(state);
+    for (const router of fleet.routers) {
+      void checkReadiness(state, fleet, record, router);
+    }
+    const troubled = harness.hasTrouble
+      ? await startTroubledEngine(store, record)
+      : undefined;
+    // The routers hear of the engine.
+    await harness.sleep(1_500);
+
+    const openCalls = new Set();
+    const calls = [];
+    const send = ({address, name}, path, deadlineMs) => {
+      const id = harness.newAttemptId();
+      const sentMs = performance.now();
+      const sent = {id, path, router: name, sentMs, answeredMs: undefined};
+      const headers = harness.clientHeaders(id, deadlineMs);
+      const done = harness
+        .call({address, port, path, headers, body: 'x', timeoutMs: deadlineMs})
+        .then(({status, error}) => {
+          if (status > 0) sent.answeredMs = performance.now() - sentMs;
+          const tookMs = Math.round(performance.now() - sentMs);
+          record.write(
+            `${id} ${path} at ${name}: ${status || error} after ${tookMs} ms`,
+          );
+          openCalls.delete(done);
+        });
+      openCalls.add(done);
+      return sent;
     };
-    const callers = Array.from({length: CALLERS}, () =>
-      sendRequests(router, port, state, record),
-    );
-    await harness.sleep(1_000);
-    const watch = setInterval(
-      () => record.write(`memory of ${router.name}: ${memoryMb(router)} MB`),
-      500,
-    );
-    for (let client = 0; client < CLIENTS && !router.exit; client++) {
-      connectClient(client, router, port, state);
-      if (client % GROUP_SIZE === GROUP_SIZE - 1) {
-        record.write(`${client + 1} clients have sent`);
-        await harness.sleep(GROUP_PAUSE_MS);
+    troubled?.begin();
+    const endMs = performance.now() + LENGTH_MS;
+    const sendStreams = async () => {
+      for (let n = 0; performance.now() < endMs; n++) {
+        send(fleet.routers[n % ROUTERS], '/norm/1', 10_000);
+        await harness.sleep(STREAM_INTERVAL_MS);
       }
+    };
+    void sendStreams();
+    for (let n = 0; performance.now() < endMs; n++) {
+      calls.push(send(fleet.routers[n % ROUTERS], '/cert/1', DEADLINE_MS));
+      await harness.sleep(CALL_INTERVAL_MS);
     }
-    await harness.sleep(WAIT_MS);
-    clearInterval(watch);
+    troubled?.recover();
+    await harness.sleep(DEADLINE_MS + 500);
     state.isOver = true;
-    await Promise.all(callers);
-    record.print(
-      `${state.connected} clients connected, ${state.closed} connections closed`,
-    );
-    const runs = engines.flatMap(engine => engine.runs.map(({id}) => id));
-    record.print(`requests that engines ran: ${runs.length}`);
-    const lost = state.unanswered.filter(id => runs.includes(id));
+    troubled?.stop();
+
+    const answeredBy = ms =>
+      calls.filter(({answeredMs = Infinity}) => answeredMs <= ms).length;
+    const late = calls.length - answeredBy(TIMEOUT_MS);
+    const dueMs = TIMEOUT_MS + ANSWER_SLACK_MS;
+    const unanswered = calls.length - answeredBy(dueMs);
     record.print(
-      `${state.sentCount} requests of ordinary clients, ${lost.length} of them ` +
-        'passed on to a sound engine and not answered as a whole',
+      `${calls.length} calls to the other service: ${late} unanswered at the ` +
+        `route's ${TIMEOUT_MS} ms, ${unanswered} at ${dueMs} ms`,
     );
-    const {status, error} = await harness.call({
-      address: router.address,
-      port,
-      path: '/draft/1',
-      headers: harness.clientHeaders(harness.newAttemptId(), DEADLINE_MS),
-      body: 'x',
-      timeoutMs: DEADLINE_MS,
-    });
-    record.print(`an ordinary request afterwards: ${status || error}`);
-    for (const line of router.log) {
-      if (/FATAL|caller_cut/.test(line))
-        record.write(`${router.name}: ${line}`);
-    }
-    const {exit} = router;
+    record.print(`requests at the engine in trouble: ${troubled?.runs ?? 0}`);
     record.print(
-      exit
-        ? `the router ended by itself: ${exit.signal ?? `status ${exit.status}`}`
-        : 'the router lives',
+      `longest pause of the stand-ins: ${Math.round(state.lagMs)} ms`,
     );
-    for (const socket of state.sockets) socket.destroy();
-    return exit !== undefined && lost.length > MAX_LOST;
+    if (state.lagMs > 400) throw new Error('the stand-ins were held up');
+    return late >= MIN_LATE && unanswered * 2 > late;
   },
 );
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# A crowd sends requests ahead; with TROUBLE=0 it sends one on each connection.
+# An engine sends interim response heads without end; with TROUBLE=0 it is sound.
 cd "$(dirname "$0")" || exit 2
 exec node case.mjs
--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -1,33 +1,25 @@
 /**
- * Clients send requests of legal size that have very many short fields. Engines
- * must get the fields that say what the request is as the clients sent them.
+ * A router gets SIGTERM while it relays event streams that have neither a length
+ * nor chunks. A stream that it has to break off must not look complete.
  */
-import * as net from 'node:net';
 import * as harness from '../harness-2.mjs';
 
 const ROUTERS = 2;
 const ENGINES = 4;
-const REQUESTS = 20;
-const EVENTS = 20;
-const DEADLINE_MS = 12_004;
-const INTERVAL_MS = 50;
+const CLIENTS = 12;
 
-/** Number of short fields with the disruption, and without. */
-const MANY_FIELDS = 1_100;
-const FEW_FIELDS = 10;
+/** Events of each stream, and the pause between them, in ms. */
+const EVENTS = 110;
+const EVENT_INTERVAL_MS = 100;
 
-/** The config's limit on the head of a request, in bytes. */
-const MAX_HEAD_BYTES = 16_384;
+const DEADLINE_MS = 12_004;
 
-/** Id of the last event that the clients have from an earlier answer. */
-const LAST_EVENT_ID = 12;
+/** Time from the first request to the signal, in ms. */
+const SIGNAL_AFTER_MS = 1_000;
 
-/** What the request is; these fields follow the short ones. */
-const REQUEST_FIELDS = {
-  model: 'm',
-  'token-counts': '1460,80',
-  'prompt-prefix': '5c1e07a2:800,91bd3f06:410,e4402b7d:250',
-};
+/** The signal that ends the router, and the time until SIGKILL follows, in ms. */
+const {SIGNAL = 'SIGTERM'} = process.env;
+const GRACE_MS = 8_000;
 
 const ROUTES = [
   {
@@ -47,52 +39,29 @@
   },
 ];
 
-async function stream(run, response, engine) {
-  response.writeHead(200, {
+/** Answers with a stream that ends with its channel. */
+async function stream(run, {socket}, engine) {
+  const from = Number(run.headers['last-event-id'] ?? 0);
+  const headers = {
     ...engine.answerHeaders(run.id),
     'content-type': 'text/event-stream',
-  });
-  const from = Number(run.headers['last-event-id'] ?? 0);
-  for (let n = from + 1; n <= EVENTS; n++) {
-    response.write(`id: ${n}\ndata: piece ${n}\n\n`);
+    connection: 'close',
+  };
+  const lines = Object.entries(headers).map(
+    ([name, value]) => `${name}: ${value}\r\n`,
+  );
+  socket.on('error', () => undefined);
+  socket.write(`HTTP/1.1 200 OK\r\n${lines.join('')}\r\n`);
+  for (let n = from + 1; n <= EVENTS && !socket.destroyed; n++) {
+    socket.write(`id: ${n}\ndata: piece ${n}\n\n`);
+    await harness.sleep(EVENT_INTERVAL_MS);
   }
-  response.end();
-}
-
-function requestHead(id) {
-  const count = harness.hasTrouble ? MANY_FIELDS : FEW_FIELDS;
-  const shortFields = Array.from({length: count}, (_, index) => [
-    `x${index.toString(36)}`,
-    '1',
-  ]);
-  const fields = [
-    ...Object.entries(harness.clientHeaders(id, DEADLINE_MS)),
-    ...shortFields,
-    ...Object.entries(REQUEST_FIELDS),
-    ['last-event-id', String(LAST_EVENT_ID)],
-    ['content-length', '1'],
-    ['connection', 'close'],
-  ];
-  const lines = fields.map(([name, value]) => `${name}: ${value}`);
-  const head = ['POST /draft/1 HTTP/1.1', ...lines, '', ''].join('\r\n');
-  if (head.length > MAX_HEAD_BYTES) throw new Error('the head is too large');
-  return head;
+  run.isComplete = !socket.destroyed;
+  socket.end();
 }
 
-/** Sends the request; resolves with the text of the answer. */
-function send({address}, port, head) {
-  return new Promise(resolve => {
-    const socket = net.connect({host: address, port});
-    let text = '';
-    const timer = setTimeout(() => socket.destroy(), DEADLINE_MS);
-    socket.on('data', data => (text += data));
-    socket.on('error', () => undefined);
-    socket.on('close', () => {
-      clearTimeout(timer);
-      resolve(text);
-    });
-    socket.write(`${head}x`);
-  });
+function countEvents(body = '') {
+  return body.match(/^id: \d+\ndata: piece \d+\n\n/gm)?.length ?? 0;
 }
 
 await harness.runCase(
@@ -110,38 +79,43 @@
       engines.push(engine);
     }
     await fleet.start(ROUTERS);
-    let changedCount = 0;
-    let repeatedCount = 0;
-    let answeredCount = 0;
-    for (let n = 0; n < REQUESTS; n++) {
+    const [router] = fleet.routers;
+    const calls = Array.from({length: CLIENTS}, async () => {
       const id = harness.newAttemptId();
-      const head = requestHead(id);
-      const router = fleet.routers[n % ROUTERS];
-      const text = await send(router, fleet.ports.entry, head);
-      const [statusLine] = text.split('\r\n');
-      record.write(`${id}: head of ${head.length} bytes, ${statusLine}`);
-      if (statusLine.startsWith('HTTP/1.1 200')) answeredCount += 1;
-      if (text.includes(`id: ${LAST_EVENT_ID}\n`)) repeatedCount += 1;
-      for (const run of engines.flatMap(({runs}) => runs)) {
-        if (run.id !== id) continue;
-        const changed = Object.entries(REQUEST_FIELDS).filter(
-          ([name, value]) => run.headers[name] !== value,
-        );
-        for (const [name, value] of changed) {
-          const got = run.headers[name] ?? 'nothing';
-          record.write(`${id}: ${name} sent as ${value}, run with ${got}`);
-        }
-        if (changed.length > 0) changedCount += 1;
-      }
-      await harness.sleep(INTERVAL_MS);
+      record.write(`${id} sent to ${router.name}`);
+      const answer = await harness.call({
+        address: router.address,
+        port: fleet.ports.entry,
+        path: '/draft/1',
+        headers: harness.clientHeaders(id, DEADLINE_MS),
+        body: 'x',
+        timeoutMs: DEADLINE_MS,
+      });
+      const {status, isComplete, error} = answer;
+      const events = countEvents(answer.body);
+      const end = isComplete ? 'ended as complete' : `broken off: ${error}`;
+      record.print(
+        `${id}: status ${status}, ${events} of ${EVENTS} events, ${end}`,
+      );
+      return {isComplete, events};
+    });
+    await harness.sleep(SIGNAL_AFTER_MS);
+    if (harness.hasTrouble) {
+      fleet.signal(router, SIGNAL);
+      const killTimer = setTimeout(() => {
+        if (!router.exit) fleet.signal(router, 'SIGKILL');
+      }, GRACE_MS);
+      void router.exited.then(() => clearTimeout(killTimer));
     }
+    const answers = await Promise.all(calls);
+    const cutCount = engines
+      .flatMap(({runs}) => runs)
+      .filter(({isComplete}) => !isComplete).length;
     record.print(
-      `${REQUESTS} requests sent, ${answeredCount} answered with 200`,
+      `streams that engines could not write to their end: ${cutCount}`,
     );
-    record.print(`runs with other fields than the client's: ${changedCount}`);
-    record.print(
-      `answers that repeat events before ${LAST_EVENT_ID + 1}: ${repeatedCount}`,
+    return answers.some(
+      ({isComplete, events}) => isComplete && events < EVENTS,
     );
-    return changedCount > 0;
   },
 );
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Requests have very many short fields; with TROUBLE=0 they have few.
+# A router is stopped during unframed streams; with TROUBLE=0 it keeps running.
 cd "$(dirname "$0")" || exit 2
 exec node case.mjs
