--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -99,6 +99,9 @@
   const port = await new Promise(resolve => {
     child.on('message', message => {
       if (message.port) resolve(message.port);
+      if (message.sentBytes !== undefined) {
+        record.write(`${id} sent ${message.sentBytes} bytes of interim heads`);
+      }
       if (!message.ran) return;
       troubled.runs += 1;
       record.write(`${id} began ${message.ran}`);
--- a/review/7/engine.mjs
+++ b/review/7/engine.mjs
@@ -8,8 +8,12 @@
 
 let isInTrouble = false;
 
+/** Bytes that channels of requests have taken, and those still in buffers. */
+let sentBytes = 0;
+
 process.on('message', message => {
   isInTrouble = message === 'begin';
+  if (message === 'recover') process.send({sentBytes});
 });
 
 const HEADS = Buffer.from('HTTP/1.1 102 Processing\r\n\r\n'.repeat(2_500));
@@ -19,6 +23,7 @@
   socket.on('error', () => undefined);
   while (isInTrouble && !socket.destroyed) {
     const isWritable = socket.write(HEADS);
+    sentBytes += HEADS.length;
     const next = new Promise(resolve => {
       if (isWritable) setImmediate(resolve);
       else socket.once('drain', resolve);
