Reset every answer that the router breaks off and that has no chunks

Cause: such an answer ends with its connection. `abortResponse` resets it, but `Listener.close` and `drain`, a connection that gives way, a handler that fails and a request whose rest can't be read closed the socket by themselves.

Change: `responses.closeSocket` decides between a reset and an ordinary close, and `Connection.close` is the one way to it. A process that stops closes callers' connections before its services. A request that waited behind a broken response is no longer taken from its connection.

Why it works: what is being written on a connection is known in one place, and nothing else closes sockets of callers that have a request.

--- a/packages/core/src/connection.ts
+++ b/packages/core/src/connection.ts
@@ -8,6 +8,7 @@
 import type * as errors from './errors.js';
 import * as mailbox from './mailbox.js';
 import * as parseErrors from './parseerrors.js';
+import * as responses from './responses.js';
 
 /**
  * Number of waiting requests from which on nothing more is read. What one read
@@ -116,6 +117,8 @@
     const wasFull = this.calls.size >= MAX_WAITING;
     this.isServing = false;
     const call = await this.calls.take();
+    // A call may have arrived that nobody is left to be answered for.
+    if (this.socket.destroyed) return undefined;
     if (!call || (this.refusal && !call.request.complete)) {
       if (this.refusal || this.isStopped) await this.awaitResponse();
       if (this.isStopped) this.endStopped();
@@ -171,7 +174,12 @@
   closeRefused(nowMs: number): void {
     if (!this.isEnded) return;
     this.endedMs ??= nowMs;
-    if (nowMs - this.endedMs > LINGER_MS) this.socket.destroy();
+    if (nowMs - this.endedMs > LINGER_MS) this.close();
+  }
+
+  /** Closes the connection at once; a begun response is seen to be incomplete. */
+  close(): void {
+    responses.closeSocket(this.socket, this.currentCall?.response);
   }
 
   /** Gives way: refuses the body that arrives, or closes the connection. */
@@ -179,7 +187,7 @@
     if (this.currentCall?.memory.refuseBody(reason)) return;
     this.isStopped = true;
     stopParsing(this.socket);
-    this.socket.destroy();
+    this.close();
   }
 
   /** Reads nothing more; the connection closes after the response. */
@@ -217,7 +225,7 @@
     this.isEnded = true;
     const {request, response} = this.currentCall ?? {};
     if (request?.complete === false && response?.headersSent) {
-      this.socket.destroySoon();
+      responses.closeSocketSoon(this.socket, response);
       return;
     }
     const {failure, requestId} = this.refusal;
--- a/packages/core/src/listener.ts
+++ b/packages/core/src/listener.ts
@@ -13,6 +13,7 @@
 import * as logQuota from './logquota.js';
 import * as parseErrors from './parseerrors.js';
 import * as requestTimeouts from './requesttimeouts.js';
+import * as responses from './responses.js';
 import * as tasks from './tasks.js';
 
 export * from './requestbody.js';
@@ -138,21 +139,26 @@
       // `http.Server.close` would close the idle connections as well.
       net.Server.prototype.close.call(this.server, () => resolve());
     });
-    const closeTimer = setTimeout(
-      () => this.server.closeAllConnections(),
-      timeoutMs,
-    );
+    const closeTimer = setTimeout(() => this.closeConnections(), timeoutMs);
     await closed;
     clearTimeout(closeTimer);
   }
 
+  /**
+   * Closes all open connections at once; their clients see that responses in
+   * progress are incomplete.
+   */
+  closeConnections(): void {
+    for (const connection of this.connections.values()) connection.close();
+  }
+
   /** Accepts no more connections and closes all open ones. */
   async close(): Promise<void> {
     this.disableKeepAlive();
     const closed = new Promise<void>(resolve =>
       this.server.close(() => resolve()),
     );
-    this.server.closeAllConnections();
+    this.closeConnections();
     await closed;
     await this.tasks.stop();
   }
@@ -237,7 +243,7 @@
         path: url.split('?')[0],
         reason,
       });
-      if (call.response.headersSent) call.response.destroy();
+      if (call.response.headersSent) responses.abortResponse(call.response);
       else sendProblem(call.response, {kind: 'internal', detail: reason}, '');
     }
   }
--- a/packages/core/src/responses.ts
+++ b/packages/core/src/responses.ts
@@ -1,5 +1,6 @@
 /** Helpers for writing Node.js HTTP responses. */
 import type * as http from 'node:http';
+import type * as net from 'node:net';
 import type * as stream from 'node:stream';
 import type * as metrics from './metrics.js';
 
@@ -62,12 +63,37 @@
 /** Aborts a started response so that the client sees that it is incomplete. */
 export function abortResponse(response: http.ServerResponse): void {
   const {socket} = response;
-  // Without chunked encoding a client may take the closing of the connection
-  // for the end of the body; a connection reset is always an error to it.
-  if (socket && !response.chunkedEncoding) socket.resetAndDestroy();
+  if (socket && !response.chunkedEncoding) closeSocket(socket, response);
   else response.destroy();
 }
 
+/**
+ * Closes a client's connection at once; `response` is the one being written.
+ *
+ * Without chunked encoding a client may take the closing of the connection for
+ * the end of the body; a connection reset is always an error to it.
+ */
+export function closeSocket(
+  socket: net.Socket,
+  response: http.ServerResponse | undefined,
+): void {
+  const isWritten = !response?.headersSent || response.writableFinished;
+  if (isWritten || response.chunkedEncoding) socket.destroy();
+  else if (!socket.destroyed) socket.resetAndDestroy();
+}
+
+/**
+ * Closes a client's connection once what was written has been sent; a response
+ * that has not ended is seen to be incomplete.
+ */
+export function closeSocketSoon(
+  socket: net.Socket,
+  response: http.ServerResponse,
+): void {
+  if (response.writableEnded || response.chunkedEncoding) socket.destroySoon();
+  else closeSocket(socket, response);
+}
+
 /** Responds with the metrics of the process in the Prometheus text format. */
 export async function sendMetrics(
   response: http.ServerResponse,
--- a/packages/direct/src/callerlistener.ts
+++ b/packages/direct/src/callerlistener.ts
@@ -60,12 +60,17 @@
    * were closed after `timeoutMs`.
    */
   drain(timeoutMs: number): Promise<void>;
+  /**
+   * Closes all connections at once, so that callers see that responses in
+   * progress are incomplete.
+   */
+  closeConnections(): void;
 }
 
 /** The contract under which the listener for callers is registered. */
 export const CALLER_LISTENER = core.contract<CallerListener>(
   'caller-listener',
-  ['disableKeepAlive', 'drain'],
+  ['disableKeepAlive', 'drain', 'closeConnections'],
 );
 
 /** The route and API key holder of a request, or why the request is refused. */
@@ -115,6 +120,10 @@
     return this.listener.drain(timeoutMs);
   }
 
+  closeConnections(): void {
+    this.listener.closeConnections();
+  }
+
   private async serve(call: core.listener.Call): Promise<void> {
     const endRequest = this.kernel.find(runState.RUN_STATE).beginRequest();
     const clock = this.kernel.find(core.CLOCK);
--- a/packages/direct/src/run.ts
+++ b/packages/direct/src/run.ts
@@ -70,5 +70,7 @@
     await clock.sleep(POLL_INTERVAL_MS);
   }
   log.info('stopping', {in_flight: ownState.inFlight()});
+  // The end of the process would look like the end of responses in progress.
+  kernel.find(callerListener.CALLER_LISTENER).closeConnections();
   await Promise.race([kernel.stop(), clock.sleep(STOP_TIMEOUT_MS)]);
 }
