Keep all fields of a head, and count heads that have not ended

Cause: Node.js drops fields above `maxHeadersCount` (1,000) without an error, in requests and in answers.

Change: no limit on the number of fields in the listener, the relay and the stand-ins; the size of a head bounds it. A first try, the limit off and nothing else, let 930 callers with unfinished heads of 16 KB and 3,000 fields end the process at its heap limit, so heads that have not ended count now like whole ones (`core.RequestParser`).

Why it works: a head is served whole or refused for its size; there is no way left on which a field is cut.

--- a/packages/core/src/connection.ts
+++ b/packages/core/src/connection.ts
@@ -8,6 +8,7 @@
 import type * as errors from './errors.js';
 import * as mailbox from './mailbox.js';
 import * as parseErrors from './parseerrors.js';
+import * as requestParsers from './requestparser.js';
 import * as responses from './responses.js';
 
 /**
@@ -56,6 +57,12 @@
   /** The newest call and the bytes read as of the last check. */
   private checkedCall: Call | undefined;
   private checkedBytes = 0;
+  private readonly parser: requestParsers.RequestParser;
+  /** Bytes read of the socket as of the last read. */
+  private seenBytes = 0;
+  /** Bytes read of a head that has not ended, and what is held for it. */
+  private partialHeadBytes = 0;
+  private heldHeadBytes = 0;
 
   /**
    * @param receivingSinceMs time since which a request is awaited, in ms of the
@@ -70,6 +77,8 @@
       address: socket.remoteAddress ?? '',
       cut: reason => this.cut(reason),
     });
+    this.parser = new requestParsers.RequestParser(socket);
+    this.parser.onRead(() => this.holdPartialHead());
     socket.once('close', () => {
       // Nobody is left to answer.
       this.calls.drain();
@@ -93,6 +102,7 @@
   /** Adds a request whose head has arrived. */
   put(request: http.IncomingMessage, response: http.ServerResponse): void {
     if (this.isStopped || !this.memory) return;
+    this.releasePartialHead();
     const memory = new callerMemory.CallMemory(this.memory, () =>
       this.stop(response),
     );
@@ -186,7 +196,7 @@
   private cut(reason: callerMemory.CutReason): void {
     if (this.currentCall?.memory.refuseBody(reason)) return;
     this.isStopped = true;
-    stopParsing(this.socket);
+    this.parser.stop();
     this.close();
   }
 
@@ -199,11 +209,36 @@
   /** Reads nothing more; the connection closes after the waiting calls. */
   private stopAfterWaiting(): void {
     this.isStopped = true;
-    stopParsing(this.socket);
+    this.parser.stop();
     this.socket.pause();
     this.calls.close();
   }
 
+  /** Counts what was read of a head that has not ended. */
+  private holdPartialHead(): void {
+    const {bytesRead} = this.socket;
+    const newBytes = bytesRead - this.seenBytes;
+    this.seenBytes = bytesRead;
+    if (!this.parser.isInHead) return this.releasePartialHead();
+    this.partialHeadBytes += newBytes;
+    const bytes =
+      this.partialHeadBytes + FIELD_TEXT_BYTES * this.parser.headTextCount;
+    const addedBytes = bytes - this.heldHeadBytes;
+    if (!this.memory || this.isStopped) return;
+    if (this.memory.hold(addedBytes)) {
+      this.heldHeadBytes = bytes;
+      return;
+    }
+    this.memory.recordCut('memory');
+    this.stopAfterWaiting();
+  }
+
+  private releasePartialHead(): void {
+    this.partialHeadBytes = 0;
+    if (this.heldHeadBytes > 0) this.memory?.release(this.heldHeadBytes);
+    this.heldHeadBytes = 0;
+  }
+
   private isReceiving(): boolean {
     const call = this.newestCall;
     if (this.refusal) return false;
@@ -259,20 +294,3 @@
     if (this.isEnded || this.isStopped || isFull) this.socket.pause();
   }
 }
-
-/** The part of the parser of a connection that is used here. */
-interface RequestParser {
-  onIncoming?: unknown;
-}
-
-/** What the parser is told to take the bytes behind a head for no request. */
-const NOT_HTTP = 2;
-
-/**
- * Makes the parser of the connection stop at the next head: what was read of the
- * socket may hold a thousand further requests.
- */
-function stopParsing(socket: net.Socket): void {
-  const {parser} = socket as {parser?: RequestParser | null};
-  if (parser) parser.onIncoming = () => NOT_HTTP;
-}
--- a/packages/core/src/listener.ts
+++ b/packages/core/src/listener.ts
@@ -75,6 +75,9 @@
       keepAliveTimeout: options.keepAliveMs ?? DEFAULT_KEEP_ALIVE_MS,
       noDelay: true,
     });
+    // By default, Node.js drops the fields after the first 1,000 without an
+    // error. The size of the head bounds their number.
+    this.server.maxHeadersCount = 0;
     this.timeouts = new requestTimeouts.RequestTimeouts(
       options.requestTimeoutMs,
       nowMs => this.checkTimeouts(nowMs),
--- a/packages/core/src/relay.ts
+++ b/packages/core/src/relay.ts
@@ -239,7 +239,7 @@
 
 /** Throws if the address, path or a header cannot be written. */
 function createRequest(options: RelayOptions): http.ClientRequest {
-  return http.request({
+  const request = http.request({
     host: options.address,
     port: options.port,
     method: options.method,
@@ -248,6 +248,10 @@
     headers: headerList(options) as unknown as http.OutgoingHttpHeaders,
     agent: options.agent ?? SINGLE_USE_AGENT,
   });
+  // By default, Node.js drops the fields after the first 1,000 of the response
+  // without an error.
+  request.maxHeadersCount = 0;
+  return request;
 }
 
 /**
--- a/packages/router/src/tests/callerbounds.test.ts
+++ b/packages/router/src/tests/callerbounds.test.ts
@@ -23,6 +23,12 @@
 /** Connections of a crowd each of which makes the endpoint work. */
 const SMALL_CROWD = 60;
 
+/** Limits of the smallest instances, and the callers' connections there. */
+const INSTANCE_MB = 272;
+const INSTANCE_HELD_MB = 68;
+const INSTANCE_FDS = 2_069;
+const INSTANCE_SEATS = 930;
+
 const TEST_TIMEOUT_MS = 60_000;
 const LONG_ANSWER = 'a'.repeat(12 * BYTES_PER_MB);
 /** Answer that is read as a whole before it is passed on. */
@@ -179,3 +185,38 @@
     await checkCrowd();
   });
 });
+
+describe('callers that take all seats of an instance', function () {
+  this.timeout(TEST_TIMEOUT_MS);
+  let router: routerProcess.RouterProcess;
+  let crowd: crowds.Crowd;
+
+  beforeEach(async () => {
+    router = new routerProcess.RouterProcess();
+    crowd = new crowds.Crowd();
+    await router.start({heldMb: INSTANCE_HELD_MB, maxFds: INSTANCE_FDS});
+  });
+
+  afterEach(async () => {
+    crowd.leave();
+    await router.stop();
+  });
+
+  for (const kind of [
+    crowds.HEADS_OF_MOST_FIELDS,
+    crowds.BODIES_OF_MOST_FIELDS,
+  ]) {
+    it(kind.name, async () => {
+      const door: crowds.Door = {
+        host: router.address,
+        port: router.ports.entry,
+        head: (method, fields) => router.head(`${method} /read/a`, fields),
+      };
+      crowd.open([door], kind, INSTANCE_SEATS);
+      await crowd.press();
+      await router.awaitService();
+      const peakMb = router.memory().peakBytes / BYTES_PER_MB;
+      expect(peakMb, 'peak of the memory in MB').to.be.at.most(INSTANCE_MB);
+    });
+  }
+});
--- a/packages/router/src/tests/crowds.ts
+++ b/packages/router/src/tests/crowds.ts
@@ -32,6 +32,7 @@
 const SMALL_PIECE = Buffer.alloc(200, 'p');
 const SMALL_PIECES = 300;
 const SHORT_FIELDS = 1_900;
+const MOST_FIELDS = 3_000;
 const AHEAD = 20_000;
 const DRIP_COUNT = 20;
 const DRIP_PAUSE_MS = 50;
@@ -51,6 +52,28 @@
   index => `${index.toString(36)}:1`,
 );
 
+/** The shortest fields of different names, as many as fit in 16 KB. */
+const mostFields = [...Array(MOST_FIELDS).keys()].map(
+  index => `${index.toString(36)}:`,
+);
+
+/** Heads of legal size of the shortest fields, which do not end. */
+export const HEADS_OF_MOST_FIELDS: Misbehaviour = {
+  name: 'heads of legal size with as many fields as fit, without their end',
+  attack: (socket, door) => {
+    socket.write(door.head('GET', mostFields));
+  },
+};
+
+/** Whole heads of that kind, with a body that does not end. */
+export const BODIES_OF_MOST_FIELDS: Misbehaviour = {
+  name: 'heads of legal size with as many fields as fit, with part of a body',
+  attack: (socket, door) => {
+    const fields = [...mostFields, 'content-length: 9'];
+    socket.write(`${door.head('POST', fields)}${END_OF_HEAD}12345678`);
+  },
+};
+
 function sendBody(
   name: string,
   declaration: string,
--- a/packages/router/src/tests/directfleet.ts
+++ b/packages/router/src/tests/directfleet.ts
@@ -180,6 +180,36 @@
     });
   }
 
+  /** Sends a request with these headers only, in this order. */
+  callWithHeaders(
+    path: string,
+    headers: Record<string, string>,
+  ): Promise<ReceivedResponse> {
+    return this.send(this.ports.entry, 0, {method: 'POST', path, headers});
+  }
+
+  /** Sends a request in chunks, with trailers behind them. */
+  callWithTrailers(
+    path: string,
+    {headers, trailers}: Record<'headers' | 'trailers', Record<string, string>>,
+  ): Promise<ReceivedResponse> {
+    callCount += 1;
+    const callerHeaders = standins.callerHeaders({
+      host: HOST,
+      attemptId: `attempt-${callCount}`,
+      apiKey: API_KEY,
+      deadlineMs: CALLER_TIMEOUT_MS,
+    });
+    const chunked = {'transfer-encoding': 'chunked'};
+    return this.send(this.ports.entry, 0, {
+      method: 'POST',
+      path,
+      headers: {...callerHeaders, ...headers, ...chunked},
+      trailers,
+      body: 'x',
+    });
+  }
+
   /** Sends a request and closes the connection at once. */
   callAndDisconnect(path: string): void {
     callCount += 1;
@@ -210,8 +240,12 @@
    * Requests the readiness check, or another path of its listener, such as the
    * metrics.
    */
-  async getReadiness(router = 0, path = '/ready'): Promise<ReceivedResponse> {
-    return this.send(this.ports.ready, router, {path});
+  async getReadiness(
+    router = 0,
+    path = '/ready',
+    headers: Record<string, string> = {},
+  ): Promise<ReceivedResponse> {
+    return this.send(this.ports.ready, router, {path, headers});
   }
 
   private areAllReady(): boolean {
@@ -258,7 +292,10 @@
   private send(
     port: number,
     router: number,
-    options: http.RequestOptions & {body?: string},
+    options: http.RequestOptions & {
+      body?: string;
+      trailers?: Record<string, string>;
+    },
   ): Promise<ReceivedResponse> {
     return new Promise((resolve, reject) => {
       const request = http.request({
@@ -267,6 +304,7 @@
         port,
         agent: false,
       });
+      request.maxHeadersCount = 0;
       // After the head has arrived, an error only means that the response is
       // incomplete. Node reports one without a length as complete even then.
       let isBroken = false;
@@ -286,6 +324,7 @@
           }),
         );
       });
+      if (options.trailers) request.addTrailers(options.trailers);
       request.end(options.body);
     });
   }
--- a/packages/standins/src/hostedendpoint.ts
+++ b/packages/standins/src/hostedendpoint.ts
@@ -173,6 +173,7 @@
     const server = http.createServer((request, response) => {
       void this.serve(request, response);
     });
+    server.maxHeadersCount = 0;
     server.on('connection', socket => {
       this.sockets.add(socket);
       socket.once('close', () => this.sockets.delete(socket));
--- a/packages/standins/src/httpcall.ts
+++ b/packages/standins/src/httpcall.ts
@@ -76,6 +76,7 @@
     agent: options.agent,
     signal: request.signal,
   });
+  clientRequest.maxHeadersCount = 0;
   if (request.method === 'GET') return clientRequest.end();
   const body = JSON.stringify({...request.body, nonce: options.nonce});
   clientRequest.setHeader('content-type', 'application/json');
--- a/packages/standins/src/httpserver.ts
+++ b/packages/standins/src/httpserver.ts
@@ -93,6 +93,7 @@
       headersTimeout: 0,
       keepAliveTimeout: 0,
     });
+    server.maxHeadersCount = 0;
     this.tasks = new core.TaskGroup(this.logger);
     server.on('connection', socket => this.accept(socket));
     server.on('request', (request, response) => {
--- a/packages/standins/src/topicstore.ts
+++ b/packages/standins/src/topicstore.ts
@@ -85,6 +85,7 @@
     this.server = http.createServer((request, response) => {
       void this.serve(request, response);
     });
+    this.server.maxHeadersCount = 0;
   }
 
   /** Listens on a port that the system chooses, and returns it. */
