Bound what one answer of very many small items takes of the event loop

Cause: no bound on interim heads, and, behind it, a turn of the event loop is bounded in bytes of a connection and not in items, each of which is a call of the parser. Evidence: status 100 and chunks of one byte behind a sound head do the same (endlessitems.test.ts).

Change: an answer is given up after 100 interim heads. Items of answers are counted; connections far beyond the rate of a sound one are paused, read in turn within one budget (`decide.ItemBudget`), and given up after 16,384 charged items. Log line, counters and gauge.

Why it works: a turn holds one read of such a connection, and all of them together have a bounded share of the processor.

Result: endlessitems.test.ts, five of seven red before (no ordinary request answered within 15 s), passes.

--- a/packages/core/src/bodyreader.ts
+++ b/packages/core/src/bodyreader.ts
@@ -4,6 +4,7 @@
  * several times the work for each chunk.
  */
 import type * as http from 'node:http';
+import * as readPacing from './readpacing.js';
 
 /** Bytes that wait to be read from which on no more are received. */
 const MAX_WAITING_BYTES = 16_384;
@@ -17,7 +18,10 @@
   private error: Error | undefined;
   private wake: (() => void) | undefined;
 
-  constructor(private readonly message: http.IncomingMessage) {
+  constructor(
+    private readonly message: http.IncomingMessage,
+    private readonly meter: readPacing.ItemMeter = readPacing.IDLE_METER,
+  ) {
     message.on('data', (chunk: Buffer) => this.add(chunk));
     message.once('end', () => {
       this.isEnded = true;
@@ -49,6 +53,7 @@
   }
 
   private add(chunk: Buffer): void {
+    this.meter.record(1);
     this.waitingChunks.push(chunk);
     this.waitingBytes += chunk.length;
     this.wake?.();
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -20,6 +20,7 @@
 export * from './metrics.js';
 export * from './logoutput.js';
 export * from './random.js';
+export * from './readpacing.js';
 export * from './records.js';
 export * as relay from './relay.js';
 export * from './adminresponses.js';
--- a/packages/core/src/relay.ts
+++ b/packages/core/src/relay.ts
@@ -7,8 +7,11 @@
 import type * as net from 'node:net';
 import * as errors from './errors.js';
 import * as joinedHeads from './joinedheads.js';
+import * as readPacing from './readpacing.js';
+import * as responseReadings from './responsereading.js';
 
 export {endToEndHeaders} from './forwardedheaders.js';
+export {UnsoundResponseError} from './responsereading.js';
 
 /** The request to send, its destination and its time limits. */
 export interface RelayOptions {
@@ -38,6 +41,8 @@
   readonly mayDispatch?: () => boolean;
   /** Cancels the request. */
   readonly signal?: AbortSignal;
+  /** Paces the reading of the response; by default it is read as it comes. */
+  readonly pacer?: readPacing.ReadPacer;
 }
 
 /** Stage at which a request failed. */
@@ -75,6 +80,8 @@
   readonly earlierRequests: number;
   /** Whether an earlier send of the request may have run. */
   readonly mayHaveRunBefore?: boolean;
+  /** Counts the pieces of the body, as its reader takes them. */
+  readonly meter: readPacing.ItemMeter;
 }
 
 /** A failed request. */
@@ -147,6 +154,7 @@
   signal?: AbortSignal,
 ): RelayError['cause'] {
   if (error instanceof TimeoutError) return 'timeout';
+  if (error instanceof responseReadings.UnsoundResponseError) return 'protocol';
   if (signal?.aborted) return 'aborted';
   // Error codes of the HTTP parser of Node.js begin with HPE_.
   const code = (error as {code?: string}).code ?? '';
@@ -323,13 +331,14 @@
     'no acknowledgement',
   );
   if (options.ackTimeoutMs) request.once('information', cancelAckTimeout);
+  const {meter} = new responseReadings.ResponseReading(request, options);
   endWith(request, options.body);
   try {
     const response = await steps.response();
     const rejection = joinedHeads.isJoinedHead(response)
       ? 'the head holds the status line of another response'
       : options.checkHead?.(response, earlierRequests > 0);
-    if (!rejection) return {type: 'head', response, earlierRequests};
+    if (!rejection) return {type: 'head', response, earlierRequests, meter};
     request.destroy();
     const cause = 'protocol';
     const detail = rejection;
@@ -409,6 +418,7 @@
 
 /** Limits of a body that is read only to reuse its connection. */
 const MAX_DISCARDED_BYTES = 65_536;
+const MAX_DISCARDED_PIECES = 1_024;
 const DISCARD_TIMEOUT_MS = 1_000;
 
 /**
@@ -417,12 +427,17 @@
  */
 export function discardBody(response: http.IncomingMessage): void {
   let discardedBytes = 0;
+  let discardedPieces = 0;
   const timer = setTimeout(() => response.destroy(), DISCARD_TIMEOUT_MS);
   response.once('close', () => clearTimeout(timer));
   response.on('error', () => undefined);
   response.on('data', (chunk: Buffer) => {
     discardedBytes += chunk.length;
-    if (discardedBytes > MAX_DISCARDED_BYTES) response.destroy();
+    discardedPieces += 1;
+    const isLong =
+      discardedBytes > MAX_DISCARDED_BYTES ||
+      discardedPieces > MAX_DISCARDED_PIECES;
+    if (isLong) response.destroy();
   });
 }
 
--- a/packages/decide/src/index.ts
+++ b/packages/decide/src/index.ts
@@ -18,6 +18,7 @@
 export * from './ejection.js';
 export * from './evacuations.js';
 export * from './feedreaders.js';
+export * from './itembudget.js';
 export * from './fleetload.js';
 export * from './fleetmembership.js';
 export * from './load.js';
--- a/packages/direct/src/attempt.ts
+++ b/packages/direct/src/attempt.ts
@@ -99,6 +99,8 @@
 /** A response whose head has arrived. */
 export interface EndpointResponse {
   readonly response: http.IncomingMessage;
+  /** Counts the pieces of the body. */
+  readonly meter: core.ItemMeter;
   readonly status: number;
   /** Records that bytes arrived. */
   recordActivity(): void;
@@ -152,7 +154,7 @@
     if (relayResult.type === 'error') {
       return this.classifyError(options, activeAttempt, relayResult.error);
     }
-    const {response, earlierRequests} = relayResult;
+    const {response, earlierRequests, meter} = relayResult;
     const status = response.statusCode ?? 0;
     const head = this.protocol.readEndpointResponse(status, response.headers);
     activeAttempt.recordActivity();
@@ -165,7 +167,8 @@
     );
     if (!head.isNotRun) {
       activeAttempt.recordHead();
-      return {type: 'response', response: activeAttempt.openResponse(response)};
+      const opened = activeAttempt.openResponse(response, meter);
+      return {type: 'response', response: opened};
     }
     core.relay.discardBody(response);
     if (head.isMisdirected) {
@@ -228,6 +231,7 @@
       checkHead: response => this.checkHead(response, request),
       mayDispatch: () => this.mayDispatch(options),
       signal: activeAttempt.signal,
+      pacer: this.kernel.find(core.READ_PACER),
     };
   }
 
@@ -361,11 +365,15 @@
     this.kernel.find(decisions.CRASH_TRACKER).recordBegun(this.tracked, nowMs);
   }
 
-  openResponse(response: http.IncomingMessage): EndpointResponse {
+  openResponse(
+    response: http.IncomingMessage,
+    meter: core.ItemMeter,
+  ): EndpointResponse {
     const status = response.statusCode ?? 0;
     const isSuccess = status >= 200 && status < 300;
     return {
       response,
+      meter,
       status,
       recordActivity: () => this.recordActivity(),
       recordBegun: () => this.recordBegun(isSuccess),
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -31,6 +31,7 @@
 export * from './runstate.js';
 export * from './liveness.js';
 export * from './model.js';
+export * from './readpacer.js';
 export * from './recorder.js';
 export * as run from './run.js';
 export * as settings from './settings.js';
--- a/packages/direct/src/responsedelivery.ts
+++ b/packages/direct/src/responsedelivery.ts
@@ -114,7 +114,7 @@
       core.relay.discardBody(response);
       return {type: 'failed_run', status};
     }
-    const reader = new core.BodyReader(response);
+    const reader = new core.BodyReader(response, incoming.meter);
     const {memory} = this.outgoing;
     const buffered = await bodies.readBuffered(incoming, reader, memory);
     if (buffered instanceof Error) return this.breakResult(incoming, buffered);
@@ -216,7 +216,7 @@
     incoming: attempt.EndpointResponse,
   ): Promise<boolean> {
     const {outgoing, splitter} = this;
-    const reader = new core.BodyReader(incoming.response);
+    const reader = new core.BodyReader(incoming.response, incoming.meter);
     for (;;) {
       const chunk = await bodies.nextChunk(incoming, reader);
       if (!chunk) return false;
@@ -235,7 +235,8 @@
     error: unknown,
   ): DeliveryResult {
     if (this.outgoing.callerGone.aborted) return {type: 'caller_gone'};
-    const cause = incoming.abortCause() ?? 'broken';
+    const isUnsound = error instanceof core.relay.UnsoundResponseError;
+    const cause = incoming.abortCause() ?? (isUnsound ? 'protocol' : 'broken');
     return {type: 'broken', cause, detail: core.errorMessage(error)};
   }
 
--- a/packages/router/src/tests/routerprocess.ts
+++ b/packages/router/src/tests/routerprocess.ts
@@ -49,9 +49,12 @@
   private callCount = 0;
 
   /** Starts all; resolves once an ordinary request was answered. */
-  async start(limits: ProcessLimits): Promise<void> {
+  async start(
+    limits: ProcessLimits,
+    overrides: standins.HostedConfigFields = {},
+  ): Promise<void> {
     const storePort = await this.store.start(STORE_ADDRESS);
-    const config = directFleet.config(1);
+    const config = directFleet.config(1, overrides);
     const tableLimits = config['limits'] as object;
     this.store.put('keyed.op', 'config', {
       ...config,
