Report the delay of the event loop

Cause: the direct router has no metrics of the runtime, so an operator couldn't see that the event loop was held up, only that nothing answered.

Result: endlessitems.test.ts reads it from the metrics, with the counter of stopped answers.

--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -17,6 +17,7 @@
 export * from './dispatcher.js';
 export * from './endpointregistry.js';
 export * from './evacuatedzones.js';
+export * from './eventloopdelay.js';
 export * from './evacuationmetrics.js';
 export * from './callerbounds.js';
 export * as callerListener from './callerlistener.js';
--- a/packages/router/src/tests/endlessitems.test.ts
+++ b/packages/router/src/tests/endlessitems.test.ts
@@ -130,6 +130,18 @@
       expect(troubled.runs.length).to.be.within(1, 8);
     });
 
+    it('is told by the metrics', async () => {
+      await polling.until('an answer is stopped', async () => {
+        await fleet.call('/read/a');
+        return troubled.runs.length > 0;
+      });
+      const {body} = await fleet.getReadiness(0, '/metrics');
+      expect(body).to.match(
+        /reading_stopped_total{reason="interim_heads"} [1-9]/,
+      );
+      expect(body).to.match(/^oleander_event_loop_delay_ms \d/m);
+    });
+
     it('is unknown to have run where it may not be repeated', async () => {
       const statuses = new Set<number>();
       await polling.until('it gets a request', async () => {
--- a/packages/router/src/wiredirect.ts
+++ b/packages/router/src/wiredirect.ts
@@ -286,6 +286,7 @@
     core.HEAP_COLLECTOR,
     new core.GrowthHeapCollector(kernel, collectedBytes),
   );
+  kernel.register(direct.EVENT_LOOP_DELAY, new direct.EventLoopDelay(kernel));
   kernel.register(core.READ_PACER, new direct.BudgetedReadPacer(kernel));
   kernel.register(
     direct.CALLER_BOUNDS,
