Exclude an endpoint that fails at once and so gets most requests

Cause: an endpoint is excluded if its failure rate is well above that of the pool, which was taken over all requests. One that fails at once looks idle, gets most requests, and its rate is then that of the pool; streams at the others take long, so few successes are known.

Change: each endpoint has the same part in the pool's rate.

Result: the new test in decide/tests/direct.test.ts was red and passes; a second one holds that endpoints which fail alike stay, however uneven their requests.

--- a/packages/decide/src/endpointhealth.ts
+++ b/packages/decide/src/endpointhealth.ts
@@ -375,11 +375,16 @@
   }
 }
 
-/** Failure rate above which an endpoint of the pool counts as failing. */
+/**
+ * Failure rate above which an endpoint of the pool counts as failing. Each
+ * endpoint has the same part in the pool's rate: one that fails at once looks
+ * idle, gets most requests, and would make its own rate that of the pool.
+ */
 function failureThreshold(pool: readonly Outcomes[]): number {
-  const good = pool.reduce((sum, item) => sum + item.good, 0);
-  const failed = pool.reduce((sum, item) => sum + item.failed, 0);
-  const poolRate = failed / Math.max(1, good + failed);
+  const rates = pool.map(
+    ({good, failed}) => failed / Math.max(MIN_WEIGHT, good + failed),
+  );
+  const poolRate = rates.reduce((sum, rate) => sum + rate, 0) / rates.length;
   return Math.max(FAILURE_RATE_THRESHOLD, poolRate * POOL_RATE_FACTOR);
 }
 
--- a/packages/decide/src/tests/direct.test.ts
+++ b/packages/decide/src/tests/direct.test.ts
@@ -223,6 +223,32 @@
     expect(health.filterUsable(pool, 1)).to.deep.equal(['b', 'c', 'd']);
   });
 
+  it('excludes an endpoint that fails at once and so gets most requests', () => {
+    const health = new decide.DecayingHealth({
+      routerCount: () => 1,
+      random: random(),
+    });
+    // Streams at the others take long, so that few successes are known.
+    for (let count = 0; count < 20; count++) health.recordFailure('a', count);
+    expect(health.filterUsable(pool, 20)).to.deep.equal(['b', 'c', 'd']);
+    health.recordSuccess('b', 30);
+    expect(health.filterUsable(pool, 40)).to.deep.equal(['b', 'c', 'd']);
+  });
+
+  it('excludes no endpoint that fails as often as the others, however uneven their requests', () => {
+    const health = new decide.DecayingHealth({
+      routerCount: () => 1,
+      random: random(),
+    });
+    for (const [index, id] of pool.entries()) {
+      for (let count = 0; count < 8 * (index + 1); count++) {
+        if (count % 2 === 0) health.recordFailure(id, count);
+        else health.recordSuccess(id, count);
+      }
+    }
+    expect(health.filterUsable(pool, 40)).to.deep.equal(pool);
+  });
+
   it('excludes no endpoint if most of the pool fails', () => {
     const health = new decide.DecayingHealth({
       routerCount: () => 1,
