Pace bodies in very many small pieces, and refuse them under pressure

Change: the listener counts pieces in the budget of the relay and pauses connections beyond their rate. When more than a second is owed, the next such body is refused with 503, and the parser drops the rest of the read. Tried first: pausing only; with 250 callers the first read of each still took 12 s together. Counting heads of requests in the budget as well was dropped: the queue of a connection bounds them already.

A new crowd of 250 with chunks of one byte, red before, passes.

--- a/packages/core/src/callermemory.ts
+++ b/packages/core/src/callermemory.ts
@@ -5,9 +5,10 @@
  * dropped and refused, or it is closed.
  */
 import type * as errors from './errors.js';
+import * as readPacing from './readpacing.js';
 
 /** Why a connection was asked to give way, or gave way itself. */
-export type CutReason = 'memory' | 'stalled' | 'seats';
+export type CutReason = 'memory' | 'stalled' | 'seats' | 'small_items';
 
 /** The account of one connection. */
 export interface ConnectionMemory {
@@ -71,6 +72,8 @@
     readonly connection: ConnectionMemory = UNBOUNDED_MEMORY,
     /** Makes the connection read nothing further, and close after its response. */
     readonly stopReading: () => void = () => undefined,
+    /** Counts the pieces of the body. */
+    readonly meter: readPacing.ItemMeter = readPacing.IDLE_METER,
   ) {}
 
   hold(bytes: number): boolean {
@@ -111,7 +114,12 @@
 }
 
 function failureOf(reason: CutReason): errors.Failure {
-  return reason === 'stalled'
-    ? {kind: 'request_timeout', detail: 'the body made no progress'}
-    : {kind: 'overloaded', detail: 'there is no memory for the request'};
+  if (reason === 'stalled') {
+    return {kind: 'request_timeout', detail: 'the body made no progress'};
+  }
+  const detail =
+    reason === 'small_items'
+      ? 'there is no time for a body in so many pieces'
+      : 'there is no memory for the request';
+  return {kind: 'overloaded', detail};
 }
--- a/packages/core/src/connection.ts
+++ b/packages/core/src/connection.ts
@@ -8,6 +8,7 @@
 import type * as errors from './errors.js';
 import * as mailbox from './mailbox.js';
 import * as parseErrors from './parseerrors.js';
+import * as readPacing from './readpacing.js';
 import * as requestParsers from './requestparser.js';
 import * as responses from './responses.js';
 
@@ -41,7 +42,8 @@
 }
 
 /** A connection of a caller; its task takes the calls one after another. */
-export class Connection {
+export class Connection implements readPacing.PacedConnection {
+  readonly peer: string;
   private readonly calls = new mailbox.Mailbox<Call>();
   /** The call that the task took last. */
   private currentCall: Call | undefined;
@@ -57,6 +59,8 @@
   /** The newest call and the bytes read as of the last check. */
   private checkedCall: Call | undefined;
   private checkedBytes = 0;
+  private readonly meter: readPacing.ItemMeter;
+  private isPaced = false;
   private readonly parser: requestParsers.RequestParser;
   /** Bytes read of the socket as of the last read. */
   private seenBytes = 0;
@@ -72,9 +76,12 @@
     private readonly socket: net.Socket,
     private receivingSinceMs: number,
     bounds: callerMemory.ConnectionBounds,
+    pacer: readPacing.ReadPacer,
   ) {
+    this.peer = socket.remoteAddress ?? '';
+    this.meter = pacer.meter(this);
     this.memory = bounds.admit({
-      address: socket.remoteAddress ?? '',
+      address: this.peer,
       cut: reason => this.cut(reason),
     });
     this.parser = new requestParsers.RequestParser(socket);
@@ -84,6 +91,8 @@
       this.calls.drain();
       this.calls.close();
       this.memory?.close();
+      this.meter.close();
+      this.parser.release();
     });
     // Node.js resumes the socket whenever the body of a request is read.
     socket.on('resume', () => this.limitReading());
@@ -103,8 +112,10 @@
   put(request: http.IncomingMessage, response: http.ServerResponse): void {
     if (this.isStopped || !this.memory) return;
     this.releasePartialHead();
-    const memory = new callerMemory.CallMemory(this.memory, () =>
-      this.stop(response),
+    const memory = new callerMemory.CallMemory(
+      this.memory,
+      () => this.stop(response),
+      this.meter,
     );
     const textCount = request.rawHeaders.length;
     if (!memory.hold(CALL_BYTES + FIELD_TEXT_BYTES * textCount)) {
@@ -180,6 +191,25 @@
     return nowMs - this.receivingSinceMs > timeoutMs;
   }
 
+  pauseReading(): void {
+    this.isPaced = true;
+    this.limitReading();
+  }
+
+  resumeReading(): void {
+    this.isPaced = false;
+    if (!this.socket.destroyed) this.socket.resume();
+  }
+
+  giveWay(): void {
+    this.memory?.recordCut('small_items');
+    this.cut('small_items');
+  }
+
+  closeForItems(): void {
+    this.close();
+  }
+
   /** Closes the connection some time after a refusal was written. */
   closeRefused(nowMs: number): void {
     if (!this.isEnded) return;
@@ -291,6 +321,7 @@
 
   private limitReading(): void {
     const isFull = this.calls.size >= MAX_WAITING;
-    if (this.isEnded || this.isStopped || isFull) this.socket.pause();
+    const isLimited = this.isEnded || this.isStopped || this.isPaced;
+    if (isLimited || isFull) this.socket.pause();
   }
 }
--- a/packages/core/src/listener.ts
+++ b/packages/core/src/listener.ts
@@ -12,6 +12,7 @@
 import type * as logger from './logger.js';
 import * as logQuota from './logquota.js';
 import * as parseErrors from './parseerrors.js';
+import * as readPacing from './readpacing.js';
 import * as requestTimeouts from './requesttimeouts.js';
 import * as responses from './responses.js';
 import * as tasks from './tasks.js';
@@ -39,6 +40,8 @@
   readonly log: logger.Logger;
   /** Bounds on what the connections hold; none by default. */
   readonly bounds?: callerMemory.ConnectionBounds;
+  /** Paces the reading of the connections; by default they are read at will. */
+  readonly pacer?: readPacing.ReadPacer;
   /**
    * Creates the request ids in responses to unparsable requests; by default
    * these ids are empty.
@@ -167,11 +170,13 @@
   }
 
   private acceptConnection(socket: net.Socket): void {
-    const bounds = this.options.bounds ?? callerMemory.UNBOUNDED;
+    const {bounds = callerMemory.UNBOUNDED, pacer = readPacing.UNPACED} =
+      this.options;
     const connection = new connections.Connection(
       socket,
       this.timeouts.nowMs,
       bounds,
+      pacer,
     );
     if (!connection.isAdmitted) {
       socket.destroy();
--- a/packages/core/src/readpacing.ts
+++ b/packages/core/src/readpacing.ts
@@ -18,6 +18,11 @@
   readonly maxExcessItems?: number;
   pauseReading(): void;
   resumeReading(): void;
+  /**
+   * Gives up what arrives, since too many others send many items as well;
+   * connections without it are only paused.
+   */
+  giveWay?(): void;
   /** Closes the connection, since it exceeded its limit. */
   closeForItems(): void;
 }
--- a/packages/direct/src/auxiliarylisteners.ts
+++ b/packages/direct/src/auxiliarylisteners.ts
@@ -69,6 +69,7 @@
       requestTimeoutMs: REQUEST_TIMEOUT_MS,
       log: kernel.find(core.LOGGER),
       bounds: kernel.find(callerBounds.CALLER_BOUNDS).of(name),
+      pacer: kernel.find(core.READ_PACER),
       serve: call => this.serveWithoutBody(call),
     });
   }
--- a/packages/direct/src/callerlistener.ts
+++ b/packages/direct/src/callerlistener.ts
@@ -97,6 +97,7 @@
       requestTimeoutMs: REQUEST_TIMEOUT_MS,
       log: kernel.find(core.LOGGER),
       bounds: kernel.find(callerBounds.CALLER_BOUNDS).of('entry'),
+      pacer: kernel.find(core.READ_PACER),
       serve: call => this.serve(call),
     });
     kernel.find(activeTables.ACTIVE_TABLES).onChange(({limits}) => {
--- a/packages/direct/src/readpacer.ts
+++ b/packages/direct/src/readpacer.ts
@@ -12,6 +12,9 @@
 const BURST_ITEMS = 10_000;
 const MAX_DEBT_ITEMS = 200_000;
 
+/** Delay from which on callers that send many items give way, in ms. */
+const MAX_DELAY_MS = 1_000;
+
 /** Shortest time between two resumed connections, in ms. */
 const MIN_TURN_MS = 5;
 
@@ -72,12 +75,17 @@
     return this.kernel.find(core.CLOCK).nowMs();
   }
 
-  /** Charges what a paused connection has sent, and queues it if need be. */
-  settle(meter: PacedMeter, items: number): void {
+  /** Charges items; returns whether so many are owed that callers give way. */
+  charge(items: number): boolean {
     const nowMs = this.nowMs();
     this.budget.charge(items, nowMs);
+    return this.budget.delayMs(nowMs) > MAX_DELAY_MS;
+  }
+
+  /** Resumes a paused connection, in its turn if need be. */
+  settle(meter: PacedMeter): void {
     this.pauses.inc();
-    if (this.budget.delayMs(nowMs) === 0) meter.resume();
+    if (this.budget.delayMs(this.nowMs()) === 0) meter.resume();
     else this.paused.put(meter);
   }
 
@@ -124,12 +132,22 @@
   ) {}
 
   record(items: number): void {
-    const isExcess = this.count.add(items, () => this.pacer.nowMs());
-    if (!isExcess || this.isPaused || this.isClosed) return;
-    this.isPaused = true;
-    this.connection.pauseReading();
-    // What was read already is still parsed in this turn.
-    setImmediate(() => this.settle());
+    if (!this.count.add(items, () => this.pacer.nowMs())) return;
+    if (this.isClosed) return;
+    const excessItems = this.count.take(this.pacer.nowMs());
+    this.excessItems += excessItems;
+    const isOverdrawn = this.pacer.charge(excessItems);
+    const {maxExcessItems = Number.POSITIVE_INFINITY} = this.connection;
+    if (this.excessItems > maxExcessItems) {
+      this.recordStop('small_items');
+      this.close();
+      this.connection.closeForItems();
+    } else if (isOverdrawn && this.connection.giveWay) {
+      this.close();
+      this.connection.giveWay();
+    } else {
+      this.pause();
+    }
   }
 
   recordStop(reason: core.StopReason): void {
@@ -147,15 +165,13 @@
     this.resume();
   }
 
-  private settle(): void {
-    const items = this.count.take(this.pacer.nowMs());
-    this.excessItems += items;
-    const {maxExcessItems = Number.POSITIVE_INFINITY} = this.connection;
-    if (!this.isClosed && this.excessItems > maxExcessItems) {
-      this.recordStop('small_items');
-      this.connection.closeForItems();
-      this.close();
-    }
-    if (!this.isClosed) this.pacer.settle(this, items);
+  private pause(): void {
+    if (this.isPaused) return;
+    this.isPaused = true;
+    this.connection.pauseReading();
+    // What was read already is still parsed in this turn.
+    setImmediate(() => {
+      if (this.isPaused) this.pacer.settle(this);
+    });
   }
 }
--- a/packages/router/src/tests/crowds.ts
+++ b/packages/router/src/tests/crowds.ts
@@ -44,6 +44,7 @@
   return Buffer.from(text.repeat(Math.floor(BODY_BYTES / text.length)));
 }
 
+const CHUNKS_OF_ONE = chunks(1);
 const CHUNKS_OF_64 = chunks(64);
 const LONG_CHUNKS = chunks(65_536);
 const EXTENDED_CHUNKS = chunks(64, `;x=${'e'.repeat(200)}`);
@@ -98,6 +99,13 @@
 const CHUNKED = 'transfer-encoding: chunked';
 const WHOLE = `content-length: ${BODY_BYTES}`;
 
+/** Bodies of legal size in the smallest chunks. */
+export const CHUNKS_OF_ONE_BYTE = sendBody(
+  'bodies in chunks of one byte',
+  CHUNKED,
+  CHUNKS_OF_ONE,
+);
+
 /** All kinds. */
 export const MISBEHAVIOURS: readonly Misbehaviour[] = [
   sendBody('bodies one byte short of their end', WHOLE, BODY.subarray(1)),
@@ -114,6 +122,7 @@
     },
   },
   sendBody('bodies in chunks of 64 bytes', CHUNKED, CHUNKS_OF_64),
+  CHUNKS_OF_ONE_BYTE,
   sendBody('bodies in long chunks', CHUNKED, LONG_CHUNKS),
   sendBody('chunks with extensions', CHUNKED, EXTENDED_CHUNKS),
   {
