Count the bytes of waiting heads, and let nobody give way for them

Cause: a waiting request counted its names and values, but not their bytes; and a request that had to wait could have others cut, whose memory is free only after the turn of the event loop, so that many connections in one turn filled the budget many times over.

Change: the bytes of a head count, and a waiting request takes only what is free; otherwise the parser stops there and the connection closes after the requests before it.

--- a/packages/core/src/callermemory.ts
+++ b/packages/core/src/callermemory.ts
@@ -12,8 +12,11 @@
 
 /** The account of one connection. */
 export interface ConnectionMemory {
-  /** Holds further bytes; false if this connection has to give way. */
-  hold(bytes: number): boolean;
+  /**
+   * Holds further bytes; false if this connection has to give way.
+   * @param mayCut whether others may be asked to give way; by default they may
+   */
+  hold(bytes: number, mayCut?: boolean): boolean;
   release(bytes: number): void;
   /** Records that the caller sent or took something. */
   recordProgress(): void;
@@ -76,8 +79,8 @@
     readonly meter: readPacing.ItemMeter = readPacing.IDLE_METER,
   ) {}
 
-  hold(bytes: number): boolean {
-    if (!this.connection.hold(bytes)) return false;
+  hold(bytes: number, mayCut = true): boolean {
+    if (!this.connection.hold(bytes, mayCut)) return false;
     this.heldBytes += bytes;
     return true;
   }
--- a/packages/core/src/connection.ts
+++ b/packages/core/src/connection.ts
@@ -19,8 +19,8 @@
 const MAX_WAITING = 16;
 
 /**
- * Memory of a request that waits or is served, apart from its body: what each
- * takes, and each name and value of a field.
+ * Memory of a request that waits or is served, apart from its body and the bytes
+ * of its head: what each takes, and each name and value of a field.
  */
 const CALL_BYTES = 6_144;
 const FIELD_TEXT_BYTES = 64;
@@ -117,8 +117,7 @@
       () => this.stop(response),
       this.meter,
     );
-    const textCount = request.rawHeaders.length;
-    if (!memory.hold(CALL_BYTES + FIELD_TEXT_BYTES * textCount)) {
+    if (!this.holdHead(request, memory)) {
       this.memory.recordCut('memory');
       this.stopAfterWaiting();
       return;
@@ -244,6 +243,18 @@
     this.calls.close();
   }
 
+  /** Holds the head of a request; false if there is no memory for it. */
+  private holdHead(
+    {rawHeaders, url = ''}: http.IncomingMessage,
+    memory: callerMemory.CallMemory,
+  ): boolean {
+    let bytes = CALL_BYTES + FIELD_TEXT_BYTES * rawHeaders.length + url.length;
+    for (const text of rawHeaders) bytes += text.length;
+    // Nobody else gives way for a request that has to wait for others.
+    const mayCut = !this.isServing && this.calls.size === 0;
+    return memory.hold(bytes, mayCut);
+  }
+
   /** Counts what was read of a head that has not ended. */
   private holdPartialHead(): void {
     const {bytesRead} = this.socket;
--- a/packages/decide/src/heldbytes.ts
+++ b/packages/decide/src/heldbytes.ts
@@ -86,10 +86,8 @@
    */
   hold(account: ByteAccount, bytes: number, nowMs: number): boolean {
     if (account.isClosed) return false;
-    const isLarge = account.heldBytes + bytes > SMALL_ACCOUNT_BYTES;
-    const {limitBytes} = this.options;
-    const limit = isLarge ? limitBytes * LARGE_PART : limitBytes;
-    while (this.usedBytes + bytes > limit) {
+    const limitBytes = this.limitOf(account, bytes);
+    while (this.usedBytes + bytes > limitBytes) {
       const heaviest = this.heaviest(nowMs);
       const isHeavier =
         heaviest !== undefined &&
@@ -98,8 +96,15 @@
       if (!isHeavier) return false;
       this.cut(heaviest, 'memory');
     }
-    account.heldBytes += bytes;
-    this.usedBytes += bytes;
+    this.add(account, bytes);
+    return true;
+  }
+
+  /** Adds bytes to the account if they fit without others giving way. */
+  holdIfFree(account: ByteAccount, bytes: number): boolean {
+    if (account.isClosed) return false;
+    if (this.usedBytes + bytes > this.limitOf(account, bytes)) return false;
+    this.add(account, bytes);
     return true;
   }
 
@@ -128,6 +133,18 @@
     }
   }
 
+  /** What all accounts may hold after the bytes were added to this one. */
+  private limitOf({heldBytes}: ByteAccount, addedBytes: number): number {
+    const {limitBytes} = this.options;
+    const isLarge = heldBytes + addedBytes > SMALL_ACCOUNT_BYTES;
+    return isLarge ? limitBytes * LARGE_PART : limitBytes;
+  }
+
+  private add(account: ByteAccount, bytes: number): void {
+    account.heldBytes += bytes;
+    this.usedBytes += bytes;
+  }
+
   private heaviest(nowMs: number): ByteAccount | undefined {
     let heaviest: ByteAccount | undefined;
     let weight = 0;
--- a/packages/decide/src/tests/heldbytes.test.ts
+++ b/packages/decide/src/tests/heldbytes.test.ts
@@ -40,6 +40,20 @@
 });
 
 describe('the budget of bytes', () => {
+  it('lets nobody give way for bytes that are held only if they fit', () => {
+    const budget = createBudget();
+    const holder = new Holder();
+    const large = budget.open(holder, 0);
+    budget.hold(large, 700_000, 0);
+    const asking = budget.open(new Holder(), 0);
+    expect(budget.holdIfFree(asking, 100_000)).to.equal(true);
+    expect(budget.holdIfFree(asking, 100_000)).to.equal(false);
+    expect(holder.reasons).to.deep.equal([]);
+    expect(budget.heldBytes).to.equal(800_000);
+    budget.close(asking);
+    expect(budget.holdIfFree(asking, 1)).to.equal(false);
+  });
+
   it('is never exceeded, and holds nothing once all accounts are closed', () => {
     fc.assert(
       fc.property(fc.array(step, {maxLength: 200}), steps => {
--- a/packages/direct/src/callerbounds.ts
+++ b/packages/direct/src/callerbounds.ts
@@ -185,8 +185,11 @@
     this.close();
   }
 
-  hold(bytes: number): boolean {
-    return this.bounds.budget.hold(this.account, bytes, this.bounds.nowMs());
+  hold(bytes: number, mayCut = true): boolean {
+    const {budget} = this.bounds;
+    return mayCut
+      ? budget.hold(this.account, bytes, this.bounds.nowMs())
+      : budget.holdIfFree(this.account, bytes);
   }
 
   release(bytes: number): void {
--- a/packages/router/src/tests/callerbounds.test.ts
+++ b/packages/router/src/tests/callerbounds.test.ts
@@ -205,8 +205,11 @@
   for (const kind of [
     crowds.HEADS_OF_MOST_FIELDS,
     crowds.BODIES_OF_MOST_FIELDS,
+    crowds.LONG_HEADS_AHEAD,
   ]) {
     it(kind.name, async () => {
+      router.endpoint.chooseBehaviour = ({body}) =>
+        body === 'ordinary' ? {type: 'answer'} : {type: 'hang'};
       const door: crowds.Door = {
         host: router.address,
         port: router.ports.entry,
--- a/packages/router/src/tests/crowds.ts
+++ b/packages/router/src/tests/crowds.ts
@@ -75,6 +75,21 @@
   },
 };
 
+const LONG_FIELD = `long: ${'f'.repeat(15_500)}`;
+const LONG_AHEAD = 20;
+
+/** A request that is served, and long heads of legal size sent ahead of it. */
+export const LONG_HEADS_AHEAD: Misbehaviour = {
+  name: 'long heads of legal size ahead of a request that is served',
+  readsNothing: true,
+  attack: (socket, door) => {
+    socket.write(door.head('GET', []) + END_OF_HEAD);
+    for (let count = 0; count < LONG_AHEAD; count++) {
+      socket.write(door.head('GET', [LONG_FIELD]) + END_OF_HEAD);
+    }
+  },
+};
+
 function sendBody(
   name: string,
   declaration: string,
