--- a/packages/core/src/responsereading.ts
+++ b/packages/core/src/responsereading.ts
@@ -23,25 +23,28 @@
 
 /** The reading of the response to a request that has a socket. */
 export class ResponseReading implements readPacing.PacedConnection {
-  readonly peer: string;
   readonly maxExcessItems = MAX_EXCESS_ITEMS;
   readonly meter: readPacing.ItemMeter;
   private interimHeads = 0;
-  private readonly pause: readPacing.SocketPause | undefined;
+  private pause: readPacing.SocketPause | undefined;
 
   constructor(
     private readonly request: http.ClientRequest,
-    {address, port, pacer = readPacing.UNPACED}: ReadingOptions,
+    private readonly options: ReadingOptions,
   ) {
-    this.peer = `${address}:${port}`;
-    const {socket} = request;
-    this.pause = socket ? new readPacing.SocketPause(socket) : undefined;
+    const {pacer = readPacing.UNPACED} = options;
     this.meter = pacer.meter(this);
     request.on('information', () => this.recordInterimHead());
     request.once('close', () => this.meter.close());
   }
 
+  get peer(): string {
+    return `${this.options.address}:${this.options.port}`;
+  }
+
   pauseReading(): void {
+    const {socket} = this.request;
+    if (socket) this.pause ??= new readPacing.SocketPause(socket);
     this.pause?.begin();
   }
 
