Register a pacer in two tests of listeners

Cause: the listeners ask for the pacer of reads since; the tests of a withheld promise and of the listener for routers register their services themselves and failed to start.

Change: both register one that pauses nothing, as they do with the bounds.

--- a/packages/direct/src/tests/promises.test.ts
+++ b/packages/direct/src/tests/promises.test.ts
@@ -60,6 +60,7 @@
       new decide.EvidenceCrashTracker({self: 'r', isProber: () => true}),
     );
     kernel.register(direct.WIRE_PROTOCOL, PROTOCOL);
+    kernel.register(core.READ_PACER, core.UNPACED);
     kernel.register(direct.CALLER_BOUNDS, {of: () => core.UNBOUNDED});
     kernel.register(direct.DISPATCHER, {
       serve: () => Promise.resolve(this.outcome as direct.RequestOutcome),
--- a/packages/direct/src/tests/tablesdifference.test.ts
+++ b/packages/direct/src/tests/tablesdifference.test.ts
@@ -140,6 +140,7 @@
     const kernel = new core.Kernel();
     kernel.register(core.LOGGER, new core.SilentLogger());
     kernel.register(core.CLOCK, new core.SystemClock());
+    kernel.register(core.READ_PACER, core.UNPACED);
     kernel.register(direct.CALLER_BOUNDS, {of: () => core.UNBOUNDED});
     tables = new direct.IndexedTables(kernel);
     kernel.register(direct.ACTIVE_TABLES, tables);
