--- a/packages/direct/src/endpointregistry.ts
+++ b/packages/direct/src/endpointregistry.ts
@@ -113,8 +113,7 @@
 
   constructor(private readonly kernel: core.Kernel) {}
 
-  applyFeedRecord(received: EndpointRecord, nowMs: number): boolean {
-    const record = this.keepDraining(received);
+  applyFeedRecord(record: EndpointRecord, nowMs: number): boolean {
     // Endpoints found by the first read of the feed are not changes.
     const isAvailabilityChange =
       this.upsert(record, nowMs) && this.feedOffset > 0;
@@ -151,8 +150,7 @@
     return [...this.recordsByKey.values()];
   }
 
-  applyPeerRecord(received: EndpointRecord, nowMs: number): boolean {
-    const record = this.keepDraining(received);
+  applyPeerRecord(record: EndpointRecord, nowMs: number): boolean {
     this.upsert(record, nowMs);
     return this.recordsByKey.get(record.key) === record;
   }
@@ -189,21 +187,6 @@
     return this.currentFingerprint >>> 0;
   }
 
-  /**
-   * The record, which drains if its lifetime is known to. A heartbeat from before
-   * may be executed late by the store, and then is the newest record.
-   */
-  private keepDraining(record: EndpointRecord): EndpointRecord {
-    const {key, value} = record;
-    const known = this.find(key);
-    if (!value || value.isDraining || !known?.isDraining) return record;
-    const isSameLifetime =
-      value.bornMs !== undefined && value.bornMs === known.bornMs;
-    return isSameLifetime
-      ? {...record, value: {...value, isDraining: true}}
-      : record;
-  }
-
   /**
    * Stores a newer record; returns whether it made the endpoint available or
    * unavailable.
