Keep the whole log of a router that a test has started

The assertion looks for `reading_stopped` in the last 4,000 characters of the log; what it printed begins inside a line of an ordinary call, so the line had been pushed out by the calls that poll until the endpoint is rid of the answer.

Change: `log` is everything the process wrote, and `logEnd` the end of it, for messages. The assertion is as it was.

--- a/packages/router/src/tests/callerbounds.test.ts
+++ b/packages/router/src/tests/callerbounds.test.ts
@@ -76,7 +76,9 @@
   ];
 
   function checkBounds(): void {
-    expect(router.isAlive, `the process lives: ${router.log}`).to.equal(true);
+    expect(router.isAlive, `the process lives: ${router.logEnd}`).to.equal(
+      true,
+    );
     expect(router.descriptorCount(), 'open descriptors').to.be.below(MAX_FDS);
     const growthBytes = router.memory().peakBytes - startBytes;
     expect(growthBytes / BYTES_PER_MB, 'growth in MB').to.be.at.most(
--- a/packages/router/src/tests/routerprocess.ts
+++ b/packages/router/src/tests/routerprocess.ts
@@ -90,8 +90,13 @@
     return this.child?.exitCode === null && this.child.signalCode === null;
   }
 
-  /** Standard output and error; the end of it if it is long. */
+  /** Standard output and error. */
   get log(): string {
+    return this.output;
+  }
+
+  /** The end of the log, for messages. */
+  get logEnd(): string {
     return this.output.slice(-4_000);
   }
 
@@ -117,7 +122,7 @@
   /** Resolves once ordinary requests at all listeners are answered. */
   async awaitService(): Promise<void> {
     await polling.until('an ordinary request is answered', async () => {
-      if (!this.isAlive) throw new Error(`the process ended: ${this.log}`);
+      if (!this.isAlive) throw new Error(`the process ended: ${this.logEnd}`);
       return this.isServing();
     });
   }
@@ -175,7 +180,7 @@
       {stdio: ['ignore', 'pipe', 'pipe']},
     );
     const keep = (text: Buffer) => {
-      this.output = (this.output + text.toString()).slice(-100_000);
+      this.output += text.toString();
     };
     this.child.stdout?.on('data', keep);
     this.child.stderr?.on('data', keep);
