Pass on a whole answer in the chunks in which it came

Cause: an answer that is read before it is passed on was put together, so that it was in memory twice for a while, and counted once.

Change: it stays a list of chunks, which are written one after another; only one that fits into the write of its head is joined.

--- a/packages/core/src/responses.ts
+++ b/packages/core/src/responses.ts
@@ -20,28 +20,42 @@
 }
 
 /**
- * Writes a chunk of a body whose head was flushed; like `writeChunk`, but
+ * Writes chunks of a body whose head was flushed; like `writeChunk`, but
  * returns undefined if the next chunk may be written at once.
+ */
+export function writeFlushed(
+  response: http.ServerResponse,
+  chunks: readonly Buffer[],
+): Promise<void> | undefined {
+  let target: stream.Writable | undefined;
+  for (const chunk of chunks) {
+    if (response.destroyed) return undefined;
+    target = writeFrame(response, chunk);
+  }
+  return target && drained(target, response);
+}
+
+/**
+ * Writes one chunk; returns the stream that has no room for another, if so.
  *
  * Node.js writes the size, the bytes and the line end of a small chunk one by
  * one and gathers them afterwards; here they are one write.
  */
-export function writeFlushed(
+function writeFrame(
   response: http.ServerResponse,
   chunk: Buffer,
-): Promise<void> | undefined {
-  if (response.destroyed) return undefined;
+): stream.Writable | undefined {
   const {socket} = response;
   const {length} = chunk;
   const isFramedHere =
     response.chunkedEncoding && length > 0 && length <= MAX_FRAMED_BYTES;
   // Without a socket, the response waits for the one before it.
   if (!isFramedHere || !socket) {
-    return response.write(chunk) ? undefined : drained(response, response);
+    return response.write(chunk) ? undefined : response;
   }
   const text = chunk.toString('latin1');
   const frame = `${length.toString(16)}\r\n${text}\r\n`;
-  return socket.write(frame, 'latin1') ? undefined : drained(socket, response);
+  return socket.write(frame, 'latin1') ? undefined : socket;
 }
 
 /** Resolves when the stream has room, or the response's connection closes. */
--- a/packages/direct/src/callerresponse.ts
+++ b/packages/direct/src/callerresponse.ts
@@ -56,21 +56,21 @@
     if (headers['content-length'] === undefined) this.response.flushHeaders();
   }
 
-  write(chunk: Buffer): Promise<void> | undefined {
+  write(...chunks: readonly Buffer[]): Promise<void> | undefined {
     if (this.callerGone.aborted) return undefined;
     const {response, memory} = this;
-    memory.connection.recordPassed(chunk.length);
-    const written = core.responses.writeFlushed(response, chunk);
+    memory.connection.recordPassed(byteCountOf(chunks));
+    const written = core.responses.writeFlushed(response, chunks);
     return written && this.holdUntil(written);
   }
 
-  end(body?: Buffer): void {
+  end(...chunks: readonly Buffer[]): void {
     if (this.callerGone.aborted) return;
-    if (body && body.length <= core.relay.MAX_JOINED_BYTES) {
-      core.relay.endWith(this.response, body);
+    if (byteCountOf(chunks) <= core.relay.MAX_JOINED_BYTES) {
+      core.relay.endWith(this.response, Buffer.concat(chunks));
       return;
     }
-    if (body) void this.write(body);
+    void this.write(...chunks);
     this.response.end();
   }
 
@@ -124,3 +124,7 @@
     this.response.end();
   }
 }
+
+function byteCountOf(chunks: readonly Buffer[]): number {
+  return chunks.reduce((sum, {length}) => sum + length, 0);
+}
--- a/packages/direct/src/responsebody.ts
+++ b/packages/direct/src/responsebody.ts
@@ -25,9 +25,13 @@
   return chunk;
 }
 
-/** The buffered part of a body. */
+/**
+ * The buffered part of a body, in the chunks in which it came: put together, it
+ * would be in memory twice for a while.
+ */
 export interface BufferedBody {
-  readonly body: Buffer;
+  readonly chunks: readonly Buffer[];
+  readonly byteCount: number;
   /** Whether the body exceeds the buffer limit and has more chunks to read. */
   readonly exceedsBuffer: boolean;
 }
@@ -41,17 +45,17 @@
   reader: core.BodyReader,
   memory: core.CallMemory,
 ): Promise<BufferedBody | Error> {
-  const bufferedChunks: Buffer[] = [];
+  const chunks: Buffer[] = [];
   let byteCount = 0;
   try {
     for (;;) {
       const chunk = await nextChunk(endpointResponse, reader);
       if (!chunk) break;
-      bufferedChunks.push(chunk);
+      chunks.push(chunk);
       byteCount += chunk.length;
       // Without memory for it, the rest isn't read before the caller takes it.
       if (byteCount > MAX_BUFFERED_BYTES || !memory.hold(chunk.length)) {
-        return {body: Buffer.concat(bufferedChunks), exceedsBuffer: true};
+        return {chunks, byteCount, exceedsBuffer: true};
       }
     }
   } catch (error) {
@@ -59,8 +63,5 @@
   }
   if (!endpointResponse.response.complete) return TRUNCATED;
   memory.connection.recordPassed(byteCount);
-  const [first] = bufferedChunks;
-  const body =
-    bufferedChunks.length === 1 ? first! : Buffer.concat(bufferedChunks);
-  return {body, exceedsBuffer: false};
+  return {chunks, byteCount, exceedsBuffer: false};
 }
--- a/packages/direct/src/responsedelivery.ts
+++ b/packages/direct/src/responsedelivery.ts
@@ -27,7 +27,7 @@
   readonly status: number;
   readonly headers: wireProtocol.HeaderMap;
   readonly framing: routedRequest.Framing;
-  readonly body: Buffer;
+  readonly body: bodies.BufferedBody;
 }
 
 /** Delivers the response to one request. */
@@ -116,10 +116,11 @@
     }
     const reader = new core.BodyReader(response, incoming.meter);
     const {memory} = this.outgoing;
-    const buffered = await bodies.readBuffered(incoming, reader, memory);
-    if (buffered instanceof Error) return this.breakResult(incoming, buffered);
-    const {body, exceedsBuffer} = buffered;
-    if (exceedsBuffer) return this.relayUnbuffered(incoming, body, reader);
+    const body = await bodies.readBuffered(incoming, reader, memory);
+    if (body instanceof Error) return this.breakResult(incoming, body);
+    if (body.exceedsBuffer) {
+      return this.relayUnbuffered(incoming, body.chunks, reader);
+    }
     const headers = this.callerHeaders(response);
     const framing = framingOf(response);
     const isFailure = status >= 500;
@@ -142,7 +143,7 @@
    */
   private async relayUnbuffered(
     incoming: attempt.EndpointResponse,
-    buffered: Buffer,
+    bufferedChunks: readonly Buffer[],
     reader: core.BodyReader,
   ): Promise<DeliveryResult> {
     const {response, status} = incoming;
@@ -151,12 +152,13 @@
     const sentHeaders =
       length === undefined ? headers : {...headers, 'content-length': length};
     this.outgoing.writeHead(status, sentHeaders, framingOf(response));
-    let chunk: Buffer | undefined = buffered;
+    let chunks = bufferedChunks;
     try {
-      while (chunk) {
-        await this.outgoing.write(chunk);
+      while (chunks.length > 0) {
+        await this.outgoing.write(...chunks);
         if (this.outgoing.callerGone.aborted) return {type: 'caller_gone'};
-        chunk = await bodies.nextChunk(incoming, reader);
+        const chunk = await bodies.nextChunk(incoming, reader);
+        chunks = chunk ? [chunk] : [];
       }
     } catch (error) {
       return this.breakResult(incoming, error);
@@ -174,12 +176,12 @@
   }: BufferedResponse): void {
     const sentHeaders = {...headers};
     if (framing === 'marked') {
-      sentHeaders['content-length'] = String(body.length);
+      sentHeaders['content-length'] = String(body.byteCount);
     }
     // What waits for the caller is held by the write.
-    this.outgoing.memory.release(body.length);
+    this.outgoing.memory.release(body.byteCount);
     this.outgoing.writeHead(status, sentHeaders, framing);
-    this.outgoing.end(body);
+    this.outgoing.end(...body.chunks);
   }
 
   private async relayEventStream(
--- a/packages/direct/src/routedrequest.ts
+++ b/packages/direct/src/routedrequest.ts
@@ -67,9 +67,9 @@
     framing: Framing,
   ): void;
   /** Resolves when the next chunk may be written; undefined if it may at once. */
-  write(chunk: Buffer): Promise<void> | undefined;
-  /** Ends a complete response, with a last part of the body if there is one. */
-  end(body?: Buffer): void;
+  write(...chunks: readonly Buffer[]): Promise<void> | undefined;
+  /** Ends a complete response, with the last chunks of the body if there are any. */
+  end(...chunks: readonly Buffer[]): void;
   /**
    * Closes the connection of a response that has begun, so that the caller sees
    * that it is truncated.
