Leave the platform's names to the stand-ins in the cost of a request

Change: the stand-in of the store has methods for both topics already; the headers are samples of the stand-ins. The program prints as before.

--- a/packages/bench/src/requestcost.ts
+++ b/packages/bench/src/requestcost.ts
@@ -32,20 +32,6 @@
 const USER_TICKS_FIELD = 11;
 const SYSTEM_TICKS_FIELD = 12;
 
-/** Headers as an engine and a caller send them besides the required ones. */
-const ENDPOINT_HEADERS = {
-  'server-load': '3,0,8',
-  'content-type': 'text/event-stream',
-  'keep-alive': 'timeout=30',
-};
-const PROMPT_HEADERS = {
-  'content-type': 'application/json',
-  'prompt-prefix': 'p1:512,p2-17:9000,u-77:1300',
-  'token-counts': '10812,160',
-  'length-hint': '80',
-  'idempotency-note': 'none',
-};
-
 interface Kind {
   readonly name: string;
   readonly path: string;
@@ -107,7 +93,7 @@
     ];
     const customer = {name: 'customer', key: API_KEY};
     const config = standins.hostedConfig(1, routes, customer);
-    this.store.put('keyed.op', 'config', config);
+    this.store.putConfig(config);
     for (let index = 0; index < ENDPOINTS; index++) await this.addEndpoint();
     const ports = await standins.freePorts(5);
     const [entry = 0, ready = 0, directory = 0, peer = 0, gossip = 0] = ports;
@@ -171,14 +157,14 @@
     const endpoint = new standins.HostedEndpoint(id, 'pool', ADDRESS);
     const label = 'x'.repeat(EVENT_BYTES - 'id: 1\ndata:  1\n\n'.length);
     const intervalMs = EVENT_INTERVAL_MS;
-    endpoint.extraHeaders = ENDPOINT_HEADERS;
+    endpoint.extraHeaders = standins.SAMPLE_ENDPOINT_HEADERS;
     endpoint.chooseBehaviour = ({path}) =>
       path.startsWith('/chat/')
         ? {type: 'stream', events: EVENTS, intervalMs, label}
         : {type: 'answer', body: 'x'.repeat(800)};
     await endpoint.start();
     this.endpoints.push(endpoint);
-    this.store.put('keyed.servers', id, endpoint.entry());
+    this.store.putEndpoint(id, endpoint.entry());
   }
 
   private async sendAll(kind: Kind, count: number): Promise<number> {
@@ -215,7 +201,7 @@
       apiKey: API_KEY,
       deadlineMs: CALLER_TIMEOUT_MS,
     });
-    const headers = {...head, ...PROMPT_HEADERS};
+    const headers = {...head, ...standins.SAMPLE_CALLER_HEADERS};
     const {agent} = this;
     return new Promise(resolve => {
       const request = http.request({
--- a/packages/standins/src/hostedplatform.ts
+++ b/packages/standins/src/hostedplatform.ts
@@ -66,6 +66,22 @@
   readonly deadlineMs: number;
 }
 
+/** Headers as an endpoint sends them besides the required ones. */
+export const SAMPLE_ENDPOINT_HEADERS = {
+  'server-load': '3,0,8',
+  'content-type': 'text/event-stream',
+  'keep-alive': 'timeout=30',
+};
+
+/** Headers as a caller with a prompt sends them besides the required ones. */
+export const SAMPLE_CALLER_HEADERS = {
+  'content-type': 'application/json',
+  'prompt-prefix': 'p1:512,p2-17:9000,u-77:1300',
+  'token-counts': '10812,160',
+  'length-hint': '80',
+  'idempotency-note': 'none',
+};
+
 /** Headers of a caller's request. */
 export function callerHeaders(head: HostedCallerHead): Record<string, string> {
   return {
