Give the simulated callers each method of a caller's response

The routers were not at fault.

Change: one class that implements the interface without a cast, for both places that made such an object. No assertion is changed.

--- a/packages/direct/src/tests/notrunafterrun.test.ts
+++ b/packages/direct/src/tests/notrunafterrun.test.ts
@@ -3,6 +3,7 @@
 import * as core from '@oleanderrock/core';
 import * as decide from '@oleanderrock/decide';
 import * as direct from '../index.js';
+import * as quietCaller from './quietcaller.js';
 import * as simulatedPool from './simulatedpool.js';
 
 const {expect} = chai;
@@ -83,10 +84,7 @@
         deadlineMs: nowMs + 5_000,
         crashKeys: [],
       } as unknown as direct.RoutedRequest,
-      {
-        hasBegun: false,
-        callerGone: new AbortController().signal,
-      } as unknown as direct.CallerResponse,
+      new quietCaller.QuietCallerResponse(),
     );
     expect(results, 'both endpoints were asked').to.deep.equal([]);
     const kind = outcome.type === 'failed' ? outcome.failure.kind : undefined;
--- a/packages/direct/src/tests/simulatedpool.ts
+++ b/packages/direct/src/tests/simulatedpool.ts
@@ -6,6 +6,7 @@
 import * as core from '@oleanderrock/core';
 import * as decide from '@oleanderrock/decide';
 import * as direct from '../index.js';
+import * as quietCaller from './quietcaller.js';
 import * as virtualClock from './virtualclock.js';
 
 /** Name of the pool. */
@@ -217,14 +218,7 @@
       crashKeys: [],
       workMs: request.workMs,
     } as unknown as direct.RoutedRequest;
-    const response = {
-      hasBegun: false,
-      callerGone: caller.signal,
-      memory: new core.CallMemory(),
-      writeHead: () => undefined,
-      write: () => Promise.resolve(),
-      end: () => undefined,
-    } as unknown as direct.CallerResponse;
+    const response = new quietCaller.QuietCallerResponse(caller.signal);
     return this.dispatcher.serve(routed, response);
   }
 
