Let new callers in beside requests that were sent ahead

Callers saw: beside 930 connections that each send 20 heads of 15.5 KB ahead, no ordinary request was answered within 15 s.

Cause: Node.js accepts one connection in a turn of the event loop, and each turn served a request of every connection that had sent some ahead (30 to 40 ms). One request in a turn, tried alone, ended the process at its heap limit: waiting heads are strings in the heap of 122 MB and could take 68 MB of it; the long turns had hidden that. Less room for them alone didn't help either.

Change: `core.SingleLoopTurns`, one for all listeners, gives a turn to one of them at a time, and requests that wait for others hold a quarter of the budget together (`HeldBytesBudget.holdWaiting`, which was `holdIfFree`). The test of the budget uses the new name; none of its bounds is changed.

--- a/packages/core/src/callermemory.ts
+++ b/packages/core/src/callermemory.ts
@@ -5,17 +5,22 @@
  * dropped and refused, or it is closed.
  */
 import type * as errors from './errors.js';
+import * as loopTurns from './loopturns.js';
 
 /** Why a connection was asked to give way, or gave way itself. */
 export type CutReason = 'memory' | 'stalled' | 'seats' | 'small_items';
 
 /** The account of one connection. */
 export interface ConnectionMemory {
+  /** Holds further bytes; false if this connection has to give way. */
+  hold(bytes: number): boolean;
   /**
-   * Holds further bytes; false if this connection has to give way.
-   * @param mayCut whether others may be asked to give way; by default they may
+   * Holds a request that waits for others of its connection, for which nobody
+   * else gives way.
    */
-  hold(bytes: number, mayCut?: boolean): boolean;
+  holdWaiting(bytes: number): boolean;
+  /** Ends the wait of a request; its bytes are held on. */
+  endWaiting(bytes: number): void;
   release(bytes: number): void;
   /** Records that the caller sent or took something. */
   recordProgress(): void;
@@ -41,12 +46,16 @@
 
 /** Bounds on all connections of one listener. */
 export interface ConnectionBounds {
+  /** Turns of the event loop for requests that were sent ahead. */
+  readonly turns: loopTurns.LoopTurns;
   /** The account of a new connection; undefined if there is no room for it. */
   admit(connection: BoundedConnection): ConnectionMemory | undefined;
 }
 
 const UNBOUNDED_MEMORY: ConnectionMemory = {
   hold: () => true,
+  holdWaiting: () => true,
+  endWaiting: () => undefined,
   release: () => undefined,
   recordProgress: () => undefined,
   setAwaitsCaller: () => undefined,
@@ -58,7 +67,10 @@
 };
 
 /** No bounds, for listeners without any. */
-export const UNBOUNDED: ConnectionBounds = {admit: () => UNBOUNDED_MEMORY};
+export const UNBOUNDED: ConnectionBounds = {
+  turns: new loopTurns.SingleLoopTurns(),
+  admit: () => UNBOUNDED_MEMORY,
+};
 
 /** What one request holds. */
 export class CallMemory {
@@ -68,6 +80,7 @@
    */
   dropped: Promise<void> | undefined;
   private heldBytes = 0;
+  private waitingBytes = 0;
   private dropBody: ((failure: errors.Failure) => void) | undefined;
 
   constructor(
@@ -76,12 +89,26 @@
     readonly stopReading: () => void = () => undefined,
   ) {}
 
-  hold(bytes: number, mayCut = true): boolean {
-    if (!this.connection.hold(bytes, mayCut)) return false;
+  hold(bytes: number): boolean {
+    if (!this.connection.hold(bytes)) return false;
     this.heldBytes += bytes;
     return true;
   }
 
+  /** Holds the head of a request that waits for others. */
+  holdWaiting(bytes: number): boolean {
+    if (!this.connection.holdWaiting(bytes)) return false;
+    this.heldBytes += bytes;
+    this.waitingBytes += bytes;
+    return true;
+  }
+
+  /** Ends the wait for others, if there was one. */
+  endWaiting(): void {
+    this.connection.endWaiting(this.waitingBytes);
+    this.waitingBytes = 0;
+  }
+
   release(bytes: number): void {
     this.heldBytes -= bytes;
     this.connection.release(bytes);
--- a/packages/core/src/connection.ts
+++ b/packages/core/src/connection.ts
@@ -146,6 +146,7 @@
     }
     this.currentCall = call;
     this.isServing = true;
+    call.memory.endWaiting();
     if (wasFull && this.calls.size < MAX_WAITING) this.socket.resume();
     return call;
   }
@@ -249,9 +250,8 @@
   ): boolean {
     let bytes = CALL_BYTES + FIELD_TEXT_BYTES * rawHeaders.length + url.length;
     for (const text of rawHeaders) bytes += text.length;
-    // Nobody else gives way for a request that has to wait for others.
-    const mayCut = !this.isServing && this.calls.size === 0;
-    return memory.hold(bytes, mayCut);
+    const isWaiting = this.isServing || this.calls.size > 0;
+    return isWaiting ? memory.holdWaiting(bytes) : memory.hold(bytes);
   }
 
   /** Counts what was read of a head that has not ended. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -14,6 +14,7 @@
 export * from './issues.js';
 export * from './kernel.js';
 export * as listener from './listener.js';
+export * from './loopturns.js';
 export * from './logger.js';
 export * from './logquota.js';
 export * from './mailbox.js';
--- a/packages/core/src/listener.ts
+++ b/packages/core/src/listener.ts
@@ -4,7 +4,6 @@
  */
 import * as http from 'node:http';
 import * as net from 'node:net';
-import * as timers from 'node:timers/promises';
 import * as callerMemory from './callermemory.js';
 import * as connections from './connection.js';
 import * as errors from './errors.js';
@@ -61,10 +60,12 @@
   private readonly connections = new Map<net.Socket, connections.Connection>();
   private readonly unreadableQuota: logQuota.LogQuota;
   private readonly timeouts: requestTimeouts.RequestTimeouts;
+  private readonly bounds: callerMemory.ConnectionBounds;
   private isKeepAliveOff = false;
 
   constructor(private readonly options: ListenerOptions) {
     this.tasks = new tasks.TaskGroup(options.log);
+    this.bounds = options.bounds ?? callerMemory.UNBOUNDED;
     this.unreadableQuota = new logQuota.LogQuota(
       'request_unreadable',
       MAX_UNREADABLE_LINES_PER_SECOND,
@@ -170,12 +171,11 @@
   }
 
   private acceptConnection(socket: net.Socket): void {
-    const {bounds = callerMemory.UNBOUNDED, pacer = readPacing.UNPACED} =
-      this.options;
+    const {pacer = readPacing.UNPACED} = this.options;
     const connection = new connections.Connection(
       socket,
       this.timeouts.nowMs,
-      bounds,
+      this.bounds,
       pacer,
     );
     if (!connection.isAdmitted) {
@@ -235,8 +235,8 @@
       if (this.isKeepAliveOff) call.response.setHeader('connection', 'close');
       await this.handle(call);
       await connection.finish(call);
-      // One that has sent many requests ahead takes turns with the others.
-      if (connection.hasWaiting) await timers.setImmediate();
+      // Those that have sent requests ahead take turns.
+      if (connection.hasWaiting) await this.bounds.turns.next();
     }
   }
 
--- a/packages/core/src/tests/brokenresponses.test.ts
+++ b/packages/core/src/tests/brokenresponses.test.ts
@@ -51,6 +51,7 @@
 
 /** Bounds that can be told to cut their connection. */
 class CuttingBounds implements core.ConnectionBounds {
+  readonly turns = core.UNBOUNDED.turns;
   private connection: core.BoundedConnection | undefined;
 
   admit(connection: core.BoundedConnection): core.ConnectionMemory | undefined {
--- a/packages/decide/src/heldbytes.ts
+++ b/packages/decide/src/heldbytes.ts
@@ -28,6 +28,12 @@
 /** Part of the budget that accounts which are not small may use together. */
 const LARGE_PART = 0.75;
 
+/**
+ * Part of the budget for requests that wait for others of their account. Their
+ * heads are in the heap, which is smaller than the memory of the process.
+ */
+const WAITING_PART = 0.25;
+
 /** Time without progress from which on a small account may give way, in ms. */
 const SMALL_GRACE_MS = 2_000;
 
@@ -38,6 +44,8 @@
 export class ByteAccount {
   /** Bytes that are held now. */
   heldBytes = 0;
+  /** Those of them that belong to requests which wait for others of its own. */
+  waitingBytes = 0;
   /** Whether an endpoint may be running its request. */
   isServed = false;
   /** Whether it waits for the caller, to send or to take something. */
@@ -66,6 +74,7 @@
 export class HeldBytesBudget {
   private readonly accounts = new Set<ByteAccount>();
   private usedBytes = 0;
+  private waitingBytes = 0;
 
   constructor(private readonly options: HeldBytesOptions) {}
 
@@ -100,14 +109,28 @@
     return true;
   }
 
-  /** Adds bytes to the account if they fit without others giving way. */
-  holdIfFree(account: ByteAccount, bytes: number): boolean {
+  /**
+   * Adds the bytes of a request that waits for others of its account, if they fit
+   * without others giving way.
+   */
+  holdWaiting(account: ByteAccount, bytes: number): boolean {
     if (account.isClosed) return false;
+    const waitingLimitBytes = this.options.limitBytes * WAITING_PART;
+    if (this.waitingBytes + bytes > waitingLimitBytes) return false;
     if (this.usedBytes + bytes > this.limitOf(account, bytes)) return false;
     this.add(account, bytes);
+    account.waitingBytes += bytes;
+    this.waitingBytes += bytes;
     return true;
   }
 
+  /** Ends the wait of a request; its bytes stay with the account. */
+  endWaiting(account: ByteAccount, bytes: number): void {
+    const endedBytes = Math.min(bytes, account.waitingBytes);
+    account.waitingBytes -= endedBytes;
+    this.waitingBytes -= endedBytes;
+  }
+
   /** Takes bytes off the account, at most those that it holds; returns them. */
   release(account: ByteAccount, bytes: number): number {
     const releasedBytes = Math.min(bytes, account.heldBytes);
@@ -119,6 +142,7 @@
   /** Closes the account and releases what it holds. */
   close(account: ByteAccount): void {
     account.isClosed = true;
+    this.endWaiting(account, account.waitingBytes);
     this.release(account, account.heldBytes);
     this.accounts.delete(account);
   }
--- a/packages/decide/src/tests/heldbytes.test.ts
+++ b/packages/decide/src/tests/heldbytes.test.ts
@@ -10,6 +10,8 @@
 const STALL_MS = 10_000;
 const LARGE_BYTES = heldBytes.SMALL_ACCOUNT_BYTES + 1;
 
+type Account = heldBytes.ByteAccount;
+
 class Holder implements heldBytes.AccountHolder {
   readonly reasons: heldBytes.CutReason[] = [];
 
@@ -29,6 +31,8 @@
   account: fc.nat(7),
   action: fc.constantFrom(
     'hold' as const,
+    'holdWaiting' as const,
+    'endWaiting' as const,
     'release' as const,
     'close' as const,
     'serve' as const,
@@ -46,12 +50,28 @@
     const large = budget.open(holder, 0);
     budget.hold(large, 700_000, 0);
     const asking = budget.open(new Holder(), 0);
-    expect(budget.holdIfFree(asking, 100_000)).to.equal(true);
-    expect(budget.holdIfFree(asking, 100_000)).to.equal(false);
+    expect(budget.holdWaiting(asking, 100_000)).to.equal(true);
+    expect(budget.holdWaiting(asking, 100_000)).to.equal(false);
     expect(holder.reasons).to.deep.equal([]);
     expect(budget.heldBytes).to.equal(800_000);
     budget.close(asking);
-    expect(budget.holdIfFree(asking, 1)).to.equal(false);
+    expect(budget.holdWaiting(asking, 1)).to.equal(false);
+  });
+
+  // Waiting heads filled the heap of a router, which is smaller than its memory.
+  it('holds a quarter for requests that wait for others', () => {
+    const budget = createBudget();
+    const accounts = [0, 1, 2].map(() => budget.open(new Holder(), 0));
+    const [first, second, third] = accounts as [Account, Account, Account];
+    expect(budget.holdWaiting(first, 125_000)).to.equal(true);
+    expect(budget.holdWaiting(second, 125_000)).to.equal(true);
+    expect(budget.holdWaiting(third, 1)).to.equal(false);
+    budget.endWaiting(first, 125_000);
+    expect(budget.holdWaiting(third, 125_000)).to.equal(true);
+    budget.close(second);
+    expect(budget.holdWaiting(third, 125_001)).to.equal(false);
+    expect(budget.hold(first, 1, 0)).to.equal(true);
+    expect(budget.heldBytes).to.equal(250_001);
   });
 
   it('is never exceeded, and holds nothing once all accounts are closed', () => {
@@ -74,6 +94,8 @@
             ({isServed, isClosed}) => isServed && !isClosed,
           );
           if (action === 'hold') budget.hold(account, bytes, nowMs);
+          if (action === 'holdWaiting') budget.holdWaiting(account, bytes);
+          if (action === 'endWaiting') budget.endWaiting(account, bytes);
           if (action === 'release') budget.release(account, bytes);
           if (action === 'close') budget.close(account);
           if (action === 'serve') account.isServed = !account.isServed;
--- a/packages/direct/src/callerbounds.ts
+++ b/packages/direct/src/callerbounds.ts
@@ -53,6 +53,7 @@
   implements CallerBounds
 {
   readonly budget: decide.HeldBytesBudget;
+  private readonly turns = new core.SingleLoopTurns();
   private readonly cuts: prom.Counter<'listener' | 'reason'>;
   private readonly quota: core.LogQuota;
   private readonly seatsByListener = new Map<string, decide.ConnectionSeats>();
@@ -74,6 +75,7 @@
     const seats = new decide.ConnectionSeats(() => this.seatLimit(listener));
     this.seatsByListener.set(listener, seats);
     return {
+      turns: this.turns,
       admit: connection => {
         const memory = new BoundedMemory(this, seats, connection, listener);
         return memory.isAdmitted ? memory : undefined;
@@ -185,11 +187,17 @@
     this.close();
   }
 
-  hold(bytes: number, mayCut = true): boolean {
+  hold(bytes: number): boolean {
     const {budget} = this.bounds;
-    return mayCut
-      ? budget.hold(this.account, bytes, this.bounds.nowMs())
-      : budget.holdIfFree(this.account, bytes);
+    return budget.hold(this.account, bytes, this.bounds.nowMs());
+  }
+
+  holdWaiting(bytes: number): boolean {
+    return this.bounds.budget.holdWaiting(this.account, bytes);
+  }
+
+  endWaiting(bytes: number): void {
+    this.bounds.budget.endWaiting(this.account, bytes);
   }
 
   release(bytes: number): void {
