Hold the memory of events that are not complete

Cause: an unfinished event, up to 1 MiB a stream, was outside the budget of held bytes, and the chunks copied into it weren't told to the collector.

Change: the delivery holds what an event takes beyond 16 KB; without memory the answer is broken off, as one with an event above the limit is, and another endpoint may continue it. Not counted below 16 KB: each release of held bytes brings a collection nearer, and sound events that come in two chunks are short.

--- a/packages/direct/src/eventsplitter.ts
+++ b/packages/direct/src/eventsplitter.ts
@@ -54,6 +54,11 @@
     return this.hasContent;
   }
 
+  /** Memory of the event that is not yet complete, in bytes. */
+  get pendingBytes(): number {
+    return this.pending.capacityBytes;
+  }
+
   /**
    * Adds bytes and returns all events that are now complete. Throws an
    * `EventTooLargeError`.
--- a/packages/direct/src/growingbuffer.ts
+++ b/packages/direct/src/growingbuffer.ts
@@ -15,6 +15,11 @@
     return this.lengthBytes;
   }
 
+  /** Memory that it takes, in bytes. */
+  get capacityBytes(): number {
+    return this.storage.length;
+  }
+
   /** Appends a copy of the bytes. */
   append(bytes: Buffer): void {
     const newLength = this.lengthBytes + bytes.length;
--- a/packages/direct/src/responsedelivery.ts
+++ b/packages/direct/src/responsedelivery.ts
@@ -30,9 +30,20 @@
   readonly body: bodies.BufferedBody;
 }
 
+/**
+ * Memory that an unfinished event takes without being counted, in bytes. Most
+ * events that arrive in several chunks are shorter.
+ */
+const UNCOUNTED_EVENT_BYTES = 16_384;
+
+/** Error for an event that finds no memory to be completed in. */
+const NO_EVENT_MEMORY = new Error('there is no memory for a whole event');
+
 /** Delivers the response to one request. */
 export class ResponseDelivery {
   private readonly splitter = new eventSplitter.EventSplitter();
+  /** What is held for the event that is not yet complete, in bytes. */
+  private heldEventBytes = 0;
   private lastFailure: BufferedResponse | undefined;
 
   constructor(
@@ -188,7 +199,6 @@
     incoming: attempt.EndpointResponse,
   ): Promise<DeliveryResult> {
     const {response, status} = incoming;
-    this.splitter.reset();
     if (!this.hasBegun) {
       const headers = this.callerHeaders(response);
       this.outgoing.writeHead(status, headers, framingOf(response));
@@ -196,21 +206,23 @@
     try {
       const isCallerGone = await this.relayEvents(incoming);
       if (isCallerGone) return {type: 'caller_gone'};
+      // Only the events tell whether a stream that ends with its connection is
+      // complete.
+      if (!response.complete || this.splitter.isInsideEvent) {
+        return this.breakResult(incoming, bodies.TRUNCATED);
+      }
+      const remainder = this.splitter.remainder();
+      if (remainder.length > 0) await this.outgoing.write(remainder);
+      this.outgoing.end();
+      return {type: 'delivered', status};
     } catch (error) {
       return this.breakResult(incoming, error);
     } finally {
       // Any bytes left belong to a response that is given up.
       if (!response.readableEnded) response.destroy();
+      this.splitter.reset();
+      this.holdEvent();
     }
-    // Only the events tell whether a stream that ends with its connection is
-    // complete.
-    if (!response.complete || this.splitter.isInsideEvent) {
-      return this.breakResult(incoming, bodies.TRUNCATED);
-    }
-    const remainder = this.splitter.remainder();
-    if (remainder.length > 0) await this.outgoing.write(remainder);
-    this.outgoing.end();
-    return {type: 'delivered', status};
   }
 
   /** Passes events on until the last one; returns whether the caller has gone. */
@@ -223,7 +235,11 @@
       const chunk = await bodies.nextChunk(incoming, reader);
       if (!chunk) return false;
       const events = splitter.push(chunk);
-      if (events.length > 0) {
+      if (!this.holdEvent()) throw NO_EVENT_MEMORY;
+      if (events.length === 0) {
+        // The chunk was copied.
+        outgoing.memory.connection.recordPassed(chunk.length);
+      } else {
         incoming.recordBegun();
         const drained = outgoing.write(events);
         if (drained) await drained;
@@ -232,6 +248,22 @@
     }
   }
 
+  /** Holds what the unfinished event takes; false if there is no memory. */
+  private holdEvent(): boolean {
+    const {memory} = this.outgoing;
+    const {pendingBytes} = this.splitter;
+    const bytes = pendingBytes > UNCOUNTED_EVENT_BYTES ? pendingBytes : 0;
+    const addedBytes = bytes - this.heldEventBytes;
+    if (addedBytes > 0) {
+      if (!memory.hold(addedBytes)) return false;
+      // What it took before was copied.
+      memory.connection.recordPassed(this.heldEventBytes);
+    }
+    if (addedBytes < 0) memory.release(-addedBytes);
+    this.heldEventBytes = bytes;
+    return true;
+  }
+
   private breakResult(
     incoming: attempt.EndpointResponse,
     error: unknown,
--- a/packages/router/src/tests/callerbounds.test.ts
+++ b/packages/router/src/tests/callerbounds.test.ts
@@ -173,6 +173,20 @@
     await checkCrowd();
   });
 
+  // What waits of an event until it is complete was not part of the budget.
+  it('streams whose first event does not end', async () => {
+    setBehaviour({
+      type: 'endless',
+      text: ({headers}) =>
+        'HTTP/1.1 200 OK\r\nresponse-seal: s\r\n' +
+        `attempt-id: ${String(headers['attempt-id'])}\r\n\r\n`,
+      bytes: Buffer.alloc(16_384, 'x'),
+    });
+    const kind = {...asksAndReadsNothing(1), readsNothing: false};
+    crowd.open([entryDoor('/chat/b')], kind, SMALL_CROWD);
+    await checkCrowd();
+  });
+
   it('whole bodies for an endpoint that does not answer', async () => {
     setBehaviour({type: 'hang'});
     crowd.open([entryDoor('/book/b')], WHOLE_BODIES, SMALL_CROWD);
