Set up routers that crowds press in one place of the tests

Cause: three suites of two files started a router and a crowd with the same lines, and two of them made the same door to its listener.

Change: `PressedRouter` does both; the suites keep their limits, checks and bounds.

--- a/packages/router/src/tests/callerbounds.test.ts
+++ b/packages/router/src/tests/callerbounds.test.ts
@@ -6,6 +6,7 @@
 import * as chai from 'chai';
 import type * as standins from '@oleanderrock/standins';
 import * as crowds from './crowds.js';
+import * as pressedRouter from './pressedrouter.js';
 import * as routerProcess from './routerprocess.js';
 
 const {expect} = chai;
@@ -37,29 +38,20 @@
 
 describe('callers that do not behave', function () {
   this.timeout(TEST_TIMEOUT_MS);
+  const pressed = new pressedRouter.PressedRouter({
+    heldMb: HELD_MB,
+    maxFds: MAX_FDS,
+  });
   let router: routerProcess.RouterProcess;
   let crowd: crowds.Crowd;
   let startBytes: number;
 
-  beforeEach(async () => {
-    router = new routerProcess.RouterProcess();
-    crowd = new crowds.Crowd();
-    await router.start({heldMb: HELD_MB, maxFds: MAX_FDS});
+  beforeEach(() => {
+    ({router, crowd} = pressed);
     startBytes = router.memory().nowBytes;
     router.resetPeak();
   });
 
-  afterEach(async () => {
-    crowd.leave();
-    await router.stop();
-  });
-
-  const entryDoor = (path: string): crowds.Door => ({
-    host: router.address,
-    port: router.ports.entry,
-    head: (method, fields) => router.head(`${method} ${path}`, fields),
-  });
-
   const plainDoor = (port: number, path: string): crowds.Door => ({
     host: router.address,
     port,
@@ -68,7 +60,7 @@
   });
 
   const otherDoors = (): readonly crowds.Door[] => [
-    entryDoor('/nowhere'),
+    pressed.entryDoor('/nowhere'),
     plainDoor(router.ports.ready, '/ready'),
     plainDoor(router.ports.ready, '/metrics'),
     plainDoor(router.ports.directory, '/resolve?name=chat.example'),
@@ -98,7 +90,7 @@
 
   for (const kind of crowds.MISBEHAVIOURS) {
     it(`${kind.name}: at a route`, async () => {
-      crowd.open([entryDoor('/read/a')], kind, CROWD);
+      crowd.open([pressed.entryDoor('/read/a')], kind, CROWD);
       await checkCrowd();
     });
 
@@ -110,7 +102,7 @@
 
   it('more connections than descriptors: at a route', async () => {
     const silent = crowds.MISBEHAVIOURS.at(-1)!;
-    crowd.open([entryDoor('/read/a')], silent, CROWD_OVER_DESCRIPTORS);
+    crowd.open([pressed.entryDoor('/read/a')], silent, CROWD_OVER_DESCRIPTORS);
     await checkCrowd();
   });
 
@@ -149,14 +141,14 @@
   it('long answers of which nothing is read', async () => {
     setBehaviour({type: 'answer', body: LONG_ANSWER});
     const kind = asksAndReadsNothing(1);
-    crowd.open([entryDoor('/book/b')], kind, SMALL_CROWD);
+    crowd.open([pressed.entryDoor('/book/b')], kind, SMALL_CROWD);
     await checkCrowd();
   });
 
   it('answers to requests ahead of which nothing is read', async () => {
     setBehaviour({type: 'answer', body: WHOLE_ANSWER});
     const kind = asksAndReadsNothing(ANSWERS_AHEAD);
-    crowd.open([entryDoor('/book/b')], kind, SMALL_CROWD);
+    crowd.open([pressed.entryDoor('/book/b')], kind, SMALL_CROWD);
     await checkCrowd();
   });
 
@@ -168,7 +160,7 @@
         `attempt-id: ${String(headers['attempt-id'])}\r\n\r\n`,
       bytes: Buffer.from('data: x\n\n'.repeat(5_000)),
     });
-    const doors = [entryDoor('/once/b'), entryDoor('/chat/b')];
+    const doors = [pressed.entryDoor('/once/b'), pressed.entryDoor('/chat/b')];
     crowd.open(doors, asksAndReadsNothing(1), SMALL_CROWD);
     await checkCrowd();
   });
@@ -183,13 +175,13 @@
       bytes: Buffer.alloc(16_384, 'x'),
     });
     const kind = {...asksAndReadsNothing(1), readsNothing: false};
-    crowd.open([entryDoor('/chat/b')], kind, SMALL_CROWD);
+    crowd.open([pressed.entryDoor('/chat/b')], kind, SMALL_CROWD);
     await checkCrowd();
   });
 
   it('whole bodies for an endpoint that does not answer', async () => {
     setBehaviour({type: 'hang'});
-    crowd.open([entryDoor('/book/b')], WHOLE_BODIES, SMALL_CROWD);
+    crowd.open([pressed.entryDoor('/book/b')], WHOLE_BODIES, SMALL_CROWD);
     await checkCrowd();
   });
 
@@ -197,25 +189,16 @@
     router.endpoint.refusesEarly = headers =>
       headers['content-length'] === String(routerProcess.MAX_BODY_BYTES);
     router.endpoint.unreadBodyMs = TEST_TIMEOUT_MS;
-    crowd.open([entryDoor('/book/b')], WHOLE_BODIES, SMALL_CROWD);
+    crowd.open([pressed.entryDoor('/book/b')], WHOLE_BODIES, SMALL_CROWD);
     await checkCrowd();
   });
 });
 
 describe('callers that take all seats of an instance', function () {
   this.timeout(TEST_TIMEOUT_MS);
-  let router: routerProcess.RouterProcess;
-  let crowd: crowds.Crowd;
-
-  beforeEach(async () => {
-    router = new routerProcess.RouterProcess();
-    crowd = new crowds.Crowd();
-    await router.start({heldMb: INSTANCE_HELD_MB, maxFds: INSTANCE_FDS});
-  });
-
-  afterEach(async () => {
-    crowd.leave();
-    await router.stop();
+  const pressed = new pressedRouter.PressedRouter({
+    heldMb: INSTANCE_HELD_MB,
+    maxFds: INSTANCE_FDS,
   });
 
   for (const kind of [
@@ -224,14 +207,10 @@
     crowds.LONG_HEADS_AHEAD,
   ]) {
     it(kind.name, async () => {
+      const {router, crowd} = pressed;
       router.endpoint.chooseBehaviour = ({body}) =>
         body === 'ordinary' ? {type: 'answer'} : {type: 'hang'};
-      const door: crowds.Door = {
-        host: router.address,
-        port: router.ports.entry,
-        head: (method, fields) => router.head(`${method} /read/a`, fields),
-      };
-      crowd.open([door], kind, INSTANCE_SEATS);
+      crowd.open([pressed.entryDoor('/read/a')], kind, INSTANCE_SEATS);
       await crowd.press();
       await router.awaitService();
       const peakMb = router.memory().peakBytes / BYTES_PER_MB;
--- a/packages/router/src/tests/smallpieces.test.ts
+++ b/packages/router/src/tests/smallpieces.test.ts
@@ -5,7 +5,8 @@
 import * as net from 'node:net';
 import * as chai from 'chai';
 import * as crowds from './crowds.js';
-import * as routerProcess from './routerprocess.js';
+import * as pressedRouter from './pressedrouter.js';
+import type * as routerProcess from './routerprocess.js';
 
 const {expect} = chai;
 
@@ -16,31 +17,14 @@
 
 describe('bodies in very many small chunks', function () {
   this.timeout(TEST_TIMEOUT_MS);
-  let router: routerProcess.RouterProcess;
-  let crowd: crowds.Crowd;
-
-  beforeEach(async () => {
-    router = new routerProcess.RouterProcess();
-    crowd = new crowds.Crowd();
-    await router.start(LIMITS);
-  });
-
-  afterEach(async () => {
-    crowd.leave();
-    await router.stop();
-  });
-
-  const door = (): crowds.Door => ({
-    host: router.address,
-    port: router.ports.entry,
-    head: (method, fields) => router.head(`${method} /read/a`, fields),
-  });
+  const pressed = new pressedRouter.PressedRouter(LIMITS);
 
   /** Sends one request; resolves with the beginning of the answer. */
   function sendInChunks(
     bodyBytes: number,
     chunkBytes: number,
   ): Promise<string> {
+    const {router} = pressed;
     const socket = net.connect(router.ports.entry, router.address);
     const head = router.head('POST /read/a', ['transfer-encoding: chunked']);
     const chunk = `${chunkBytes.toString(16)}\r\n${'c'.repeat(chunkBytes)}\r\n`;
@@ -57,7 +41,9 @@
   }
 
   it('of a few callers leave time for others', async () => {
-    crowd.open([door()], crowds.CHUNKS_OF_ONE_BYTE, CALLERS);
+    const {router, crowd} = pressed;
+    const door = pressed.entryDoor('/read/a');
+    crowd.open([door], crowds.CHUNKS_OF_ONE_BYTE, CALLERS);
     await crowd.press();
     for (let count = 0; count < ORDINARY_CALLS; count++) {
       await router.awaitService();
@@ -72,7 +58,7 @@
     it(`are served in calm: ${bodyBytes} bytes in chunks of ${chunkBytes}`, async () => {
       const answer = await sendInChunks(bodyBytes, chunkBytes);
       expect(answer).to.match(/^HTTP\/1\.1 200 /);
-      const run = router.endpoint.runs.at(-1);
+      const run = pressed.router.endpoint.runs.at(-1);
       expect(run?.body.length).to.equal(bodyBytes);
     });
   }
