Write the head of an unframed answer once in the tests of crowds

Cause: two tests of answers without end had the same lines for their head.

Change: one function for both; no bound or check is changed.

--- a/packages/router/src/tests/callerbounds.test.ts
+++ b/packages/router/src/tests/callerbounds.test.ts
@@ -36,6 +36,14 @@
 const WHOLE_ANSWER = 'a'.repeat(1_000_000);
 const ANSWERS_AHEAD = 18;
 
+/** Head of an answer that ends with its connection. */
+function unframedHead({headers}: standins.RecordedRun): string {
+  return (
+    'HTTP/1.1 200 OK\r\nresponse-seal: s\r\n' +
+    `attempt-id: ${String(headers['attempt-id'])}\r\n\r\n`
+  );
+}
+
 describe('callers that do not behave', function () {
   this.timeout(TEST_TIMEOUT_MS);
   const pressed = new pressedRouter.PressedRouter({
@@ -155,9 +163,7 @@
   it('answers without end of which nothing is read', async () => {
     setBehaviour({
       type: 'endless',
-      text: ({headers}) =>
-        'HTTP/1.1 200 OK\r\nresponse-seal: s\r\n' +
-        `attempt-id: ${String(headers['attempt-id'])}\r\n\r\n`,
+      text: unframedHead,
       bytes: Buffer.from('data: x\n\n'.repeat(5_000)),
     });
     const doors = [pressed.entryDoor('/once/b'), pressed.entryDoor('/chat/b')];
@@ -169,9 +175,7 @@
   it('streams whose first event does not end', async () => {
     setBehaviour({
       type: 'endless',
-      text: ({headers}) =>
-        'HTTP/1.1 200 OK\r\nresponse-seal: s\r\n' +
-        `attempt-id: ${String(headers['attempt-id'])}\r\n\r\n`,
+      text: unframedHead,
       bytes: Buffer.alloc(16_384, 'x'),
     });
     const kind = {...asksAndReadsNothing(1), readsNothing: false};
