Record events whose ids don't rise and how streams end

Nothing told the causes of a stream out of order apart: an engine that repeats, restarts or ignores Last-Event-Id left no trace, and an engine's early close none either.

- EventOrder decides whether an event may follow, over all endpoints of a stream and from the caller's own Last-Event-Id on.
- The splitter reads each id, not only the last one of a read.
- One line event_order (request, endpoint, last and found id), and counters of odd events and of streams by what marked their end.

What is passed on doesn't change.

--- a/packages/direct/src/eventsplitter.ts
+++ b/packages/direct/src/eventsplitter.ts
@@ -1,8 +1,9 @@
 /**
  * Splits a stream of server-sent events into complete events, so that an event
- * truncated by a broken connection never reaches the caller, and records the
- * last event id. Each byte is searched once, however many chunks an event has.
+ * truncated by a broken connection never reaches the caller, and reads the ids of
+ * all of them. Each byte is searched once, however many chunks an event has.
  */
+import * as eventOrder from './eventorder.js';
 import * as growingBuffer from './growingbuffer.js';
 
 /** Largest event that is passed on, in bytes. */
@@ -16,6 +17,7 @@
 /** Number of bytes before a chunk that may belong to the end of an event in it. */
 const MAX_OVERLAP_BYTES = 2;
 const ID_FIELD = 'id:';
+const ID_LINE = `\n${ID_FIELD}`;
 /** Text that a header can carry. */
 const HEADER_VALUE = /^[\t\x20-\x7e\x80-\xff]+$/;
 
@@ -34,6 +36,18 @@
   /** What the id field of the last event with one says; it may be no valid id. */
   private lastIdText: string | undefined;
   private hasPassedEvents = false;
+  private readonly order: eventOrder.EventOrder;
+  private lastOddEvent: eventOrder.OddEvent | undefined;
+
+  /** @param callerLastId id after which the caller goes on with its stream */
+  constructor(callerLastId?: string) {
+    this.order = new eventOrder.EventOrder(callerLastId);
+  }
+
+  /** The first event at an odd place among those that the last push added. */
+  get oddEvent(): eventOrder.OddEvent | undefined {
+    return this.lastOddEvent;
+  }
 
   /**
    * The id of the last complete event; undefined if there is none that a request
@@ -64,9 +78,10 @@
    * `EventTooLargeError`.
    */
   push(chunk: Buffer): Buffer {
+    this.lastOddEvent = undefined;
     if (this.pending.length === 0 && endsWithEvent(chunk)) {
       this.hasPassedEvents = true;
-      this.readId(chunk);
+      this.readIds(chunk);
       return chunk;
     }
     const end = this.endOfLastEvent(chunk);
@@ -78,7 +93,7 @@
     this.reset();
     this.append(chunk.subarray(end));
     this.hasPassedEvents = true;
-    this.readId(events);
+    this.readIds(events);
     return events;
   }
 
@@ -119,21 +134,28 @@
     return Buffer.concat([this.pending.bytes(), bytes]);
   }
 
-  private readId(events: Buffer): void {
+  private readIds(events: Buffer): void {
     const text = events.toString('latin1');
-    const lineStart = startOfLastId(text);
-    if (lineStart < 0) return;
-    const start = lineStart + ID_FIELD.length;
-    const end = text.indexOf('\n', start);
-    this.lastIdText = text.slice(start, end < 0 ? undefined : end).trim();
+    let start = startOfId(text);
+    while (start >= 0) {
+      const end = text.indexOf('\n', start);
+      const id = text.slice(start, end < 0 ? undefined : end).trim();
+      this.lastIdText = id;
+      this.lastOddEvent ??= this.order.add(id);
+      start = startOfNextId(text, start);
+    }
   }
 }
 
-/** Index of the last line that holds an id; -1 if there is none. */
-function startOfLastId(text: string): number {
-  const index = text.lastIndexOf(`\n${ID_FIELD}`);
-  if (index >= 0) return index + 1;
-  return text.startsWith(ID_FIELD) ? 0 : -1;
+/** Index of the first id; -1 if there is none. */
+function startOfId(text: string): number {
+  return text.startsWith(ID_FIELD) ? ID_FIELD.length : startOfNextId(text, 0);
+}
+
+/** Index of the first id in the lines after the index; -1 if there is none. */
+function startOfNextId(text: string, from: number): number {
+  const index = text.indexOf(ID_LINE, from);
+  return index < 0 ? -1 : index + ID_LINE.length;
 }
 
 /** Whether the last line of the chunk is an empty one after another line. */
--- a/packages/direct/src/responsedelivery.ts
+++ b/packages/direct/src/responsedelivery.ts
@@ -15,6 +15,7 @@
 import * as eventSplitter from './eventsplitter.js';
 import * as liveness from './liveness.js';
 import type * as model from './model.js';
+import * as streamRecorder from './streamrecorder.js';
 
 /** The result of an attempt whose response was handled. */
 export type DeliveryResult =
@@ -41,7 +42,7 @@
 
 /** Delivers the response to one request. */
 export class ResponseDelivery {
-  private readonly splitter = new eventSplitter.EventSplitter();
+  private readonly splitter: eventSplitter.EventSplitter;
   /** What is held for the event that is not yet complete, in bytes. */
   private heldEventBytes = 0;
   private lastFailure: BufferedResponse | undefined;
@@ -50,7 +51,13 @@
     private readonly kernel: core.Kernel,
     private readonly request: routedRequest.RoutedRequest,
     private readonly outgoing: routedRequest.CallerResponse,
-  ) {}
+  ) {
+    // On other routes, the field has no meaning.
+    const lastEventId = request.route.isResumable
+      ? request.head.lastEventId
+      : undefined;
+    this.splitter = new eventSplitter.EventSplitter(lastEventId);
+  }
 
   get callerGone(): AbortSignal {
     return this.outgoing.callerGone;
@@ -98,7 +105,7 @@
       const isStream =
         this.request.route.repeat === 'stream' && isSuccess(incoming.status);
       const result = isStream
-        ? await this.relayEventStream(incoming)
+        ? await this.relayEventStream(incoming, endpoint)
         : await this.relayBuffered(incoming, isLastSend);
       if (result.type === 'delivered' || result.type === 'failed_run') {
         incoming.recordBegun();
@@ -197,14 +204,16 @@
 
   private async relayEventStream(
     incoming: attempt.EndpointResponse,
+    endpoint: model.Endpoint,
   ): Promise<DeliveryResult> {
     const {response, status} = incoming;
+    let end: streamRecorder.StreamEnd = 'broken';
     if (!this.hasBegun) {
       const headers = this.callerHeaders(response);
       this.outgoing.writeHead(status, headers, framingOf(response));
     }
     try {
-      const isCallerGone = await this.relayEvents(incoming);
+      const isCallerGone = await this.relayEvents(incoming, endpoint);
       if (isCallerGone) return {type: 'caller_gone'};
       // Only the events tell whether a stream that ends with its connection is
       // complete.
@@ -214,10 +223,13 @@
       const remainder = this.splitter.remainder();
       if (remainder.length > 0) await this.outgoing.write(remainder);
       this.outgoing.end();
+      const isMarked = framingOf(response) === 'marked';
+      end = isMarked ? 'length_or_chunks' : 'connection';
       return {type: 'delivered', status};
     } catch (error) {
       return this.breakResult(incoming, error);
     } finally {
+      if (!this.callerGone.aborted) this.recorder.recordEnd(end);
       // Any bytes left belong to a response that is given up.
       if (!response.readableEnded) response.destroy();
       this.splitter.reset();
@@ -228,6 +240,7 @@
   /** Passes events on until the last one; returns whether the caller has gone. */
   private async relayEvents(
     incoming: attempt.EndpointResponse,
+    endpoint: model.Endpoint,
   ): Promise<boolean> {
     const {outgoing, splitter} = this;
     const reader = new core.BodyReader(incoming.response, incoming.meter);
@@ -235,6 +248,10 @@
       const chunk = await bodies.nextChunk(incoming, reader);
       if (!chunk) return false;
       const events = splitter.push(chunk);
+      const {oddEvent} = splitter;
+      if (oddEvent) {
+        this.recorder.recordOddEvent(this.request, endpoint, oddEvent);
+      }
       if (!this.holdEvent()) throw NO_EVENT_MEMORY;
       if (events.length === 0) {
         // The chunk was copied.
@@ -289,6 +306,10 @@
     return probeResult === 'alive' ? result : {...result, cause: 'dead'};
   }
 
+  private get recorder(): streamRecorder.StreamRecorder {
+    return this.kernel.find(streamRecorder.STREAM_RECORDER);
+  }
+
   /**
    * Headers for the caller, without content-length, which is set again on
    * sending.
--- a/packages/direct/src/wireprotocol.ts
+++ b/packages/direct/src/wireprotocol.ts
@@ -17,6 +17,8 @@
   readonly apiKey?: string;
   /** How long the caller waits from the arrival of the request, in ms. */
   readonly callerTimeoutMs?: number;
+  /** Id of the last event that the caller has; it goes on after it. */
+  readonly lastEventId?: string;
   /** Id of the longest prompt prefix that other requests share. */
   readonly sharedPrefix?: string;
   /** Number of prompt tokens up to the end of that prefix. */
--- a/packages/router/src/wiredirect.ts
+++ b/packages/router/src/wiredirect.ts
@@ -206,6 +206,10 @@
     direct.REQUEST_RECORDER,
     new direct.LoggingRequestRecorder(kernel),
   );
+  kernel.register(
+    direct.STREAM_RECORDER,
+    new direct.LoggingStreamRecorder(kernel),
+  );
 }
 
 /** The services that exchange state with the store and other routers. */
