Break off streams in which an id goes back

Callers got events twice, or those of two runs: nothing compared the id of an event with those before it. An engine that ignored Last-Event-Id, began at the last id itself or before it, repeated an event or began its ids again had it all passed on, and so had its answer to the take-up of a caller.

The event that goes back isn't passed on now, the events before it are. The answer is broken with cause 'protocol', so the stream goes on at another endpoint where it may be resumed, and is broken off elsewhere. Ids are compared over all endpoints of a stream, on resumable routes from the caller's own Last-Event-Id on. Only whole numbers of up to 15 digits can be compared: other ids, none, and greater steps are passed on as before.

--- a/packages/direct/src/eventsplitter.ts
+++ b/packages/direct/src/eventsplitter.ts
@@ -14,6 +14,7 @@
 const CARRIAGE_RETURN = 13;
 /** An event ends with an empty line. */
 const EVENT_ENDS = [Buffer.from('\n\n'), Buffer.from('\n\r\n')];
+const EMPTY_LINE = /\n\r?\n/;
 /** Number of bytes before a chunk that may belong to the end of an event in it. */
 const MAX_OVERLAP_BYTES = 2;
 const ID_FIELD = 'id:';
@@ -28,6 +29,13 @@
   }
 }
 
+/** Thrown for an event that must not follow those before it. */
+export class OutOfOrderError extends Error {
+  constructor({foundId, lastId}: eventOrder.OddEvent) {
+    super(`an event has the id ${foundId} after ${lastId}`);
+  }
+}
+
 /** Splits one caller's event stream, across all endpoints that continue it. */
 export class EventSplitter {
   /** Bytes after the last complete event. */
@@ -74,27 +82,17 @@
   }
 
   /**
-   * Adds bytes and returns all events that are now complete. Throws an
+   * Adds bytes and returns all events that are now complete, up to one that goes
+   * back; `oddEvent` tells of it, and the rest is for nobody. Throws an
    * `EventTooLargeError`.
    */
   push(chunk: Buffer): Buffer {
     this.lastOddEvent = undefined;
-    if (this.pending.length === 0 && endsWithEvent(chunk)) {
-      this.hasPassedEvents = true;
-      this.readIds(chunk);
-      return chunk;
-    }
-    const end = this.endOfLastEvent(chunk);
-    if (end === 0) {
-      this.append(chunk);
-      return EMPTY_BUFFER;
-    }
-    const events = this.afterPending(chunk.subarray(0, end));
-    this.reset();
-    this.append(chunk.subarray(end));
-    this.hasPassedEvents = true;
-    this.readIds(events);
-    return events;
+    const events = this.completeEvents(chunk);
+    if (events.length === 0) return events;
+    const passedBytes = this.readIds(events);
+    if (passedBytes > 0) this.hasPassedEvents = true;
+    return events.subarray(0, passedBytes);
   }
 
   /** Bytes after the last complete event. */
@@ -108,6 +106,19 @@
     this.hasContent = false;
   }
 
+  private completeEvents(chunk: Buffer): Buffer {
+    if (this.pending.length === 0 && endsWithEvent(chunk)) return chunk;
+    const end = this.endOfLastEvent(chunk);
+    if (end === 0) {
+      this.append(chunk);
+      return EMPTY_BUFFER;
+    }
+    const events = this.afterPending(chunk.subarray(0, end));
+    this.reset();
+    this.append(chunk.subarray(end));
+    return events;
+  }
+
   private append(bytes: Buffer): void {
     if (bytes.length === 0) return;
     const pendingBytes = this.pending.length + bytes.length;
@@ -134,16 +145,27 @@
     return Buffer.concat([this.pending.bytes(), bytes]);
   }
 
-  private readIds(events: Buffer): void {
+  /** Reads the ids of whole events; returns the bytes before one that goes back. */
+  private readIds(events: Buffer): number {
     const text = events.toString('latin1');
     let start = startOfId(text);
     while (start >= 0) {
       const end = text.indexOf('\n', start);
-      const id = text.slice(start, end < 0 ? undefined : end).trim();
-      this.lastIdText = id;
-      this.lastOddEvent ??= this.order.add(id);
-      start = startOfNextId(text, start);
+      const next = startOfNextId(text, end);
+      // The last id of an event is the one that counts.
+      if (next < 0 || EMPTY_LINE.test(text.slice(end, next))) {
+        const id = text.slice(start, end).trim();
+        const oddEvent = this.order.add(id);
+        this.lastOddEvent ??= oddEvent;
+        if (oddEvent?.fault === 'back') {
+          this.lastOddEvent = oddEvent;
+          return indexAfterLastEnd(events.subarray(0, start));
+        }
+        this.lastIdText = id;
+      }
+      start = next;
     }
+    return events.length;
   }
 }
 
--- a/packages/direct/src/responsedelivery.ts
+++ b/packages/direct/src/responsedelivery.ts
@@ -3,7 +3,7 @@
  * streams are buffered first, so that a truncated one can be retried at another
  * endpoint, unless they exceed the buffer limit. Event streams are passed on
  * event by event, and can be resumed with a second endpoint's response; one that
- * ends inside an event is broken.
+ * ends inside an event, or in which an id goes back, is broken.
  */
 import type * as http from 'node:http';
 import * as core from '@oleanderrock/core';
@@ -262,6 +262,9 @@
         if (drained) await drained;
       }
       if (outgoing.callerGone.aborted) return true;
+      if (oddEvent?.fault === 'back') {
+        throw new eventSplitter.OutOfOrderError(oddEvent);
+      }
     }
   }
 
@@ -286,7 +289,9 @@
     error: unknown,
   ): DeliveryResult {
     if (this.outgoing.callerGone.aborted) return {type: 'caller_gone'};
-    const isUnsound = error instanceof core.relay.UnsoundResponseError;
+    const isUnsound =
+      error instanceof core.relay.UnsoundResponseError ||
+      error instanceof eventSplitter.OutOfOrderError;
     const cause = incoming.abortCause() ?? (isUnsound ? 'protocol' : 'broken');
     return {type: 'broken', cause, detail: core.errorMessage(error)};
   }
