Don't resume a stream after an event without an id

An endpoint that goes on with a stream begins after the last id. Events without an id that were passed on after it came to the caller twice.

Such a stream is broken off now; a caller decides for itself where it goes on. Comments and blank lines are no events, so a stream with nothing else can be resumed.

Before: two tests red, the caller got the event without an id twice. After: green.

--- a/packages/direct/src/eventsplitter.ts
+++ b/packages/direct/src/eventsplitter.ts
@@ -15,6 +15,8 @@
 /** An event ends with an empty line. */
 const EVENT_ENDS = [Buffer.from('\n\n'), Buffer.from('\n\r\n')];
 const EMPTY_LINE = /\n\r?\n/;
+/** A line that is neither empty nor a comment. */
+const EVENT_LINE = /^[^:\r\n]/m;
 /** Number of bytes before a chunk that may belong to the end of an event in it. */
 const MAX_OVERLAP_BYTES = 2;
 const ID_FIELD = 'id:';
@@ -43,7 +45,8 @@
   private hasContent = false;
   /** What the id field of the last event with one says; it may be no valid id. */
   private lastIdText: string | undefined;
-  private hasPassedEvents = false;
+  /** Whether events without an id were passed on after the last one with an id. */
+  private hasUnnumberedEvents = false;
   private readonly order: eventOrder.EventOrder;
   private lastOddEvent: eventOrder.OddEvent | undefined;
 
@@ -66,9 +69,14 @@
     return id !== undefined && HEADER_VALUE.test(id) ? id : undefined;
   }
 
-  /** Whether another endpoint can continue the stream after the last event. */
+  /**
+   * Whether another endpoint can continue the stream after the last event. It
+   * would repeat those without an id.
+   */
   get canResume(): boolean {
-    return !this.hasPassedEvents || this.lastEventId !== undefined;
+    const isLastIdValid =
+      this.lastIdText === undefined || this.lastEventId !== undefined;
+    return isLastIdValid && !this.hasUnnumberedEvents;
   }
 
   /** Whether an event has begun and is not yet complete. */
@@ -90,9 +98,7 @@
     this.lastOddEvent = undefined;
     const events = this.completeEvents(chunk);
     if (events.length === 0) return events;
-    const passedBytes = this.readIds(events);
-    if (passedBytes > 0) this.hasPassedEvents = true;
-    return events.subarray(0, passedBytes);
+    return events.subarray(0, this.readIds(events));
   }
 
   /** Bytes after the last complete event. */
@@ -148,6 +154,8 @@
   /** Reads the ids of whole events; returns the bytes before one that goes back. */
   private readIds(events: Buffer): number {
     const text = events.toString('latin1');
+    let passedBytes = events.length;
+    let lastEnd: number | undefined;
     let start = startOfId(text);
     while (start >= 0) {
       const end = text.indexOf('\n', start);
@@ -159,13 +167,30 @@
         this.lastOddEvent ??= oddEvent;
         if (oddEvent?.fault === 'back') {
           this.lastOddEvent = oddEvent;
-          return indexAfterLastEnd(events.subarray(0, start));
+          passedBytes = indexAfterLastEnd(events.subarray(0, start));
+          break;
         }
         this.lastIdText = id;
+        lastEnd = end;
       }
       start = next;
     }
-    return events.length;
+    this.recordUnnumbered(text.slice(0, passedBytes), lastEnd);
+    return passedBytes;
+  }
+
+  /** @param lastEnd end of the line with the last id; undefined if there is none */
+  private recordUnnumbered(text: string, lastEnd: number | undefined): void {
+    if (lastEnd === undefined) {
+      this.hasUnnumberedEvents ||= EVENT_LINE.test(text);
+      return;
+    }
+    const tail = text.slice(lastEnd);
+    const eventEnd = EMPTY_LINE.exec(tail);
+    const rest = eventEnd
+      ? tail.slice(eventEnd.index + eventEnd[0].length)
+      : '';
+    this.hasUnnumberedEvents = rest !== '' && EVENT_LINE.test(rest);
   }
 }
 
--- a/packages/direct/src/tests/eventsplitter.test.ts
+++ b/packages/direct/src/tests/eventsplitter.test.ts
@@ -167,4 +167,27 @@
     }
     expect(splitter.lastEventId).to.equal('8');
   });
+
+  it('cannot be resumed after an event without an id; a comment is no event', () => {
+    const steps: ReadonlyArray<readonly [string, boolean]> = [
+      [': comment\n\n', true],
+      ['data: a\n\n', false],
+      [': comment\n\n', false],
+      ['id: 1\ndata: b\n\n', true],
+      ['\r\n: comment\r\n\r\n', true],
+      ['id: 2\ndata: c\n\ndata: d\n\n', false],
+      ['data: e\nid: 3\n\n: comment\n\n', true],
+      ['event: x\n\n', false],
+      ['data: f\n\nid: 4\r\ndata: g\r\n\r\n', true],
+      // The event without an id is passed on, the one that goes back isn't.
+      ['id: 5\n\ndata: h\n\nid: 1\n\n', false],
+      ['id:\n\n', false],
+    ];
+    const splitter = new direct.EventSplitter();
+    for (const [text, canResume] of steps) {
+      splitter.push(Buffer.from(text));
+      splitter.reset();
+      expect(splitter.canResume, JSON.stringify(text)).to.equal(canResume);
+    }
+  });
 });
--- a/packages/router/src/tests/eventorder.test.ts
+++ b/packages/router/src/tests/eventorder.test.ts
@@ -155,6 +155,19 @@
     expect(response.body).to.equal(support.events(4));
   });
 
+  it('are not resumed after one without an id, which would come twice', async () => {
+    const unnumbered = 'data: unnumbered\n\n';
+    const body = support.events(4) + unnumbered;
+    const rest = unnumbered + support.events(EVENTS, 5);
+    setFirst(
+      write(() => `${body}id: 5\nda`),
+      write(() => rest),
+    );
+    const response = await fleet.call('/chat/a');
+    expect(response).to.include({body, isComplete: false});
+    expect(fleet.runs()).to.have.length(1);
+  });
+
   it('may have ids that are no whole numbers, none, or greater steps', async () => {
     const bodies = [
       'id: b\ndata: 1\n\nid: a\ndata: 2\n\nid: a\ndata: 3\n\n',
