Don't mark the end of a stream that nobody knows to be whole

A stream whose first answer had a length or chunks has chunks towards the caller. If it broke and went on with an answer without either, the router took that answer's ordinary close for the end and wrote the last chunk. An endpoint that closed early, at the end of an event, so made a part look whole.

The router doesn't write the last chunk after such an end. It is a broken answer: another endpoint goes on after the last id, and its empty whole answer ends the stream; without one, the caller sees that it is cut.

--- a/packages/direct/src/responsedelivery.ts
+++ b/packages/direct/src/responsedelivery.ts
@@ -40,11 +40,18 @@
 /** Error for an event that finds no memory to be completed in. */
 const NO_EVENT_MEMORY = new Error('there is no memory for a whole event');
 
+/** Error for an end that can't be passed on. */
+const UNMARKED_END = new Error(
+  'the connection closed, and nothing tells whether the stream is complete',
+);
+
 /** Delivers the response to one request. */
 export class ResponseDelivery {
   private readonly splitter: eventSplitter.EventSplitter;
   /** What is held for the event that is not yet complete, in bytes. */
   private heldEventBytes = 0;
+  /** How the end of an event stream is marked for the caller. */
+  private callerFraming: routedRequest.Framing | undefined;
   private lastFailure: BufferedResponse | undefined;
 
   constructor(
@@ -208,9 +215,11 @@
   ): Promise<DeliveryResult> {
     const {response, status} = incoming;
     let end: streamRecorder.StreamEnd = 'broken';
+    const framing = framingOf(response);
     if (!this.hasBegun) {
       const headers = this.callerHeaders(response);
-      this.outgoing.writeHead(status, headers, framingOf(response));
+      this.callerFraming = framing;
+      this.outgoing.writeHead(status, headers, framing);
     }
     try {
       const isCallerGone = await this.relayEvents(incoming, endpoint);
@@ -220,11 +229,14 @@
       if (!response.complete || this.splitter.isInsideEvent) {
         return this.breakResult(incoming, bodies.TRUNCATED);
       }
+      end = framing === 'marked' ? 'length_or_chunks' : 'connection';
+      // The mark would tell the caller what an ordinary close doesn't tell.
+      if (this.callerFraming === 'marked' && framing === 'connection') {
+        return this.breakResult(incoming, UNMARKED_END);
+      }
       const remainder = this.splitter.remainder();
       if (remainder.length > 0) await this.outgoing.write(remainder);
       this.outgoing.end();
-      const isMarked = framingOf(response) === 'marked';
-      end = isMarked ? 'length_or_chunks' : 'connection';
       return {type: 'delivered', status};
     } catch (error) {
       return this.breakResult(incoming, error);
--- a/packages/router/src/tests/eventorder.test.ts
+++ b/packages/router/src/tests/eventorder.test.ts
@@ -155,6 +155,28 @@
     expect(response.body).to.equal(support.events(4));
   });
 
+  for (const last of [EVENTS, EVENTS - 2, 4]) {
+    it(`are whole at the end of an answer with chunks that goes on without a length to event ${last}`, async () => {
+      const goOn = write(
+        lastId => support.events(last, lastId + 1),
+        'connection',
+      );
+      setFirst(BROKEN, goOn);
+      const response = await fleet.call('/chat/a');
+      expect(response.body).to.equal(support.events(EVENTS));
+      expect(response.isComplete).to.equal(true);
+      expect(fleet.runs()).to.have.length(3);
+    });
+  }
+
+  it('do not look whole where nothing tells whether they are', async () => {
+    const goOn = write(lastId => support.events(6, lastId + 1), 'connection');
+    setFirst(BROKEN, goOn, goOn);
+    const response = await fleet.call('/chat/a');
+    expect(response.isComplete).to.equal(false);
+    expect(response.body).to.equal(support.events(6));
+  });
+
   it('are not resumed after one without an id, which would come twice', async () => {
     const unnumbered = 'data: unnumbered\n\n';
     const body = support.events(4) + unnumbered;
