--- a/packages/direct/src/responsedelivery.ts
+++ b/packages/direct/src/responsedelivery.ts
@@ -3,7 +3,7 @@
  * streams are buffered first, so that a truncated one can be retried at another
  * endpoint, unless they exceed the buffer limit. Event streams are passed on
  * event by event, and can be resumed with a second endpoint's response; one that
- * ends inside an event is broken.
+ * ends inside an event, or in which an id goes back, is broken.
  */
 import type * as http from 'node:http';
 import * as core from '@oleanderrock/core';
@@ -15,6 +15,7 @@
 import * as eventSplitter from './eventsplitter.js';
 import * as liveness from './liveness.js';
 import type * as model from './model.js';
+import * as streamRecorder from './streamrecorder.js';
 
 /** The result of an attempt whose response was handled. */
 export type DeliveryResult =
@@ -39,18 +40,31 @@
 /** Error for an event that finds no memory to be completed in. */
 const NO_EVENT_MEMORY = new Error('there is no memory for a whole event');
 
+/** Error for an end that can't be passed on. */
+const UNMARKED_END = new Error(
+  'the connection closed, and nothing tells whether the stream is complete',
+);
+
 /** Delivers the response to one request. */
 export class ResponseDelivery {
-  private readonly splitter = new eventSplitter.EventSplitter();
+  private readonly splitter: eventSplitter.EventSplitter;
   /** What is held for the event that is not yet complete, in bytes. */
   private heldEventBytes = 0;
+  /** How the end of an event stream is marked for the caller. */
+  private callerFraming: routedRequest.Framing | undefined;
   private lastFailure: BufferedResponse | undefined;
 
   constructor(
     private readonly kernel: core.Kernel,
     private readonly request: routedRequest.RoutedRequest,
     private readonly outgoing: routedRequest.CallerResponse,
-  ) {}
+  ) {
+    // On other routes, the field has no meaning.
+    const lastEventId = request.route.isResumable
+      ? request.head.lastEventId
+      : undefined;
+    this.splitter = new eventSplitter.EventSplitter(lastEventId);
+  }
 
   get callerGone(): AbortSignal {
     return this.outgoing.callerGone;
@@ -98,7 +112,7 @@
       const isStream =
         this.request.route.repeat === 'stream' && isSuccess(incoming.status);
       const result = isStream
-        ? await this.relayEventStream(incoming)
+        ? await this.relayEventStream(incoming, endpoint)
         : await this.relayBuffered(incoming, isLastSend);
       if (result.type === 'delivered' || result.type === 'failed_run') {
         incoming.recordBegun();
@@ -197,20 +211,29 @@
 
   private async relayEventStream(
     incoming: attempt.EndpointResponse,
+    endpoint: model.Endpoint,
   ): Promise<DeliveryResult> {
     const {response, status} = incoming;
+    let end: streamRecorder.StreamEnd = 'broken';
+    const framing = framingOf(response);
     if (!this.hasBegun) {
       const headers = this.callerHeaders(response);
-      this.outgoing.writeHead(status, headers, framingOf(response));
+      this.callerFraming = framing;
+      this.outgoing.writeHead(status, headers, framing);
     }
     try {
-      const isCallerGone = await this.relayEvents(incoming);
+      const isCallerGone = await this.relayEvents(incoming, endpoint);
       if (isCallerGone) return {type: 'caller_gone'};
       // Only the events tell whether a stream that ends with its connection is
       // complete.
       if (!response.complete || this.splitter.isInsideEvent) {
         return this.breakResult(incoming, bodies.TRUNCATED);
       }
+      end = framing === 'marked' ? 'length_or_chunks' : 'connection';
+      // The mark would tell the caller what an ordinary close doesn't tell.
+      if (this.callerFraming === 'marked' && framing === 'connection') {
+        return this.breakResult(incoming, UNMARKED_END);
+      }
       const remainder = this.splitter.remainder();
       if (remainder.length > 0) await this.outgoing.write(remainder);
       this.outgoing.end();
@@ -218,6 +241,7 @@
     } catch (error) {
       return this.breakResult(incoming, error);
     } finally {
+      if (!this.callerGone.aborted) this.recorder.recordEnd(end);
       // Any bytes left belong to a response that is given up.
       if (!response.readableEnded) response.destroy();
       this.splitter.reset();
@@ -228,6 +252,7 @@
   /** Passes events on until the last one; returns whether the caller has gone. */
   private async relayEvents(
     incoming: attempt.EndpointResponse,
+    endpoint: model.Endpoint,
   ): Promise<boolean> {
     const {outgoing, splitter} = this;
     const reader = new core.BodyReader(incoming.response, incoming.meter);
@@ -235,6 +260,10 @@
       const chunk = await bodies.nextChunk(incoming, reader);
       if (!chunk) return false;
       const events = splitter.push(chunk);
+      const {oddEvent} = splitter;
+      if (oddEvent) {
+        this.recorder.recordOddEvent(this.request, endpoint, oddEvent);
+      }
       if (!this.holdEvent()) throw NO_EVENT_MEMORY;
       if (events.length === 0) {
         // The chunk was copied.
@@ -245,6 +274,9 @@
         if (drained) await drained;
       }
       if (outgoing.callerGone.aborted) return true;
+      if (oddEvent?.fault === 'back') {
+        throw new eventSplitter.OutOfOrderError(oddEvent);
+      }
     }
   }
 
@@ -269,7 +301,9 @@
     error: unknown,
   ): DeliveryResult {
     if (this.outgoing.callerGone.aborted) return {type: 'caller_gone'};
-    const isUnsound = error instanceof core.relay.UnsoundResponseError;
+    const isUnsound =
+      error instanceof core.relay.UnsoundResponseError ||
+      error instanceof eventSplitter.OutOfOrderError;
     const cause = incoming.abortCause() ?? (isUnsound ? 'protocol' : 'broken');
     return {type: 'broken', cause, detail: core.errorMessage(error)};
   }
@@ -289,6 +323,10 @@
     return probeResult === 'alive' ? result : {...result, cause: 'dead'};
   }
 
+  private get recorder(): streamRecorder.StreamRecorder {
+    return this.kernel.find(streamRecorder.STREAM_RECORDER);
+  }
+
   /**
    * Headers for the caller, without content-length, which is set again on
    * sending.
