Take no reset for the end of an answer

Callers saw: an engine answered with neither a length nor chunks, sent a part and reset its connection; under load they got the part as a whole answer, on each kind of route, after the request and during an upload.

Cause: a reset that is pending together with the last bytes is no error in Node.js. libuv reads less than it asked for, sees the hang-up and reports an ordinary end; the parser then takes the end of the connection for that of the answer. Readers asked `complete`, which is true then, and also where the reset was read by itself.

Change: core/responseends.ts tells how a response ended, and the relay and its readers ask it. In front of the parser's listener it asks the socket for its peer: a connection that was reset has none, one that the peer closed in order still has. An error of the request before the answer's end is remembered too. A length and chunks count as before.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -25,6 +25,7 @@
 export * from './records.js';
 export * as relay from './relay.js';
 export * from './adminresponses.js';
+export * as responseEnds from './responseends.js';
 export * as responses from './responses.js';
 export * from './secrets.js';
 export * from './settings.js';
--- a/packages/core/src/relay.ts
+++ b/packages/core/src/relay.ts
@@ -8,6 +8,7 @@
 import * as errors from './errors.js';
 import * as joinedHeads from './joinedheads.js';
 import * as readPacing from './readpacing.js';
+import * as responseEnds from './responseends.js';
 import * as responseReadings from './responsereading.js';
 
 export {endToEndHeaders} from './forwardedheaders.js';
@@ -259,6 +260,7 @@
   // By default, Node.js drops the fields after the first 1,000 of the response
   // without an error.
   request.maxHeadersCount = 0;
+  responseEnds.follow(request);
   return request;
 }
 
@@ -411,7 +413,7 @@
   } finally {
     cancelIdleTimeout();
   }
-  if (response.complete) return undefined;
+  if (responseEnds.isWhole(response)) return undefined;
   const detail = 'the connection closed before the end of the response body';
   return {stage: 'answer', cause: 'broken', detail};
 }
@@ -482,5 +484,5 @@
     cancelIdleTimeout();
     cancelTotalTimeout();
   }
-  return response.complete ? Buffer.concat(chunks) : undefined;
+  return responseEnds.isWhole(response) ? Buffer.concat(chunks) : undefined;
 }
--- a/packages/direct/src/attempt.ts
+++ b/packages/direct/src/attempt.ts
@@ -377,7 +377,8 @@
       status,
       recordActivity: () => this.recordActivity(),
       recordBegun: () => this.recordBegun(isSuccess),
-      release: () => this.release(isSuccess && response.complete),
+      release: () =>
+        this.release(isSuccess && core.responseEnds.isWhole(response)),
       abortCause: () => this.abortCause(),
     };
   }
--- a/packages/direct/src/responsebody.ts
+++ b/packages/direct/src/responsebody.ts
@@ -1,5 +1,5 @@
 /** Reads the bodies of endpoints' responses chunk by chunk. */
-import type * as core from '@oleanderrock/core';
+import * as core from '@oleanderrock/core';
 import type * as attempt from './attempt.js';
 
 /**
@@ -61,7 +61,7 @@
   } catch (error) {
     return error as Error;
   }
-  if (!endpointResponse.response.complete) return TRUNCATED;
+  if (!core.responseEnds.isWhole(endpointResponse.response)) return TRUNCATED;
   memory.connection.recordPassed(byteCount);
   return {chunks, byteCount, exceedsBuffer: false};
 }
--- a/packages/direct/src/responsedelivery.ts
+++ b/packages/direct/src/responsedelivery.ts
@@ -174,7 +174,9 @@
     } catch (error) {
       return this.breakResult(incoming, error);
     }
-    if (!response.complete) return this.breakResult(incoming, bodies.TRUNCATED);
+    if (!core.responseEnds.isWhole(response)) {
+      return this.breakResult(incoming, bodies.TRUNCATED);
+    }
     this.outgoing.end();
     return {type: 'delivered', status};
   }
@@ -208,7 +210,8 @@
       if (isCallerGone) return {type: 'caller_gone'};
       // Only the events tell whether a stream that ends with its connection is
       // complete.
-      if (!response.complete || this.splitter.isInsideEvent) {
+      const isWhole = core.responseEnds.isWhole(response);
+      if (!isWhole || this.splitter.isInsideEvent) {
         return this.breakResult(incoming, bodies.TRUNCATED);
       }
       const remainder = this.splitter.remainder();
