Ask how it ended of replies of routers as well

Operators and routers saw: a reply without a length that a reset broke off was taken as whole by calls between routers and by oleanderctl, which read with clients of their own; the store's replies and routers' fetches had the same fault by the relay.

--- a/packages/ctl/src/client.ts
+++ b/packages/ctl/src/client.ts
@@ -67,6 +67,7 @@
       agent: false,
       signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
     });
+    core.responseEnds.follow(request);
     try {
       request.end(body);
       const [response] = (await events.EventEmitter.once(
@@ -74,6 +75,10 @@
         'response',
       )) as [http.IncomingMessage];
       const text = await streamConsumers.text(response);
+      if (!core.responseEnds.isWhole(response)) {
+        const detail = 'reset the connection during its response';
+        return {type: 'unreachable', detail};
+      }
       return {
         type: 'answer',
         status: response.statusCode ?? 0,
--- a/packages/router/src/peercalls.ts
+++ b/packages/router/src/peercalls.ts
@@ -165,12 +165,17 @@
       agent,
       signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
     });
+    core.responseEnds.follow(request);
     request.on('error', reject);
     request.on('response', response => {
       const chunks: Buffer[] = [];
       response.on('error', reject);
       response.on('data', (chunk: Buffer) => chunks.push(chunk));
       response.on('end', () => {
+        if (!core.responseEnds.isWhole(response)) {
+          reject(new Error('the connection was reset during the response'));
+          return;
+        }
         const status = response.statusCode ?? 500;
         resolve(new Response(Buffer.concat(chunks), {status}));
       });
