Ask how it ended of answers in the harnesses as well

Cause: soak, the costs of requests, the stand-in caller and the tests' callers asked `complete`, so that they could miss an answer that a router broke off by a reset.

Change: they follow their requests and ask core/responseends.ts. No check is weaker: where an error of the request made an answer incomplete, it still does.

--- a/packages/bench/src/requestcost.ts
+++ b/packages/bench/src/requestcost.ts
@@ -212,11 +212,16 @@
         headers,
         agent,
       });
+      core.responseEnds.follow(request);
       request.once('error', () => resolve(0));
       request.once('response', response => {
         response.resume();
         response.once('close', () =>
-          resolve(response.complete ? (response.statusCode ?? 0) : 0),
+          resolve(
+            core.responseEnds.isWhole(response)
+              ? (response.statusCode ?? 0)
+              : 0,
+          ),
         );
       });
       request.end('x'.repeat(800));
--- a/packages/router/src/tests/directfleet.ts
+++ b/packages/router/src/tests/directfleet.ts
@@ -305,8 +305,9 @@
         agent: false,
       });
       request.maxHeadersCount = 0;
+      core.responseEnds.follow(request);
       // After the head has arrived, an error only means that the response is
-      // incomplete. Node reports one without a length as complete even then.
+      // incomplete.
       let isBroken = false;
       request.once('error', reject);
       request.on('response', response => {
@@ -320,7 +321,7 @@
             status: response.statusCode ?? 0,
             headers: response.headers,
             body: Buffer.concat(chunks).toString(),
-            isComplete: response.complete && !isBroken,
+            isComplete: core.responseEnds.isWhole(response) && !isBroken,
           }),
         );
       });
--- a/packages/router/src/tests/faultsupport.ts
+++ b/packages/router/src/tests/faultsupport.ts
@@ -207,6 +207,7 @@
         error: error.message,
       });
     const request = http.request(target, {method: 'POST', ...rest});
+    core.responseEnds.follow(request);
     request.on('error', fail);
     request.on('response', response => {
       const {statusCode: status = 0, headers} = response;
@@ -218,7 +219,7 @@
           status,
           headers,
           text,
-          isComplete: response.complete && !error,
+          isComplete: core.responseEnds.isWhole(response) && !error,
           error: error?.message,
         });
       response.once('error', end);
--- a/packages/router/src/tests/routerprocess.ts
+++ b/packages/router/src/tests/routerprocess.ts
@@ -7,6 +7,7 @@
 import * as fs from 'node:fs';
 import * as http from 'node:http';
 import * as url from 'node:url';
+import * as core from '@oleanderrock/core';
 import * as standins from '@oleanderrock/standins';
 import * as directFleet from './directfleet.js';
 import * as polling from './polling.js';
@@ -221,12 +222,17 @@
         agent: false,
         signal: AbortSignal.timeout(ORDINARY_TIMEOUT_MS),
       });
+      core.responseEnds.follow(request);
       request.on('error', () => resolve(undefined));
       request.on('response', response => {
         response.on('error', () => undefined);
         response.on('data', () => undefined);
         response.on('close', () =>
-          resolve(response.complete ? response.statusCode : undefined),
+          resolve(
+            core.responseEnds.isWhole(response)
+              ? response.statusCode
+              : undefined,
+          ),
         );
       });
       request.end(method === 'POST' ? 'ordinary' : undefined);
--- a/packages/soak/src/traffic.ts
+++ b/packages/soak/src/traffic.ts
@@ -186,6 +186,7 @@
         if (!socket.connecting) call.isConnected = true;
         else socket.once('connect', () => (call.isConnected = true));
       });
+      core.responseEnds.follow(request);
       request.on('error', finish);
       request.on('response', response => collectAnswer(call, response, finish));
       request.end();
@@ -211,7 +212,7 @@
   response.on('data', (chunk: string) => (answer.body += chunk));
   response.on('error', () => undefined);
   response.on('close', () => {
-    answer.isComplete = response.complete;
+    answer.isComplete = core.responseEnds.isWhole(response);
     finish();
   });
 }
--- a/packages/standins/src/httpcall.ts
+++ b/packages/standins/src/httpcall.ts
@@ -77,6 +77,7 @@
     signal: request.signal,
   });
   clientRequest.maxHeadersCount = 0;
+  core.responseEnds.follow(clientRequest);
   if (request.method === 'GET') return clientRequest.end();
   const body = JSON.stringify({...request.body, nonce: options.nonce});
   clientRequest.setHeader('content-type', 'application/json');
@@ -118,6 +119,9 @@
     if (chunks.length === 0) firstByteMs = performance.now() - startedMs;
     chunks.push(chunk as Buffer);
   }
+  if (!core.responseEnds.isWhole(response)) {
+    throw new Error('the connection was reset during the answer');
+  }
   const totalMs = performance.now() - startedMs;
   return {
     status: response.statusCode ?? 0,
