--- a/packages/router/src/tests/resetanswers.test.ts
+++ b/packages/router/src/tests/resetanswers.test.ts
@@ -6,20 +6,15 @@
  */
 import * as chai from 'chai';
 import * as fc from 'fast-check';
-import * as standins from '@oleanderrock/standins';
-import * as support from './directfleet.js';
-import * as rawCaller from './rawcaller.js';
-import * as rawEngine from './rawengine.js';
+import type * as rawEngine from './rawengine.js';
+import * as rawFleet from './rawfleet.js';
 
 const {expect} = chai;
 
-const ADDRESS = '127.0.0.1';
 const ENGINES = 3;
 const CALLS_AT_ONCE = 20;
 const CALLS = 60;
-const DEADLINE_MS = 3_000;
 
-const SMALL_BODY = 'x';
 /** Below the limit for a request of the configuration. */
 const UPLOAD = 'x'.repeat(1_000_000);
 
@@ -59,8 +54,6 @@
   readonly isWhole: boolean;
 }
 
-const EVENTS = 6;
-
 const TRAILERS = 'x-sum: 1\r\nx-note: 0\r\n';
 
 function chunk(text: string, extension = ''): string {
@@ -93,33 +86,19 @@
 const WHOLE: Pick<Plan, 'framing' | 'cut'> = {framing: 'length', cut: 'end'};
 
 describe('an answer that its endpoint breaks off', () => {
-  let fleet: support.DirectFleet;
-  let engines: rawEngine.RawEngine[];
+  let fleet: rawFleet.RawFleet;
   /** Runs by id of the attempt. */
   let runs: Map<string, Run[]>;
   let plan: Plan | undefined;
-  let callCount = 0;
 
   beforeEach(async () => {
     plan = undefined;
     runs = new Map();
-    fleet = new support.DirectFleet();
-    engines = Array.from(
-      {length: ENGINES},
-      (unused, index) =>
-        new rawEngine.RawEngine(`raw${index}`, ADDRESS, answer),
-    );
-    for (const engine of engines) {
-      await engine.start();
-      fleet.store.put('keyed.servers', engine.id, engine.entry());
-    }
-    await fleet.start(0, 1);
+    fleet = new rawFleet.RawFleet(ENGINES, answer);
+    await fleet.start();
   });
 
-  afterEach(async () => {
-    await fleet.stop();
-    await Promise.all(engines.map(engine => engine.stop()));
-  });
+  afterEach(() => fleet.stop());
 
   /** Answers the first run of a request as planned, further ones as a whole. */
   function answer(request: rawEngine.RawRequest): rawEngine.RawAnswer {
@@ -127,12 +106,10 @@
     const earlierRuns = runs.get(id) ?? [];
     const isPlanned = plan !== undefined && earlierRuns.length === 0;
     const {framing, cut} = isPlanned ? plan! : WHOLE;
-    const pieces = bodyOf(request, `${id}/${earlierRuns.length}`);
+    const pieces = rawFleet.bodyOf(request, `${id}/${earlierRuns.length}`);
     const body = pieces.join('');
-    const isStream = isStreaming(request.path);
     const head =
-      `HTTP/1.1 200 OK\r\nattempt-id: ${id}\r\nresponse-seal: s.${id}\r\n` +
-      (isStream ? 'content-type: text/event-stream\r\n' : '') +
+      `HTTP/1.1 200 OK\r\n${rawFleet.acceptedLines(request)}` +
       framingLines(framing, body);
     const ending = isPlanned ? plan!.ending : 'keep';
     const whole = `${head}\r\n${framed(framing, pieces)}`;
@@ -161,31 +138,10 @@
     };
   }
 
-  async function call(
-    route: Route,
-    body: string,
-  ): Promise<rawCaller.TakenAnswer & {readonly id: string}> {
-    callCount += 1;
-    const id = `attempt-${callCount}`;
-    const taken = await rawCaller.call({
-      address: fleet.address(0),
-      port: fleet.entryPort,
-      path: `${route}a`,
-      headers: standins.callerHeaders({
-        host: support.HOST,
-        attemptId: id,
-        apiKey: support.API_KEY,
-        deadlineMs: DEADLINE_MS,
-      }),
-      body,
-    });
-    return {...taken, id};
-  }
-
   /** Makes calls at once on a route; returns their answers. */
-  async function callAtOnce(route: Route, count = CALLS_AT_ONCE) {
-    const body = plan?.isUpload ? UPLOAD : SMALL_BODY;
-    return Promise.all(Array.from({length: count}, () => call(route, body)));
+  function callAtOnce(route: Route): Promise<rawFleet.CallResult[]> {
+    const body = plan?.isUpload ? UPLOAD : rawFleet.SMALL_BODY;
+    return fleet.callAtOnce(route, CALLS_AT_ONCE, body);
   }
 
   /** Whether an endpoint sent as whole what the caller takes as whole. */
@@ -194,13 +150,15 @@
     {id, body}: {readonly id: string; readonly body: string},
   ): boolean {
     const requestRuns = runs.get(id) ?? [];
-    if (!isStreaming(route)) {
+    if (!rawFleet.isStreaming(route)) {
       return requestRuns.some(run => run.isWhole && run.body === body);
     }
     // A resumed stream has pieces of several runs; the last one ends it.
     const last = requestRuns.at(-1);
     return (
-      last?.isWhole === true && isUnbroken(body) && body.endsWith(last.body)
+      last?.isWhole === true &&
+      rawFleet.isUnbroken(body) &&
+      body.endsWith(last.body)
     );
   }
 
@@ -268,23 +226,3 @@
     );
   });
 });
-
-function isStreaming(path: string): boolean {
-  return path.startsWith('/chat/') || path.startsWith('/once/');
-}
-
-/** The body of a run, in two pieces; that of a stream is cut between events. */
-function bodyOf(
-  {path, headers}: rawEngine.RawRequest,
-  runId: string,
-): [string, string] {
-  if (!isStreaming(path)) return [`${runId} begins`, `, ${runId} ends`];
-  const first = Number(headers['last-event-id'] ?? 0) + 1;
-  const middle = Math.max(first - 1, EVENTS / 2);
-  return [support.events(middle, first), support.events(EVENTS, middle + 1)];
-}
-
-/** Whether the body consists of events in their order, from the first on. */
-function isUnbroken(body: string): boolean {
-  return support.events(EVENTS).startsWith(body);
-}
