Count an answer that ended before its connection was reset

Callers would have seen: an engine answers early without a length, ends in order and leaves a part of the upload unread. Its kernel resets the connection right behind the end; both arrive in one poll.

Cause: such a connection has no peer either, so that the order was not asked for.

Change: a write of no bytes tells: EPIPE if the end came first, ECONNRESET if not. With a part of the upload still to be written it fails too late; that stays refused.

--- a/packages/core/src/responseends.ts
+++ b/packages/core/src/responseends.ts
@@ -8,6 +8,9 @@
  * end of the socket; then only the connection, which has no peer any more, tells.
  */
 import type * as http from 'node:http';
+import type * as net from 'node:net';
+
+const EMPTY = Buffer.alloc(0);
 
 /** Why the responses that seem complete are not. */
 const failures = new WeakMap<http.IncomingMessage, Error>();
@@ -47,8 +50,7 @@
 function followConnection(response: http.IncomingMessage): void {
   const {socket} = response;
   const checkPeer = () => {
-    // The name of the peer must not be read before: Node.js remembers it.
-    if (!response.complete && socket.remoteAddress === undefined) {
+    if (!response.complete && wasReset(socket)) {
       fail(response, new Error('the connection was reset'));
     }
   };
@@ -59,6 +61,19 @@
   response.once('close', () => socket.off('end', checkPeer));
 }
 
+/** Whether the peer reset the connection before it closed it; asked at the end. */
+function wasReset(socket: net.Socket): boolean {
+  // Only a connection that was reset has no peer then. The name of the peer must
+  // not be read before: Node.js remembers it.
+  if (socket.remoteAddress !== undefined) return false;
+  // A peer that has not read the whole request closes in order and resets
+  // afterwards. It is the error of a write that tells; behind other writes this one
+  // fails too late, and the order stays unknown.
+  socket.write(EMPTY);
+  const error: NodeJS.ErrnoException | null = socket.errored;
+  return error?.code !== 'EPIPE';
+}
+
 function fail(response: http.IncomingMessage, error: Error): void {
   if (!failures.has(response)) failures.set(response, error);
 }
--- a/packages/core/src/tests/responseends.test.ts
+++ b/packages/core/src/tests/responseends.test.ts
@@ -15,6 +15,8 @@
 const PART = 'id: 1\ndata: a\n\n';
 /** More than is buffered for a reader that has not begun. */
 const LONG_PART = PART.repeat(40_000);
+/** More than a server reads at once, and less than waits for it in buffers. */
+const MANY_BYTES = 200_000;
 /** Time in which a server's bytes and its reset arrive, in ms. */
 const ARRIVAL_MS = 60;
 
@@ -28,7 +30,8 @@
 interface Answer {
   readonly head: string;
   readonly body: string;
-  readonly ending: 'fin' | 'reset';
+  /** `close` leaves unread what it has not read of the request. */
+  readonly ending: 'fin' | 'reset' | 'close';
   readonly delayMs: number;
 }
 
@@ -66,11 +69,19 @@
 describe('the end of a response', () => {
   let server: net.Server;
   let answer: Answer;
+  let requestBody: Buffer;
+  /** Whether the server leaves the rest of the request unread. */
+  let isUnread: boolean;
 
   beforeEach(async () => {
+    requestBody = Buffer.from('x');
+    isUnread = false;
     server = net.createServer({allowHalfOpen: true}, socket => {
       socket.on('error', () => undefined);
-      socket.on('data', () => void write(socket, answer));
+      socket.on('data', () => {
+        if (isUnread) socket.pause();
+        void write(socket, answer);
+      });
     });
     await new Promise<void>(resolve => server.listen(0, HOST, resolve));
   });
@@ -90,7 +101,7 @@
       method: 'POST',
       path: '/',
       headers: {},
-      body: Buffer.from('x'),
+      body: requestBody,
       connectTimeoutMs: 2_000,
       agent,
     });
@@ -149,6 +160,20 @@
     }
   }
 
+  for (const pauseMs of [0, 2 * ARRIVAL_MS]) {
+    it(`in order counts, though unread bytes reset its connection: ${pauseMs} ms`, async () => {
+      isUnread = true;
+      requestBody = Buffer.alloc(MANY_BYTES);
+      for (const [name, read] of READERS) {
+        answer = {head: '', body: PART, ending: 'close', delayMs: 0};
+        const wholeCount = await countWhole(read, pauseMs);
+        expect(wholeCount, name).to.equal(RESPONSES_AT_ONCE);
+        answer = {head: '', body: PART, ending: 'reset', delayMs: 0};
+        expect(await countWhole(read, pauseMs), name).to.equal(0);
+      }
+    });
+  }
+
   it('leaves no listener on a connection that is kept', async () => {
     const agent = new http.Agent({keepAlive: true, maxSockets: 1});
     try {
@@ -188,5 +213,6 @@
   socket.write(`HTTP/1.1 200 OK\r\n${head}\r\n${body}`);
   if (delayMs > 0) await timers.setTimeout(delayMs);
   if (ending === 'fin') socket.end();
-  else socket.resetAndDestroy();
+  else if (ending === 'reset') socket.resetAndDestroy();
+  else socket.destroySoon();
 }
