Log which version answers, and where a stream goes on

Change: the version of the software is part of an endpoint, in the registry, in digests and in the state that routers fetch; old digests lack it and are read. The request line has `version`, `resumes` and `after_event`, and each send that continues a stream has a line `stream_continued`, at most 20 a second.

Decisions are unchanged.

--- a/packages/direct/src/dispatcher.ts
+++ b/packages/direct/src/dispatcher.ts
@@ -19,6 +19,9 @@
 import * as waitingRoom from './waitingroom.js';
 import type * as model from './model.js';
 
+/** Maximum number of continued streams that are logged in a second. */
+const MAX_CONTINUATION_LINES_PER_SECOND = 20;
+
 /** Dispatches requests to endpoints. */
 export interface Dispatcher {
   serve(
@@ -35,6 +38,7 @@
   private readonly recorder: attemptRecorder.AttemptRecorder;
   private readonly allowance: sendAllowance.SendAllowance;
   private readonly sends: endpointSends.EndpointSends;
+  private readonly continuationQuota: core.LogQuota;
 
   constructor(private readonly kernel: core.Kernel) {
     this.recorder = new attemptRecorder.AttemptRecorder(kernel);
@@ -44,6 +48,11 @@
       this.allowance,
       this.recorder,
     );
+    this.continuationQuota = new core.LogQuota(
+      'stream_continued',
+      MAX_CONTINUATION_LINES_PER_SECOND,
+      kernel.find(core.LOGGER),
+    );
   }
 
   async serve(
@@ -175,6 +184,7 @@
     choice: endpointSelector.EndpointChoice,
   ): Promise<routedRequest.RequestOutcome | undefined> {
     const {request, delivery, progress} = dispatch;
+    this.recordContinuation(dispatch, choice.endpoint);
     const {endpoint, result} = await this.sends.send(dispatch, choice);
     const deliveryResult =
       result.type === 'response'
@@ -190,6 +200,24 @@
     return this.applyResult(endpoint, deliveryResult, progress);
   }
 
+  /** Logs which endpoint is to continue a stream after which event. */
+  private recordContinuation(
+    {request: {head}, delivery}: dispatchProgress.Dispatch,
+    {id, softwareVersion}: model.Endpoint,
+  ): void {
+    const lastEventId = delivery.lastEventId ?? head.lastEventId;
+    if (lastEventId === undefined) return;
+    if (!this.continuationQuota.consume(this.nowMs())) return;
+    this.kernel.find(core.LOGGER).info('stream_continued', {
+      request: head.requestId,
+      resumes: head.resumedRequestId,
+      after_event: lastEventId,
+      within_answer: delivery.lastEventId !== undefined,
+      endpoint: id,
+      version: softwareVersion,
+    });
+  }
+
   private applyResult(
     endpoint: model.Endpoint,
     result: responseDelivery.DeliveryResult,
--- a/packages/direct/src/endpointchanges.ts
+++ b/packages/direct/src/endpointchanges.ts
@@ -10,7 +10,7 @@
 
 /**
  * An endpoint: pool, address, port, failure domain, 1 if it is draining, start
- * time, and for how long it is still cold, in ms.
+ * time, for how long it is still cold, in ms, and the version of its software.
  */
 const endpointSchema = v.tuple([
   v.string(),
@@ -20,6 +20,7 @@
   v.picklist([0, 1]),
   v.nullable(v.number()),
   v.optional(countSchema, 0),
+  v.optional(v.nullable(v.string()), null),
 ]);
 
 /**
@@ -79,14 +80,16 @@
   const {pool, address, port, zone, isDraining, bornMs = null} = value;
   const warmupLeftMs = Math.ceil(value.warmupLeftMs ?? 0);
   const draining = isDraining ? 1 : 0;
-  return [pool, address, port, zone, draining, bornMs, warmupLeftMs];
+  const version = value.softwareVersion ?? null;
+  return [pool, address, port, zone, draining, bornMs, warmupLeftMs, version];
 }
 
 function decodeEndpoint(
   id: string,
   encoded: EncodedEndpoint,
 ): model.Endpoint | undefined {
-  const [pool, address, port, zone, drainingFlag, bornMs, leftMs] = encoded;
+  const [pool, address, port, zone, drainingFlag, bornMs, leftMs, version] =
+    encoded;
   const isDraining = drainingFlag === 1;
   const startTime = bornMs === null ? {} : {bornMs};
   const parsed = v.safeParse(model.endpointSchema, {
@@ -98,6 +101,7 @@
     isDraining,
     ...startTime,
     ...(leftMs > 0 ? {warmupLeftMs: leftMs} : {}),
+    ...(version === null ? {} : {softwareVersion: version}),
   });
   return parsed.success ? parsed.output : undefined;
 }
--- a/packages/direct/src/endpointregistry.ts
+++ b/packages/direct/src/endpointregistry.ts
@@ -21,7 +21,7 @@
  * others know already, and of one that has come.
  */
 const LEAVING_BYTES = 20;
-const COMING_BYTES = 60;
+const COMING_BYTES = 70;
 
 /** Maximum bytes of the changes in one digest, so that it fits a datagram. */
 const MAX_CHANGE_BYTES_PER_DIGEST = 720;
@@ -218,6 +218,7 @@
       pool: value?.pool ?? previous?.value?.pool,
       was,
       is,
+      version: value?.softwareVersion ?? previous?.value?.softwareVersion,
       offset,
     });
     return isAvailabilityChange;
--- a/packages/direct/src/endpointsends.ts
+++ b/packages/direct/src/endpointsends.ts
@@ -253,7 +253,12 @@
   progress: dispatchProgress.DispatchProgress,
   {endpoint, placement, contextSource}: endpointSelector.EndpointChoice,
 ): void {
-  progress.placement = {...placement, contextSource: contextSource?.id};
+  const {softwareVersion} = endpoint;
+  progress.placement = {
+    ...placement,
+    contextSource: contextSource?.id,
+    softwareVersion,
+  };
   progress.sendCount += 1;
   progress.triedIds.add(endpoint.id);
 }
--- a/packages/direct/src/model.ts
+++ b/packages/direct/src/model.ts
@@ -139,6 +139,8 @@
   port: portSchema,
   zone: nameSchema,
   isDraining: v.boolean(),
+  /** Version of its software, not of the model's weights. */
+  softwareVersion: v.optional(nameSchema),
   /** Wall-clock time of the endpoint's start, in ms. */
   bornMs: v.optional(v.number()),
   /**
--- a/packages/direct/src/routedrequest.ts
+++ b/packages/direct/src/routedrequest.ts
@@ -85,6 +85,8 @@
 export interface PlacementDecision extends decide.DirectChoice {
   /** The endpoint that the chosen one was to copy context from. */
   readonly contextSource?: string;
+  /** Version of the endpoint's software. */
+  readonly softwareVersion?: string;
 }
 
 /** Whether the second of two sends that were open together answered first. */
--- a/packages/direct/src/wireprotocol.ts
+++ b/packages/direct/src/wireprotocol.ts
@@ -25,6 +25,10 @@
   readonly sharedParts: readonly string[];
   /** Tokens of the whole prompt; 0 for requests without one. */
   readonly promptTokens: number;
+  /** Id of the last event that the caller has of a stream that it takes up. */
+  readonly lastEventId?: string;
+  /** The caller's attempt that brought the first event of that stream. */
+  readonly resumedRequestId?: string;
   /** Output tokens that the caller expects; absent if it does not say. */
   readonly expectedOutputTokens?: number;
 }
