--- a/packages/router/src/tests/directfleet.ts
+++ b/packages/router/src/tests/directfleet.ts
@@ -81,15 +81,24 @@
   private ports = {entry: 0, ready: 0, directory: 0, peer: 0, gossip: 0};
   private storePort = 0;
 
-  /** Starts the store, endpoints and routers; resolves when all are ready. */
-  async start(endpoints = 2, routers = 1): Promise<void> {
+  /**
+   * Starts the store, endpoints and routers; resolves when all are ready.
+   * `overrides` are flags of the routers beyond the defaults.
+   */
+  async start(
+    endpoints = 2,
+    routers = 1,
+    overrides: Record<string, string> = {},
+  ): Promise<void> {
     this.storePort = await this.store.start(STORE_ADDRESS);
     const [entry = 0, ready = 0, directory = 0, peer = 0, gossip = 0] =
       await standins.freePorts(PORT_COUNT);
     this.ports = {entry, ready, directory, peer, gossip};
     this.store.put('keyed.op', 'config', config(1));
     for (let count = 0; count < endpoints; count++) await this.addEndpoint();
-    for (let count = 0; count < routers; count++) await this.addRouter();
+    for (let count = 0; count < routers; count++) {
+      await this.addRouter(overrides);
+    }
     await polling.until('all routers are ready', () => this.areAllReady());
   }
 
@@ -99,9 +108,13 @@
     await this.store.stop();
   }
 
-  async addEndpoint(pool = 'pool'): Promise<standins.HostedEndpoint> {
+  async addEndpoint(
+    pool = 'pool',
+    version = 'v1',
+  ): Promise<standins.HostedEndpoint> {
     const id = `e${this.endpoints.length + 1}`;
     const endpoint = new standins.HostedEndpoint(id, pool, STORE_ADDRESS);
+    endpoint.version = version;
     await endpoint.start();
     this.endpoints.push(endpoint);
     this.store.put('keyed.servers', id, endpoint.entry());
--- /dev/null
+++ b/packages/router/src/tests/directversions.test.ts
@@ -0,0 +1,192 @@
+/**
+ * Guards against streams that are joined from two versions of the endpoints'
+ * software: a stream that breaks off goes on at the version that began it, in
+ * the same answer or when its caller takes it up at any router, or not at all.
+ */
+import * as chai from 'chai';
+import * as direct from '@oleanderrock/direct';
+import type * as standins from '@oleanderrock/standins';
+import * as support from './directfleet.js';
+import * as polling from './polling.js';
+
+const {expect} = chai;
+
+const EVENTS = 8;
+const LAST_EVENT = 4;
+const STREAMS = 12;
+
+/** The versions whose events a body holds, in order. */
+function versionsIn(body: string): string[] {
+  const labels = [...body.matchAll(/^data: (\S+) \d+$/gm)].map(
+    ([, label]) => label!,
+  );
+  return [...new Set(labels)];
+}
+
+describe('a stream of one of several versions', () => {
+  let fleet: support.DirectFleet;
+  let streamCount = 0;
+
+  beforeEach(async () => {
+    fleet = new support.DirectFleet();
+    await fleet.addEndpoint('other');
+    await fleet.start(0, 2, {isFirstStart: 'true'});
+  });
+
+  afterEach(() => fleet.stop());
+
+  const knows = (id: string, isListed: boolean) =>
+    fleet.kernels.every(kernel => {
+      const endpoint = kernel.find(direct.ENDPOINT_REGISTRY).find(id);
+      return (endpoint !== undefined) === isListed;
+    });
+
+  const add = async (version: string): Promise<standins.HostedEndpoint> => {
+    const endpoint = await fleet.addEndpoint('pool', version);
+    endpoint.defaultBehaviour = {
+      type: 'stream',
+      events: EVENTS,
+      label: version,
+    };
+    await polling.until('it is known', () => knows(endpoint.id, true));
+    return endpoint;
+  };
+
+  const remove = async ({id}: standins.HostedEndpoint) => {
+    fleet.store.putEndpoint(id);
+    await polling.until('it is gone', () => knows(id, false));
+  };
+
+  /** Streams that all routers began, by attempt id, with their versions. */
+  const beginStreams = async (count = STREAMS) => {
+    const begun = new Map<string, string>();
+    for (let index = 0; index < count; index++) {
+      streamCount += 1;
+      const id = `stream-${streamCount}`;
+      const headers = {'attempt-id': id};
+      const {body} = await fleet.call('/chat/a', {headers}, index % 2);
+      begun.set(id, versionsIn(body).join());
+    }
+    return begun;
+  };
+
+  const takeUp = (id: string, router: number) =>
+    fleet.call(
+      '/chat/a',
+      {headers: {'last-event-id': String(LAST_EVENT), resumes: id}},
+      router,
+    );
+
+  const loseRouters = async () => {
+    await Promise.all(fleet.kernels.map(kernel => kernel.stop()));
+    fleet.kernels.length = 0;
+    await fleet.addRouter();
+    await fleet.addRouter();
+    await polling.until('the routers are ready', () =>
+      [0, 1].every(router => fleet.phase(router) === 'ready'),
+    );
+  };
+
+  it('goes on at its version if it breaks off within its answer', async () => {
+    for (const version of ['v1', 'v2', 'v1', 'v2']) {
+      const endpoint = await add(version);
+      endpoint.chooseBehaviour = ({headers}) => ({
+        type: 'stream',
+        events: EVENTS,
+        label: version,
+        cutInEvent: headers['last-event-id'] ? undefined : LAST_EVENT + 1,
+      });
+    }
+    for (let index = 0; index < STREAMS; index++) {
+      const {body, isComplete} = await fleet.call('/chat/a', {}, index % 2);
+      expect(versionsIn(body)).to.have.length(1);
+      expect(isComplete).to.equal(true);
+    }
+  });
+
+  it('is broken off if no endpoint of its version is left', async () => {
+    for (const version of ['v1', 'v2']) {
+      const endpoint = await add(version);
+      endpoint.chooseBehaviour = ({headers}) => ({
+        type: 'stream',
+        events: EVENTS,
+        label: version,
+        cutInEvent: headers['last-event-id'] ? undefined : LAST_EVENT + 1,
+      });
+    }
+    for (let index = 0; index < STREAMS; index++) {
+      const {body, isComplete} = await fleet.call('/chat/a', {}, index % 2);
+      expect(versionsIn(body)).to.have.length(1);
+      expect(isComplete).to.equal(false);
+    }
+  });
+
+  it('goes on at its version if its caller takes it up elsewhere', async () => {
+    for (const version of ['v1', 'v2']) await add(version);
+    const begun = await beginStreams();
+    expect(new Set(begun.values()).size).to.equal(2);
+    for (const [id, version] of begun) {
+      for (const router of [0, 1]) {
+        const {status, body} = await takeUp(id, router);
+        expect(status).to.equal(200);
+        expect(versionsIn(body)).to.deep.equal([version]);
+      }
+    }
+  });
+
+  it('goes on at its version if that came second', async () => {
+    await add('v1');
+    const begun = await beginStreams();
+    await add('v2');
+    for (const [id, version] of begun) {
+      const {status, body} = await takeUp(id, 1);
+      expect(status).to.equal(200);
+      expect(versionsIn(body)).to.deep.equal([version]);
+    }
+  });
+
+  it('is refused once its version has left', async () => {
+    const old = await add('v1');
+    const begun = await beginStreams();
+    await add('v2');
+    await remove(old);
+    const runs = fleet.runs().length;
+    for (const id of begun.keys()) {
+      for (const router of [0, 1]) {
+        const {status, body} = await takeUp(id, router);
+        expect(status).to.equal(503);
+        expect(JSON.parse(body)).to.include({kind: 'version_gone', ran: 'no'});
+      }
+    }
+    expect(fleet.runs()).to.have.length(runs);
+  });
+
+  it('is refused after the loss of all routers, its version having left', async () => {
+    const old = await add('v1');
+    const begun = await beginStreams();
+    await add('v2');
+    await remove(old);
+    await loseRouters();
+    const runs = fleet.runs().length;
+    for (const id of begun.keys()) {
+      const {status, body} = await takeUp(id, 1);
+      expect(status).to.equal(503);
+      expect(JSON.parse(body)).to.include({kind: 'stream_unknown', ran: 'no'});
+    }
+    expect(fleet.runs()).to.have.length(runs);
+  });
+
+  it('goes on after the loss of all routers if there is one version', async () => {
+    await add('v1');
+    const begun = await beginStreams();
+    await polling.until('the version is recorded', () =>
+      fleet.store.requestUrls.some(url => /append.*keyed\.versions/.test(url)),
+    );
+    await loseRouters();
+    for (const id of begun.keys()) {
+      const {status, body} = await takeUp(id, 1);
+      expect(status).to.equal(200);
+      expect(versionsIn(body)).to.deep.equal(['v1']);
+    }
+  });
+});
--- a/packages/standins/src/hostedendpoint.ts
+++ b/packages/standins/src/hostedendpoint.ts
@@ -103,6 +103,8 @@
   extraHeaders: Readonly<Record<string, string>> = {};
   /** Wall-clock time of the start, in ms; another one is another lifetime. */
   bornMs = 1_700_000_000_000;
+  /** Version of its software. */
+  version = 'v1';
   /** Queue of behaviours, one for each of the next requests. */
   readonly nextBehaviours: Behaviour[] = [];
   /** Behaviour if the queue is empty and no callback is set. */
@@ -149,7 +151,7 @@
       service: this.pool,
       address: `${this.address}:${this.port}`,
       zone: 'zone-a',
-      version: 'v1',
+      version: this.version,
       slots: 8,
       state,
       warmupLeftMs: 0,
