Continue streams only at the version of the endpoints that began them

Cause: selection knew no versions. A take-up is a new request at any router, and nothing told that router at which version the first event had come. The class of fault: a choice that depends on state of an earlier attempt is made by a process that doesn't have it and doesn't know that it lacks it.

Change: each router remembers the version of each stream that may be resumed. While a pool may have had several versions within the time that a stream can be taken up, routers tell each stream to three homes in different failure domains (18 bytes a stream and home, collected for 20 ms), and a router asks these for what it doesn't know. Where nobody knows the stream, the version that the pool had alone counts, if the router and the homes agree and one of them has seen all versions. Else the take-up is refused with 503, not run: stream_unknown, or version_gone if no endpoint of the version is left. Selection, the second send, waiting and retries are bound to the version before context, cost and load.

Weighed: a header to the caller (callers don't echo it); gossip of each stream to all (2,800 requests/s to 410 routers is over 18 KB/s for each); telling always (not needed while there is one version).

--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -60,6 +60,8 @@
   hop_limit: retryable(503, 'The request was passed on too often'),
   draining: retryable(503, 'The router is shutting down'),
   not_ready: retryable(503, 'The router has no configuration yet'),
+  stream_unknown: notRetryable(503, 'The version of the stream is not known'),
+  version_gone: notRetryable(503, 'The version of the stream is gone'),
   stale_config: retryable(503, 'The router is cut off from configuration'),
   quarantined: retryable(503, 'Endpoints crashed under this request'),
   log_unavailable: retryable(503, 'The log service does not answer'),
--- a/packages/direct/src/crashkeyhomes.ts
+++ b/packages/direct/src/crashkeyhomes.ts
@@ -11,6 +11,7 @@
 import * as crashNotes from './crashnotes.js';
 import * as datagrams from './datagrams.js';
 import * as decisions from './decisions.js';
+import * as rendezvousHomes from './rendezvoushomes.js';
 
 /** Tells crashes to the homes of their keys. */
 export interface CrashKeyHomes {
@@ -23,18 +24,20 @@
   'tell',
 ]);
 
-type Router = decide.FleetRouter;
-
-/** Number of groups of keys, each with homes of its own. */
-const GROUPS = 256;
+/** Homes of a key; a crash that one of them misses is told by the other. */
+const HOMES_PER_KEY = 2;
 
 /** Chooses the homes by rendezvous, and tells them by datagrams. */
 export class RendezvousCrashKeyHomes implements CrashKeyHomes, core.Lifecycle {
-  /** The homes by group, as chosen from the members `homesFor`. */
-  private readonly homes = new Map<number, readonly Router[]>();
-  private homesFor: readonly decide.MemberNote[] | undefined;
-
-  constructor(private readonly kernel: core.Kernel) {}
+  private readonly homes: rendezvousHomes.RendezvousHomes;
+
+  constructor(private readonly kernel: core.Kernel) {
+    this.homes = new rendezvousHomes.RendezvousHomes(
+      kernel,
+      'crash keys',
+      HOMES_PER_KEY,
+    );
+  }
 
   start(): Promise<void> {
     this.kernel
@@ -83,7 +86,7 @@
   ): ReadonlyMap<string, readonly string[]> {
     const byAddress = new Map<string, string[]>();
     for (const key of keys) {
-      for (const {address} of this.homesOf(core.hash32(key) % GROUPS)) {
+      for (const {address} of this.homes.homesOf(key)) {
         const homeKeys = byAddress.get(address) ?? [];
         homeKeys.push(key);
         byAddress.set(address, homeKeys);
@@ -92,22 +95,6 @@
     return byAddress;
   }
 
-  private homesOf(group: number): readonly Router[] {
-    const live = this.membership.live();
-    if (this.homesFor !== live) {
-      this.homesFor = live;
-      this.homes.clear();
-    }
-    const known = this.homes.get(group);
-    if (known) return known;
-    const ready = [this.membership.self(), ...live]
-      .filter(({phase}) => phase === 'ready')
-      .map(({router}) => router);
-    const homes = chooseHomes(group, ready);
-    this.homes.set(group, homes);
-    return homes;
-  }
-
   private get membership(): decide.FleetMembership {
     return this.kernel.find(decisions.MEMBERSHIP);
   }
@@ -116,24 +103,3 @@
     return this.kernel.find(core.CLOCK).nowMs();
   }
 }
-
-/** The first by rendezvous score, and the first of the other failure domains. */
-function chooseHomes(
-  group: number,
-  routers: readonly Router[],
-): readonly Router[] {
-  const first = topRouter(group, routers);
-  if (!first) return [];
-  const others = routers.filter(({zone}) => zone !== first.zone);
-  const second = topRouter(group, others);
-  return second ? [first, second] : [first];
-}
-
-function topRouter(
-  group: number,
-  routers: readonly Router[],
-): Router | undefined {
-  const names = routers.map(({name}) => name);
-  const top = core.topNode(`crash keys ${group}`, names);
-  return routers.find(({name}) => name === top);
-}
--- a/packages/direct/src/datagrams.ts
+++ b/packages/direct/src/datagrams.ts
@@ -4,7 +4,7 @@
 import type * as settings from './settings.js';
 
 /** Topics; on the wire, the index is the first byte of a datagram. */
-const TOPICS = ['digest', 'permit', 'crash'] as const;
+const TOPICS = ['digest', 'permit', 'crash', 'stream'] as const;
 
 /** What a datagram is for. */
 export type DatagramTopic = (typeof TOPICS)[number];
@@ -13,6 +13,7 @@
   digest: Buffer.from([TOPICS.indexOf('digest')]),
   permit: Buffer.from([TOPICS.indexOf('permit')]),
   crash: Buffer.from([TOPICS.indexOf('crash')]),
+  stream: Buffer.from([TOPICS.indexOf('stream')]),
 };
 
 /** Handles a received datagram. */
--- a/packages/direct/src/decisions.ts
+++ b/packages/direct/src/decisions.ts
@@ -201,3 +201,25 @@
   'takeUnsent',
   'forget',
 ]);
+
+/**
+ * The contract under which the history is registered of the versions of
+ * endpoints' software.
+ */
+export const VERSION_HISTORY = core.contract<decide.VersionHistory>(
+  'version-history',
+  [
+    'recordEntry',
+    'addEarlier',
+    'recordFirstStart',
+    'poolHistory',
+    'onlyVersion',
+    'pools',
+  ],
+);
+
+/** The contract under which it is registered at which versions streams began. */
+export const STREAM_ORIGINS = core.contract<decide.StreamOrigins>(
+  'stream-origins',
+  ['record', 'recordTold', 'versionOf', 'takeUntold'],
+);
--- a/packages/direct/src/dispatcher.ts
+++ b/packages/direct/src/dispatcher.ts
@@ -11,13 +11,15 @@
 import * as dispatchFailure from './dispatchfailure.js';
 import * as dispatchProgress from './dispatchprogress.js';
 import * as endpointNotices from './endpointnotices.js';
+import * as endpointRegistry from './endpointregistry.js';
 import * as endpointSelector from './endpointselector.js';
 import * as endpointSends from './endpointsends.js';
 import * as decisions from './decisions.js';
 import * as responseDelivery from './responsedelivery.js';
 import * as sendAllowance from './sendallowance.js';
+import * as streamVersions from './streamversions.js';
 import * as waitingRoom from './waitingroom.js';
-import type * as model from './model.js';
+import * as model from './model.js';
 
 /** Maximum number of continued streams that are logged in a second. */
 const MAX_CONTINUATION_LINES_PER_SECOND = 20;
@@ -69,6 +71,11 @@
     );
     const progress = dispatchProgress.newProgress(request);
     const dispatch = {request, delivery, progress};
+    const failure = await this.findVersion(dispatch);
+    if (failure) {
+      const {kind, detail} = failure;
+      return dispatchProgress.failedOutcome(kind, detail, progress);
+    }
     while (this.allowance.maySend(dispatch)) {
       const choice = await this.selectEndpoint(dispatch);
       if (delivery.callerGone.aborted) {
@@ -82,6 +89,35 @@
     return dispatchFailure.conclude(this.kernel, dispatch);
   }
 
+  /**
+   * Finds the version at which a stream that is taken up goes on; returns why it
+   * cannot, which no wait would change.
+   */
+  private async findVersion({
+    request,
+    progress,
+  }: dispatchProgress.Dispatch): Promise<core.Failure | undefined> {
+    if (!streamVersions.isTakeUp(request)) return undefined;
+    const start = await this.kernel
+      .find(streamVersions.STREAM_VERSIONS)
+      .findStart(request);
+    const {pool} = request;
+    if (start.type === 'unknown') {
+      const detail = `it is not known at which version of ${pool} it began`;
+      return {kind: 'stream_unknown', detail};
+    }
+    if (start.type === 'new') return undefined;
+    const {version} = start;
+    progress.version = version;
+    const isListed = this.kernel
+      .find(endpointRegistry.ENDPOINT_REGISTRY)
+      .readyEndpoints(pool)
+      .some(endpoint => model.versionOf(endpoint) === version);
+    if (isListed) return undefined;
+    const detail = `${pool} has no endpoint of version ${version} left`;
+    return {kind: 'version_gone', detail};
+  }
+
   /** Selects an endpoint, once one has room; undefined if none will in time. */
   private async selectEndpoint(
     dispatch: dispatchProgress.Dispatch,
@@ -94,7 +130,7 @@
     for (;;) {
       const selection = await this.kernel
         .find(endpointSelector.ENDPOINT_SELECTOR)
-        .select(request, progress.triedIds);
+        .select(request, progress);
       if (selection.type === 'selected') return selection.choice;
       if (selection.type === 'limited') {
         this.recordLimited(dispatch, selection.retryInMs);
@@ -115,7 +151,7 @@
     const notices = this.kernel.find(decisions.ENDPOINT_NOTICES);
     const nowMs = this.nowMs();
     return endpointNotices
-      .openEndpoints(this.kernel, request.pool)
+      .openEndpoints(this.kernel, request.pool, progress.version)
       .some(
         each =>
           this.mayTake(progress, each) &&
@@ -195,6 +231,9 @@
           )
         : result;
     if (result.type === 'response') this.waitingRoom.recordEnd(request.pool);
+    if (delivery.hasPassedEvents) {
+      progress.version ??= model.versionOf(endpoint);
+    }
     progress.runs.end(dispatchProgress.runOf(deliveryResult));
     this.recorder.record(request, endpoint, deliveryResult);
     return this.applyResult(endpoint, deliveryResult, progress);
--- a/packages/direct/src/dispatchprogress.ts
+++ b/packages/direct/src/dispatchprogress.ts
@@ -26,6 +26,11 @@
    * wait for room there.
    */
   readonly returnableIds: Set<string>;
+  /**
+   * The version at which the request may run, since its caller has events of it;
+   * absent if it may at any.
+   */
+  version?: string;
   lastFailure: core.Failure;
   /** Placement of the last send. */
   placement?: routedRequest.PlacementDecision;
--- a/packages/direct/src/endpointnotices.ts
+++ b/packages/direct/src/endpointnotices.ts
@@ -10,7 +10,7 @@
 import * as decisions from './decisions.js';
 import * as endpointRegistry from './endpointregistry.js';
 import * as evacuatedZones from './evacuatedzones.js';
-import type * as model from './model.js';
+import * as model from './model.js';
 import type * as wireProtocol from './wireprotocol.js';
 
 /** Records the notices in the head of a response to the request. */
@@ -83,30 +83,39 @@
 
 /**
  * The endpoints of the pool that accept requests of this router, and have room
- * as far as is known.
+ * as far as is known; with a version, those of it.
  */
 export function willingEndpoints(
   kernel: core.Kernel,
   pool: string,
+  version?: string,
 ): readonly model.Endpoint[] {
   const notices = kernel.find(decisions.ENDPOINT_NOTICES);
   const room = kernel.find(decisions.ENDPOINT_ROOM);
   const nowMs = kernel.find(core.CLOCK).nowMs();
-  return openEndpoints(kernel, pool).filter(
+  return openEndpoints(kernel, pool, version).filter(
     endpoint =>
       notices.isWilling(endpoint, nowMs) && !room.isFull(endpoint.id, nowMs),
   );
 }
 
-/** The endpoints of the pool whose failure domain is not evacuated. */
+/**
+ * The endpoints of the pool whose failure domain is not evacuated; with a
+ * version, those of it.
+ */
 export function openEndpoints(
   kernel: core.Kernel,
   pool: string,
+  version?: string,
 ): readonly model.Endpoint[] {
   const zones = kernel.find(evacuatedZones.EVACUATED_ZONES);
-  const endpoints = kernel
+  const all = kernel
     .find(endpointRegistry.ENDPOINT_REGISTRY)
     .readyEndpoints(pool);
+  const endpoints =
+    version === undefined
+      ? all
+      : all.filter(endpoint => model.versionOf(endpoint) === version);
   if (!zones.areAny()) return endpoints;
   return endpoints.filter(({zone}) => !zones.isEvacuated(zone));
 }
--- a/packages/direct/src/endpointrecords.ts
+++ b/packages/direct/src/endpointrecords.ts
@@ -7,6 +7,7 @@
 import * as connections from './connections.js';
 import * as decisions from './decisions.js';
 import * as endpointRegistry from './endpointregistry.js';
+import * as model from './model.js';
 
 /** Source of a record: the store's feed, or another router. */
 export type RecordSource = 'feed' | 'router';
@@ -24,6 +25,7 @@
     source === 'feed'
       ? endpoints.applyFeedRecord(record, nowMs)
       : endpoints.applyPeerRecord(record, nowMs);
+  if (isNewer) recordVersion(kernel, record, nowMs);
   const warmupLeftMs = record.value?.warmupLeftMs ?? 0;
   if (isNewer && record.value && warmupLeftMs > 0) {
     const starts = kernel.find(coldStarts.COLD_STARTS);
@@ -38,3 +40,15 @@
   kernel.find(decisions.PREFIX_HOMES).forget(record.key);
   kernel.find(connections.CONNECTION_POOL).remove(record.key);
 }
+
+function recordVersion(
+  kernel: core.Kernel,
+  {key, value}: endpointRegistry.EndpointRecord,
+  nowMs: number,
+): void {
+  const entry = value && {
+    pool: value.pool,
+    version: model.versionOf(value),
+  };
+  kernel.find(decisions.VERSION_HISTORY).recordEntry(key, entry, nowMs);
+}
--- a/packages/direct/src/endpointselector.ts
+++ b/packages/direct/src/endpointselector.ts
@@ -45,15 +45,23 @@
   /** The limits of all usable endpoints are used up for so long. */
   | {readonly type: 'limited'; readonly retryInMs: number};
 
+/** The endpoints among which one is selected. */
+export interface SelectionScope {
+  /** Endpoints that are left out. */
+  readonly triedIds: ReadonlySet<string>;
+  /** The version at which the request may run; absent if it may at any. */
+  readonly version?: string;
+}
+
 /** Selects endpoints. */
 export interface EndpointSelector {
   /**
-   * Selects an endpoint not in `triedIds`. Waits for the turn of the request if
-   * all usable endpoints have a limit; never rejects.
+   * Selects an endpoint of the scope. Waits for the turn of the request if all
+   * usable endpoints have a limit; never rejects.
    */
   select(
     request: routedRequest.RoutedRequest,
-    triedIds: ReadonlySet<string>,
+    scope: SelectionScope,
   ): Promise<Selection>;
 }
 
@@ -85,13 +93,15 @@
 
   async select(
     request: routedRequest.RoutedRequest,
-    triedIds: ReadonlySet<string>,
+    scope: SelectionScope,
   ): Promise<Selection> {
-    const excludedIds = new Set(triedIds);
+    const excludedIds = new Set(scope.triedIds);
+    const {version} = scope;
     let retryInMs: number | undefined;
     for (let denials = 0; ; denials++) {
       const filter = denials < MAX_DENIALS ? 'not_held_back' : 'unlimited';
-      const choice = this.choose(request, excludedIds, filter);
+      const left = {triedIds: excludedIds, version};
+      const choice = this.choose(request, left, filter);
       if (!choice) break;
       const permit = await this.permits.acquire(choice.endpoint, 0);
       if (permit.type !== 'denied') {
@@ -100,13 +110,13 @@
       retryInMs = Math.min(retryInMs ?? permit.retryInMs, permit.retryInMs);
       excludedIds.add(choice.endpoint.id);
     }
-    return this.waitForTurn(request, triedIds, retryInMs);
+    return this.waitForTurn(request, scope, retryInMs);
   }
 
   /** Waits for a permit of one of the endpoints, since all have a limit. */
   private async waitForTurn(
     request: routedRequest.RoutedRequest,
-    triedIds: ReadonlySet<string>,
+    scope: SelectionScope,
     knownRetryInMs: number | undefined,
   ): Promise<Selection> {
     const remainingMs = request.deadlineMs - this.nowMs();
@@ -114,7 +124,7 @@
       0,
       Math.min(MAX_WAIT_MS, remainingMs * MAX_WAIT_SHARE),
     );
-    const choice = this.choose(request, triedIds, 'any');
+    const choice = this.choose(request, scope, 'any');
     if (!choice) return {type: 'none'};
     const permit = await this.permits.acquire(choice.endpoint, maxWaitMs);
     if (permit.type !== 'denied') return this.confirm(request, choice, permit);
@@ -143,11 +153,11 @@
 
   private choose(
     request: routedRequest.RoutedRequest,
-    excludedIds: ReadonlySet<string>,
+    scope: SelectionScope,
     filter: LimitFilter,
   ): EndpointChoice | undefined {
     const nowMs = this.nowMs();
-    const candidates = this.listCandidates(request, excludedIds, filter, nowMs);
+    const candidates = this.listCandidates(request, scope, filter, nowMs);
     const homes = this.findHomes(request, nowMs);
     const placementRequest = this.buildPlacementRequest(request, homes, nowMs);
     const placement = this.kernel
@@ -181,18 +191,22 @@
 
   private listCandidates(
     request: routedRequest.RoutedRequest,
-    excludedIds: ReadonlySet<string>,
+    {triedIds, version}: SelectionScope,
     filter: LimitFilter,
     nowMs: number,
   ): decide.DirectCandidate[] {
-    const willing = endpointNotices.willingEndpoints(this.kernel, request.pool);
+    const willing = endpointNotices.willingEndpoints(
+      this.kernel,
+      request.pool,
+      version,
+    );
     const mayPassAll =
       filter === 'any' ||
       (filter === 'not_held_back' && !this.permits.mayHoldBack());
     const passing = mayPassAll
       ? willing
       : willing.filter(endpoint => this.passes(endpoint, filter));
-    const ids = passing.map(({id}) => id).filter(id => !excludedIds.has(id));
+    const ids = passing.map(({id}) => id).filter(id => !triedIds.has(id));
     const load = this.kernel.find(decisions.FLEET_LOAD);
     return this.usableIds(request, ids, nowMs).map(id => ({
       id,
--- a/packages/direct/src/endpointsends.ts
+++ b/packages/direct/src/endpointsends.ts
@@ -83,7 +83,7 @@
     if (!this.mayOpenSecond(dispatch)) return undefined;
     const selection = await this.kernel
       .find(endpointSelector.ENDPOINT_SELECTOR)
-      .select(request, progress.triedIds);
+      .select(request, progress);
     // The selection may have taken time, in which the first may have ended.
     if (await this.settlesWithin(first.result, 0)) return undefined;
     if (selection.type !== 'selected' || !this.mayOpenSecond(dispatch)) {
--- a/packages/direct/src/eventsplitter.ts
+++ b/packages/direct/src/eventsplitter.ts
@@ -33,7 +33,7 @@
   private hasContent = false;
   /** What the id field of the last event with one says; it may be no valid id. */
   private lastIdText: string | undefined;
-  private hasPassedEvents = false;
+  private hasCompleteEvents = false;
 
   /**
    * The id of the last complete event; undefined if there is none that a request
@@ -44,9 +44,14 @@
     return id !== undefined && HEADER_VALUE.test(id) ? id : undefined;
   }
 
+  /** Whether an event is complete, of any endpoint. */
+  get hasPassedEvents(): boolean {
+    return this.hasCompleteEvents;
+  }
+
   /** Whether another endpoint can continue the stream after the last event. */
   get canResume(): boolean {
-    return !this.hasPassedEvents || this.lastEventId !== undefined;
+    return !this.hasCompleteEvents || this.lastEventId !== undefined;
   }
 
   /** Whether an event has begun and is not yet complete. */
@@ -65,7 +70,7 @@
    */
   push(chunk: Buffer): Buffer {
     if (this.pending.length === 0 && endsWithEvent(chunk)) {
-      this.hasPassedEvents = true;
+      this.hasCompleteEvents = true;
       this.readId(chunk);
       return chunk;
     }
@@ -77,7 +82,7 @@
     const events = this.afterPending(chunk.subarray(0, end));
     this.reset();
     this.append(chunk.subarray(end));
-    this.hasPassedEvents = true;
+    this.hasCompleteEvents = true;
     this.readId(events);
     return events;
   }
--- a/packages/direct/src/feedfollowers.ts
+++ b/packages/direct/src/feedfollowers.ts
@@ -78,8 +78,12 @@
 
 /** The followers of the store's feeds. */
 export interface FeedFollowers {
+  /** Whether this router reads for others, or for itself if it hears of none. */
+  isReader(): boolean;
   /** Whether this router reads the tables' feed successfully. */
   isReadingTables(): boolean;
+  /** The same for the endpoints' feed. */
+  isReadingEndpoints(): boolean;
   /** Whether this router's recent reads of the store failed. */
   isStoreLost(): boolean;
   /** Withdraws this router's record. */
@@ -88,7 +92,9 @@
 
 /** The contract under which the followers are registered. */
 export const FEED_FOLLOWERS = core.contract<FeedFollowers>('feed-followers', [
+  'isReader',
   'isReadingTables',
+  'isReadingEndpoints',
   'isStoreLost',
   'withdraw',
 ]);
@@ -191,10 +197,25 @@
     return this.tasks.stop();
   }
 
+  /**
+   * Whether this router reads for others. One that hears of no other router
+   * may be cut off from them and reads as well.
+   */
+  isReader(): boolean {
+    if (this.uptimeMs() < ROLES_DELAY_MS && !this.knowsFleet()) return false;
+    const membership = this.kernel.find(decisions.MEMBERSHIP);
+    if (membership.isIsolated(this.nowMs())) return true;
+    return this.role().isReader;
+  }
+
   isReadingTables(): boolean {
     return this.tablesFollower.isCurrent;
   }
 
+  isReadingEndpoints(): boolean {
+    return this.endpointsFollower.isCurrent;
+  }
+
   isStoreLost(): boolean {
     return (
       this.tablesFollower.wasLostRecently ||
@@ -208,17 +229,6 @@
     await this.kernel.find(feeds.FEEDS).withdraw(this.fleet.self(), timeout);
   }
 
-  /**
-   * Whether this router reads for others. One that hears of no other router
-   * may be cut off from them and reads as well.
-   */
-  private isReader(): boolean {
-    if (this.uptimeMs() < ROLES_DELAY_MS && !this.knowsFleet()) return false;
-    const membership = this.kernel.find(decisions.MEMBERSHIP);
-    if (membership.isIsolated(this.nowMs())) return true;
-    return this.role().isReader;
-  }
-
   /**
    * Whether this router has the state of another one, its members included. The
    * others count it as a reader from its start, so it must not wait for longer.
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -43,6 +43,8 @@
 export * as permitMessage from './permitmessage.js';
 export * from './startrecorder.js';
 export * from './statesource.js';
+export * as streamMessage from './streammessage.js';
+export * from './streamversions.js';
 export * as tablesUpdate from './tablesupdate.js';
 export * from './activetables.js';
 export * from './requestwatch.js';
--- a/packages/direct/src/model.ts
+++ b/packages/direct/src/model.ts
@@ -153,6 +153,11 @@
 /** An endpoint. */
 export type Endpoint = v.InferOutput<typeof endpointSchema>;
 
+/** The version of an endpoint's software; empty if its entry has none. */
+export function versionOf({softwareVersion = ''}: Endpoint): string {
+  return softwareVersion;
+}
+
 /** Schema of the record that a router publishes. */
 export const routerSchema = v.object({
   name: nameSchema,
--- a/packages/direct/src/responsedelivery.ts
+++ b/packages/direct/src/responsedelivery.ts
@@ -15,6 +15,7 @@
 import * as eventSplitter from './eventsplitter.js';
 import * as liveness from './liveness.js';
 import type * as model from './model.js';
+import * as streamVersions from './streamversions.js';
 
 /** The result of an attempt whose response was handled. */
 export type DeliveryResult =
@@ -65,6 +66,11 @@
     return this.splitter.lastEventId;
   }
 
+  /** Whether the caller was sent an event by this router. */
+  get hasPassedEvents(): boolean {
+    return this.splitter.hasPassedEvents;
+  }
+
   /** Whether another endpoint's response can continue what the caller has. */
   get canResume(): boolean {
     return (
@@ -98,7 +104,7 @@
       const isStream =
         this.request.route.repeat === 'stream' && isSuccess(incoming.status);
       const result = isStream
-        ? await this.relayEventStream(incoming)
+        ? await this.relayEventStream(incoming, endpoint)
         : await this.relayBuffered(incoming, isLastSend);
       if (result.type === 'delivered' || result.type === 'failed_run') {
         incoming.recordBegun();
@@ -197,6 +203,7 @@
 
   private async relayEventStream(
     incoming: attempt.EndpointResponse,
+    endpoint: model.Endpoint,
   ): Promise<DeliveryResult> {
     const {response, status} = incoming;
     if (!this.hasBegun) {
@@ -204,7 +211,7 @@
       this.outgoing.writeHead(status, headers, framingOf(response));
     }
     try {
-      const isCallerGone = await this.relayEvents(incoming);
+      const isCallerGone = await this.relayEvents(incoming, endpoint);
       if (isCallerGone) return {type: 'caller_gone'};
       // Only the events tell whether a stream that ends with its connection is
       // complete.
@@ -228,8 +235,10 @@
   /** Passes events on until the last one; returns whether the caller has gone. */
   private async relayEvents(
     incoming: attempt.EndpointResponse,
+    endpoint: model.Endpoint,
   ): Promise<boolean> {
     const {outgoing, splitter} = this;
+    let isFirst = !splitter.hasPassedEvents;
     const reader = new core.BodyReader(incoming.response, incoming.meter);
     for (;;) {
       const chunk = await bodies.nextChunk(incoming, reader);
@@ -241,6 +250,8 @@
         outgoing.memory.connection.recordPassed(chunk.length);
       } else {
         incoming.recordBegun();
+        if (isFirst) this.recordVersion(endpoint);
+        isFirst = false;
         const drained = outgoing.write(events);
         if (drained) await drained;
       }
@@ -248,6 +259,14 @@
     }
   }
 
+  /** Records where the stream began, which its caller may take up elsewhere. */
+  private recordVersion(endpoint: model.Endpoint): void {
+    if (!this.request.route.isResumable) return;
+    this.kernel
+      .find(streamVersions.STREAM_VERSIONS)
+      .recordBegun(this.request, endpoint);
+  }
+
   /** Holds what the unfinished event takes; false if there is no memory. */
   private holdEvent(): boolean {
     const {memory} = this.outgoing;
--- a/packages/direct/src/sendallowance.ts
+++ b/packages/direct/src/sendallowance.ts
@@ -46,7 +46,7 @@
       return false;
     }
     return endpointNotices
-      .willingEndpoints(this.kernel, pool)
+      .willingEndpoints(this.kernel, pool, progress.version)
       .some(({id}) => !progress.triedIds.has(id));
   }
 
--- a/packages/direct/src/tests/catchup.test.ts
+++ b/packages/direct/src/tests/catchup.test.ts
@@ -97,7 +97,9 @@
   );
   kernel.register(direct.RUN_STATE, new direct.RouterRunState(kernel));
   kernel.register(direct.FEED_FOLLOWERS, {
+    isReader: () => false,
     isReadingTables: () => false,
+    isReadingEndpoints: () => false,
     isStoreLost: () => false,
     withdraw: () => Promise.resolve(),
   });
--- a/packages/direct/src/tests/catchupwaits.test.ts
+++ b/packages/direct/src/tests/catchupwaits.test.ts
@@ -58,7 +58,9 @@
     );
     kernel.register(direct.RUN_STATE, new direct.RouterRunState(kernel));
     kernel.register(direct.FEED_FOLLOWERS, {
+      isReader: () => this.isReader,
       isReadingTables: () => this.isReader,
+      isReadingEndpoints: () => this.isReader,
       isStoreLost: () => false,
       withdraw: () => Promise.resolve(),
     });
--- a/packages/direct/src/tests/feedhandlers.test.ts
+++ b/packages/direct/src/tests/feedhandlers.test.ts
@@ -8,6 +8,7 @@
 import * as core from '@oleanderrock/core';
 import * as decide from '@oleanderrock/decide';
 import * as direct from '../index.js';
+import * as simulatedDecisions from './simulateddecisions.js';
 
 const {expect} = chai;
 
@@ -114,6 +115,7 @@
       new decide.DecayingHealth({routerCount: () => READERS, random}),
     );
     this.kernel.register(direct.PREFIX_HOMES, new decide.SharedPrefixHomes());
+    simulatedDecisions.registerVersionHistory(this.kernel);
     this.kernel.register(
       direct.CONNECTION_POOL,
       new direct.AgentConnectionPool(),
--- a/packages/direct/src/tests/notrunafterrun.test.ts
+++ b/packages/direct/src/tests/notrunafterrun.test.ts
@@ -61,7 +61,7 @@
       new direct.InMemoryFleetRegistry(kernel, self),
     );
     kernel.register(direct.ENDPOINT_SELECTOR, {
-      select: (request: unknown, triedIds: ReadonlySet<string>) => {
+      select: (request: unknown, {triedIds}: direct.SelectionScope) => {
         const endpoint = endpoints.find(({id}) => !triedIds.has(id));
         const placement = {endpoint, reason: 'load'};
         return Promise.resolve(
--- a/packages/direct/src/tests/simulateddecisions.ts
+++ b/packages/direct/src/tests/simulateddecisions.ts
@@ -3,6 +3,9 @@
 import * as decide from '@oleanderrock/decide';
 import * as direct from '../index.js';
 
+/** How long streams can be taken up, in ms. */
+const STREAM_LIFETIME_MS = 30_000;
+
 /** Options of the decisions of one router. */
 export interface SimulatedDecisionsOptions {
   readonly name: string;
@@ -13,6 +16,18 @@
   readonly createColdEndpoints?: () => decide.ColdEndpoints;
 }
 
+/** Registers the history of versions; nobody is told of changes. */
+export function registerVersionHistory(kernel: core.Kernel): void {
+  kernel.register(
+    direct.VERSION_HISTORY,
+    new decide.CountedVersionHistory({
+      startedMs: 0,
+      streamLifetimeMs: () => STREAM_LIFETIME_MS,
+      onChange: () => undefined,
+    }),
+  );
+}
+
 /** Registers the decisions of a router. */
 export function registerDecisions(
   kernel: core.Kernel,
@@ -63,6 +78,7 @@
       onNews: () => kernel.find(direct.GOSSIP).sendSoon(),
     }),
   );
+  registerVersionHistory(kernel);
   const evacuations = createEvacuations?.() ?? new decide.NewestEvacuations();
   kernel.register(
     direct.EVACUATED_ZONES,
--- a/packages/direct/src/tests/simulatedpool.ts
+++ b/packages/direct/src/tests/simulatedpool.ts
@@ -225,7 +225,7 @@
   /** A random endpoint that has room as far as the router knows. */
   private select(
     request: direct.RoutedRequest,
-    triedIds: ReadonlySet<string>,
+    {triedIds}: direct.SelectionScope,
   ): direct.Selection {
     const endpoints = direct.endpointNotices
       .willingEndpoints(this.kernel, request.pool)
--- a/packages/router/src/tests/directevacuation.test.ts
+++ b/packages/router/src/tests/directevacuation.test.ts
@@ -111,8 +111,8 @@
     const select = selector.select.bind(selector);
     const zones = kernel.find(direct.EVACUATED_ZONES);
     let first: string | undefined;
-    selector.select = async (request, triedIds) => {
-      const selection = await select(request, triedIds);
+    selector.select = async (request, scope) => {
+      const selection = await select(request, scope);
       if (selection.type === 'selected' && first === undefined) {
         const {id, zone} = selection.choice.endpoint;
         first = id;
--- a/packages/router/src/tests/directnotices.test.ts
+++ b/packages/router/src/tests/directnotices.test.ts
@@ -153,8 +153,8 @@
     const notices = kernel.find(direct.ENDPOINT_NOTICES);
     let first: string | undefined;
     // The notice arrives after the selection, while the router connects.
-    selector.select = async (request, triedIds) => {
-      const selection = await select(request, triedIds);
+    selector.select = async (request, scope) => {
+      const selection = await select(request, scope);
       if (selection.type === 'selected' && first === undefined) {
         const {endpoint} = selection.choice;
         first = endpoint.id;
--- a/packages/router/src/wiredirect.ts
+++ b/packages/router/src/wiredirect.ts
@@ -149,6 +149,7 @@
     direct.FLEET_REGISTRY,
     new direct.InMemoryFleetRegistry(kernel, self),
   );
+  registerVersions(kernel);
   kernel.register(
     direct.EVACUATED_ZONES,
     new direct.LoggedEvacuatedZones(kernel, new decide.NewestEvacuations()),
@@ -160,6 +161,20 @@
   kernel.register(direct.RUN_STATE, new direct.RouterRunState(kernel));
 }
 
+/** What is known of the versions of endpoints and of streams. */
+function registerVersions(kernel: core.Kernel): void {
+  kernel.register(
+    direct.VERSION_HISTORY,
+    new decide.CountedVersionHistory({
+      startedMs: kernel.find(core.CLOCK).nowMs(),
+      streamLifetimeMs: () =>
+        direct.streamLifetimeMs(kernel.find(direct.ACTIVE_TABLES).current()),
+      onChange: () => kernel.find(direct.STREAM_VERSIONS).tellSoon(),
+    }),
+  );
+  kernel.register(direct.STREAM_ORIGINS, new decide.RecentStreamOrigins());
+}
+
 /** Finds what requests that crash endpoints have in common. */
 function registerCrashTracker(
   kernel: core.Kernel,
@@ -230,6 +245,10 @@
     direct.GOSSIP,
     new direct.DigestGossip(kernel, routerSettings),
   );
+  kernel.register(
+    direct.STREAM_VERSIONS,
+    new direct.HomedStreamVersions(kernel),
+  );
   kernel.register(direct.SEND_PERMITS, new direct.HomeSendPermits(kernel));
   kernel.register(
     direct.CRASH_KEY_HOMES,
