Keep the versions of pools in the store for the loss of all routers

Cause: what routers knew of earlier versions ended with them.

Change: the readers of the store write one record for each pool to the topic keyed.versions when a version comes or goes: the versions, when those that left were last listed, and since when none is missing. A router reads the records once at its start. A version that a record names as listed, and is not now, counts as listed until then, so an older copy of the store makes a router refuse more, never join. The record is checked each minute, since such a copy lacks what was written last.

Weighed: a record of each stream. At 2,800 requests a second these are about 50 KB/s of appends, and each router would read a lifetime of them after the loss of all; records of versions are a few writes for each release.

--- a/packages/direct/src/feeds.ts
+++ b/packages/direct/src/feeds.ts
@@ -68,6 +68,8 @@
   readonly operator: Feed<model.OperatorRecord>;
   readonly endpoints: Feed<model.Endpoint>;
   readonly routers: Feed<model.Router>;
+  /** Versions that the pools' endpoints have had, as routers recorded them. */
+  readonly versions: Feed<model.PoolVersions>;
   /**
    * Publishes this router's record; resolves with false if success is not
    * confirmed.
@@ -75,7 +77,16 @@
   announce(router: model.Router, signal: AbortSignal): Promise<boolean>;
   /** Deletes this router's record; resolves like `announce`. */
   withdraw(router: model.Router, signal: AbortSignal): Promise<boolean>;
+  /** Writes the record of a pool's versions; resolves like `announce`. */
+  recordVersions(
+    versions: model.PoolVersions,
+    signal: AbortSignal,
+  ): Promise<boolean>;
 }
 
 /** The contract under which the feeds are registered. */
-export const FEEDS = core.contract<Feeds>('feeds', ['announce', 'withdraw']);
+export const FEEDS = core.contract<Feeds>('feeds', [
+  'announce',
+  'withdraw',
+  'recordVersions',
+]);
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -45,6 +45,7 @@
 export * from './statesource.js';
 export * as streamMessage from './streammessage.js';
 export * from './streamversions.js';
+export * from './versionrecords.js';
 export * as tablesUpdate from './tablesupdate.js';
 export * from './activetables.js';
 export * from './requestwatch.js';
--- a/packages/direct/src/model.ts
+++ b/packages/direct/src/model.ts
@@ -168,3 +168,20 @@
 
 /** A router of the fleet. */
 export type Router = v.InferOutput<typeof routerSchema>;
+
+/** Schema of the record of the versions that a pool's endpoints have had. */
+export const poolVersionsSchema = v.object({
+  pool: nameSchema,
+  /** Wall-clock time from which no version is missing, in ms. */
+  knownSinceMs: v.number(),
+  versions: v.array(
+    v.object({
+      version: nameSchema,
+      /** Wall-clock time at which it was last listed; absent if it still was. */
+      endedAtMs: v.optional(v.number()),
+    }),
+  ),
+});
+
+/** The versions that a pool's endpoints have had. */
+export type PoolVersions = v.InferOutput<typeof poolVersionsSchema>;
--- a/packages/direct/src/tests/simulatedfleet.ts
+++ b/packages/direct/src/tests/simulatedfleet.ts
@@ -78,6 +78,7 @@
     new simulatedTopic.SimulatedTopic<direct.OperatorRecord>();
   readonly endpoints = new simulatedTopic.SimulatedTopic<direct.Endpoint>();
   readonly listed = new simulatedTopic.SimulatedTopic<direct.Router>();
+  readonly versions = new simulatedTopic.SimulatedTopic<direct.PoolVersions>();
   isStoreDown = false;
   /** Whether calls to the store stay without an answer. */
   isStoreSilent = false;
@@ -334,6 +335,12 @@
       operator: this.feedFor(router, this.operator),
       endpoints: this.feedFor(router, this.endpoints),
       routers: this.feedFor(router, this.listed),
+      versions: this.feedFor(router, this.versions),
+      recordVersions: async record => {
+        if (!(await this.callStore(router))) return false;
+        this.versions.put(record.pool, record);
+        return true;
+      },
       announce: async record => {
         if (!(await this.callStore(router))) return false;
         this.listed.put(record.name, record);
--- a/packages/router/src/wiredirect.ts
+++ b/packages/router/src/wiredirect.ts
@@ -169,7 +169,10 @@
       startedMs: kernel.find(core.CLOCK).nowMs(),
       streamLifetimeMs: () =>
         direct.streamLifetimeMs(kernel.find(direct.ACTIVE_TABLES).current()),
-      onChange: () => kernel.find(direct.STREAM_VERSIONS).tellSoon(),
+      onChange: () => {
+        kernel.find(direct.VERSION_RECORDS).updateSoon();
+        kernel.find(direct.STREAM_VERSIONS).tellSoon();
+      },
     }),
   );
   kernel.register(direct.STREAM_ORIGINS, new decide.RecentStreamOrigins());
@@ -249,6 +252,10 @@
     direct.STREAM_VERSIONS,
     new direct.HomedStreamVersions(kernel),
   );
+  kernel.register(
+    direct.VERSION_RECORDS,
+    new direct.StoredVersionRecords(kernel, routerSettings),
+  );
   kernel.register(direct.SEND_PERMITS, new direct.HomeSendPermits(kernel));
   kernel.register(
     direct.CRASH_KEY_HOMES,
