Copy contexts only between endpoints of one version

During a release, each version now reads a prefix once and copies it among its own.

Test: directversions.test.ts, a context that another version wrote; red before (kv-fetch named the endpoint of v1), green now.

--- a/packages/direct/src/endpointselector.ts
+++ b/packages/direct/src/endpointselector.ts
@@ -12,7 +12,7 @@
 import * as endpointRegistry from './endpointregistry.js';
 import * as evacuatedZones from './evacuatedzones.js';
 import * as fleetRegistry from './fleetregistry.js';
-import type * as model from './model.js';
+import * as model from './model.js';
 import * as activeTables from './activetables.js';
 import * as sendPermits from './sendpermits.js';
 
@@ -286,7 +286,8 @@
 
   /**
    * Selects the endpoint from which `targetId` copies context. A draining or
-   * unwilling endpoint qualifies; an unreachable or evacuated one does not.
+   * unwilling endpoint qualifies; one that is unreachable, evacuated or of
+   * another version does not.
    */
   private findContextSource(
     {head, pool}: routedRequest.RoutedRequest,
@@ -298,7 +299,7 @@
     const sourceId = this.kernel.find(decisions.CONTEXT_COPIES).chooseSource({
       target: targetId,
       homes: homes.filter(
-        id => this.isSource(id) && health.isReachable(id, nowMs),
+        id => this.isSource(id, targetId) && health.isReachable(id, nowMs),
       ),
       prefixTokens: head.sharedPrefixTokens,
       copyUsPerToken: this.kernel
@@ -308,10 +309,13 @@
     return sourceId === undefined ? undefined : this.endpoints.find(sourceId);
   }
 
-  private isSource(id: string): boolean {
+  private isSource(id: string, targetId: string): boolean {
     const endpoint = this.endpoints.find(id);
+    const target = this.endpoints.find(targetId);
+    if (!endpoint || !target) return false;
+    if (model.versionOf(endpoint) !== model.versionOf(target)) return false;
     const zones = this.kernel.find(evacuatedZones.EVACUATED_ZONES);
-    return endpoint !== undefined && !zones.isEvacuated(endpoint.zone);
+    return !zones.isEvacuated(endpoint.zone);
   }
 
   private recordPlacement(
--- a/packages/router/src/tests/directversions.test.ts
+++ b/packages/router/src/tests/directversions.test.ts
@@ -189,4 +189,28 @@
       expect(versionsIn(body)).to.deep.equal(['v1']);
     }
   });
+
+  it('is not begun on a context that another version wrote', async () => {
+    const engine = {kvTokenBytes: 327_680, linkMbps: 1_500_000};
+    const services = [{name: 'pool', healthPath: '/health', engine}];
+    fleet.store.put('keyed.op', 'config', support.config(2, {services}));
+    await polling.until('version 2 is in force', () => fleet.version(0) === 2);
+    const headers = {'prompt-prefix': 'p:9000,own:10'};
+    const copiesOf = async (version: string) => {
+      const endpoint = await add(version);
+      fleet.store.putEndpoint(endpoint.id, endpoint.entry());
+      for (const other of fleet.endpoints.slice(1)) {
+        if (other === endpoint) continue;
+        fleet.store.putEndpoint(other.id, other.entry('draining'));
+      }
+      await polling.until('it runs a request', async () => {
+        await fleet.call('/chat/a', {headers});
+        return endpoint.runs.length > 0;
+      });
+      return endpoint.runs[0]!.headers['kv-fetch'];
+    };
+    expect(await copiesOf('v1')).to.equal(undefined);
+    expect(await copiesOf('v1')).not.to.equal(undefined);
+    expect(await copiesOf('v2')).to.equal(undefined);
+  });
 });
