Let requests that are bound to a version wait apart

What callers would see: while a take-up waits for room at the endpoints of its version, each new request of the pool went behind it, 20 ms a turn, though endpoints of other versions had room, and no second send was opened.

Cause: the waiting room had one list for each pool, and any room of the pool ended the wait of the first in it. Class: a scope of selection that grew (endpoints of one version) beside a queue that still knew the old one.

Change: requests bound to a version wait in a list of their own, which looks at the room of that version; the end of an answer lets one of them go on before those that may run anywhere.

A take-up without a last event id is a new stream, and recorded under its own id.

Test: waitingroom.test.ts, holds up no others; red with one list for both.

--- a/packages/direct/src/dispatcher.ts
+++ b/packages/direct/src/dispatcher.ts
@@ -71,7 +71,9 @@
     );
     const progress = dispatchProgress.newProgress(request);
     const dispatch = {request, delivery, progress};
-    const failure = await this.findVersion(dispatch);
+    const failure = streamVersions.isTakeUp(request)
+      ? await this.findVersion(dispatch)
+      : undefined;
     if (failure) {
       const {kind, detail} = failure;
       return dispatchProgress.failedOutcome(kind, detail, progress);
@@ -97,7 +99,6 @@
     request,
     progress,
   }: dispatchProgress.Dispatch): Promise<core.Failure | undefined> {
-    if (!streamVersions.isTakeUp(request)) return undefined;
     const start = await this.kernel
       .find(streamVersions.STREAM_VERSIONS)
       .findStart(request);
@@ -125,7 +126,8 @@
     const {request, delivery, progress} = dispatch;
     // A new request goes behind those that wait already.
     const mustWait =
-      progress.sendCount === 0 && this.waitingRoom.hasWaiting(request.pool);
+      progress.sendCount === 0 &&
+      this.waitingRoom.hasWaiting(request.pool, progress.version);
     if (mustWait && !(await this.waitForRoom(dispatch))) return undefined;
     for (;;) {
       const selection = await this.kernel
@@ -178,6 +180,7 @@
       request,
       callerGone: delivery.callerGone,
       span: progress.waitSpan,
+      version: progress.version,
     });
     progress.waitedMs += this.nowMs() - startedMs;
     if (end.type === 'room') {
@@ -230,10 +233,11 @@
             progress.sendCount >= sendAllowance.MAX_SENDS,
           )
         : result;
-    if (result.type === 'response') this.waitingRoom.recordEnd(request.pool);
-    if (delivery.hasPassedEvents) {
-      progress.version ??= model.versionOf(endpoint);
+    const version = model.versionOf(endpoint);
+    if (result.type === 'response') {
+      this.waitingRoom.recordEnd(request.pool, version);
     }
+    if (delivery.hasPassedEvents) progress.version ??= version;
     progress.runs.end(dispatchProgress.runOf(deliveryResult));
     this.recorder.record(request, endpoint, deliveryResult);
     return this.applyResult(endpoint, deliveryResult, progress);
--- a/packages/direct/src/dispatchfailure.ts
+++ b/packages/direct/src/dispatchfailure.ts
@@ -47,10 +47,10 @@
 function refusal(
   kernel: core.Kernel,
   {pool, deadlineMs}: routedRequest.RoutedRequest,
-  {lastFailure, expectedRoomMs}: dispatchProgress.DispatchProgress,
+  {lastFailure, expectedRoomMs, version}: dispatchProgress.DispatchProgress,
 ): core.Failure {
   if (lastFailure.retryAfterMs !== undefined) return lastFailure;
-  const notBeforeMs = endpointNotices.holdOffMs(kernel, pool);
+  const notBeforeMs = endpointNotices.holdOffMs(kernel, pool, version);
   const nowMs = kernel.find(core.CLOCK).nowMs();
   const retryAfterMs = kernel.find(decisions.RETURN_TIMES).retryAfterMs({
     expectedMs: expectedRoomMs,
--- a/packages/direct/src/endpointnotices.ts
+++ b/packages/direct/src/endpointnotices.ts
@@ -131,16 +131,17 @@
 
 /**
  * Time until the first endpoint of the pool accepts requests of this router, in
- * ms; undefined if one does already, or none will.
+ * ms; undefined if one does already, or none will. With a version, of those of it.
  */
 export function holdOffMs(
   kernel: core.Kernel,
   pool: string,
+  version?: string,
 ): number | undefined {
   const nowMs = kernel.find(core.CLOCK).nowMs();
   const notices = kernel.find(decisions.ENDPOINT_NOTICES);
   const room = kernel.find(decisions.ENDPOINT_ROOM);
-  const earliestMs = openEndpoints(kernel, pool)
+  const earliestMs = openEndpoints(kernel, pool, version)
     .map(endpoint => {
       const willingMs = notices.earliestWillingMs([endpoint], nowMs);
       const roomMs = room.earliestRoomMs([endpoint.id], nowMs) ?? nowMs;
--- a/packages/direct/src/endpointsends.ts
+++ b/packages/direct/src/endpointsends.ts
@@ -146,7 +146,9 @@
     const room = this.kernel.find(decisions.ENDPOINT_ROOM);
     if (result.type === 'response') {
       room.recordAccepted(id);
-      if (progress.waitSpan) this.waitingRoom.recordAccepted(request.pool);
+      if (progress.waitSpan) {
+        this.waitingRoom.recordAccepted(request.pool, progress.version);
+      }
       return;
     }
     if (!isWithoutRoom(result)) return;
--- a/packages/direct/src/streamversions.ts
+++ b/packages/direct/src/streamversions.ts
@@ -146,10 +146,12 @@
   }
 
   recordBegun(
-    {head, pool}: routedRequest.RoutedRequest,
+    request: routedRequest.RoutedRequest,
     endpoint: model.Endpoint,
   ): void {
-    const id = core.hash64(head.resumedRequestId ?? head.requestId);
+    const {head, pool} = request;
+    const begunBy = isTakeUp(request) ? head.resumedRequestId : head.requestId;
+    const id = core.hash64(begunBy ?? head.requestId);
     const version = model.versionOf(endpoint);
     const nowMs = this.nowMs();
     this.origins.record({id, pool, version}, this.untilMs(nowMs), nowMs);
--- a/packages/direct/src/tests/simulatedpool.ts
+++ b/packages/direct/src/tests/simulatedpool.ts
@@ -30,9 +30,11 @@
     id: string,
     private readonly slots: number,
     private readonly maxQueued: number,
+    softwareVersion = 'v1',
   ) {
     const fields = {pool: POOL, address: '10.0.0.1', port: 1, zone: 'z'};
-    this.record = {...fields, id, bornMs: 1, isDraining: false};
+    const state = {bornMs: 1, isDraining: false, softwareVersion};
+    this.record = {...fields, ...state, id};
   }
 
   /** Number of requests that run now. */
@@ -225,10 +227,10 @@
   /** A random endpoint that has room as far as the router knows. */
   private select(
     request: direct.RoutedRequest,
-    {triedIds}: direct.SelectionScope,
+    {triedIds, version}: direct.SelectionScope,
   ): direct.Selection {
     const endpoints = direct.endpointNotices
-      .willingEndpoints(this.kernel, request.pool)
+      .willingEndpoints(this.kernel, request.pool, version)
       .filter(({id}) => !triedIds.has(id));
     const endpoint = endpoints[this.random.nextInt(endpoints.length)];
     if (!endpoint) return {type: 'none'};
--- a/packages/direct/src/tests/waitingroom.test.ts
+++ b/packages/direct/src/tests/waitingroom.test.ts
@@ -129,6 +129,38 @@
     expect(kindOf(second)).to.equal('answered');
   });
 
+  it('holds up no others if it is bound to a version without room', async () => {
+    const other = new simulatedPool.SimulatedEndpoint(clock, 'f', 1, 0, 'v2');
+    const random = new core.SeededRandom(1);
+    router = new simulatedPool.SimulatedRouter(
+      clock,
+      [endpoint, other],
+      simulatedPool.wiredDecisions(random),
+      random,
+    );
+    const room = router.kernel.find(direct.ENDPOINT_ROOM);
+    room.recordRefusal('e', clock.nowMs());
+    const request = {
+      pool: simulatedPool.POOL,
+      priority: 1,
+      body: Buffer.alloc(1),
+      route: {name: 'route', goalMs: 300},
+      head: {requestId: 'bound'},
+      arrivedMs: clock.nowMs(),
+      deadlineMs: clock.nowMs() + TIMEOUT_MS,
+    } as unknown as direct.RoutedRequest;
+    const callerGone = new AbortController().signal;
+    const wait = {request, callerGone, version: 'v1'};
+    let end: direct.WaitEnd | undefined;
+    void router.waitingRoom.wait(wait).then(ended => (end = ended));
+    const next = serve('q1');
+    await clock.advance(WORK_MS + 5);
+    expect(kindOf(next)).to.equal('answered');
+    expect(other.ranIds).to.deep.equal(['q1']);
+    await clock.advance(TIMEOUT_MS);
+    expect(end?.type).to.equal('room');
+  });
+
   it('leaves no task and no request behind', async () => {
     endpoint.isRefusing = true;
     for (let id = 0; id < 200; id++) serve(`q${id}`);
--- a/packages/direct/src/waitingroom.ts
+++ b/packages/direct/src/waitingroom.ts
@@ -46,18 +46,27 @@
   readonly callerGone: AbortSignal;
   /** That of its first wait, if it goes on waiting. */
   readonly span?: WaitSpan;
+  /** The version at which the request may run; absent if it may at any. */
+  readonly version?: string;
 }
 
-/** Lets requests wait for room in their pools. */
+/**
+ * Lets requests wait for room in their pools. Those that are bound to a version
+ * of the endpoints wait apart, so that they hold up no others while only
+ * endpoints of other versions have room.
+ */
 export interface WaitingRoom {
-  /** Whether requests of the pool wait. */
-  hasWaiting(pool: string): boolean;
+  /** Whether requests of the pool wait that are bound to the same version, or none. */
+  hasWaiting(pool: string, version?: string): boolean;
   /** Waits for room; never rejects. */
   wait(options: WaitRequest): Promise<WaitEnd>;
   /** Records that an endpoint of the pool took a request that had waited. */
-  recordAccepted(pool: string): void;
-  /** Records that an answer of the pool ended, so that there may be room. */
-  recordEnd(pool: string): void;
+  recordAccepted(pool: string, version?: string): void;
+  /**
+   * Records that an answer of an endpoint of that version ended, so that there
+   * may be room.
+   */
+  recordEnd(pool: string, version: string): void;
 }
 
 /** The contract under which the waiting room is registered. */
@@ -81,6 +90,8 @@
 
 interface WaitingPool {
   readonly name: string;
+  /** That to which the requests are bound; absent if they may run at any. */
+  readonly version: string | undefined;
   readonly list: decide.WaitingList<Waiter>;
   readonly rate: decide.RoomRate;
   readonly pause: wakeablePause.WakeablePause;
@@ -121,31 +132,34 @@
     return Promise.resolve();
   }
 
-  hasWaiting(pool: string): boolean {
-    return (this.pools.get(pool)?.list.size ?? 0) > 0;
+  hasWaiting(pool: string, version?: string): boolean {
+    return (this.pools.get(keyOf(pool, version))?.list.size ?? 0) > 0;
   }
 
   async wait(options: WaitRequest): Promise<WaitEnd> {
     const {request, callerGone} = options;
     if (callerGone.aborted) return {type: 'caller_gone'};
-    const pool = this.poolOf(request.pool);
+    const pool = this.poolOf(request.pool, options.version);
     const startedMs = this.nowMs();
     const end = await this.enter(pool, options, startedMs);
     this.meters.recordEnd(request, end, this.nowMs() - startedMs);
     return end;
   }
 
-  recordAccepted(poolName: string): void {
-    const pool = this.pools.get(poolName);
+  recordAccepted(poolName: string, version?: string): void {
+    const pool = this.pools.get(keyOf(poolName, version));
     if (!pool) return;
     const nowMs = this.nowMs();
     pool.rate.recordRoom(nowMs);
     this.releaseNext(pool, nowMs);
   }
 
-  recordEnd(poolName: string): void {
-    const pool = this.pools.get(poolName);
-    if (pool && pool.list.size > 0) this.releaseNext(pool, this.nowMs());
+  recordEnd(poolName: string, version: string): void {
+    // Those that can run nowhere else go first.
+    for (const key of [keyOf(poolName, version), keyOf(poolName)]) {
+      const pool = this.pools.get(key);
+      if (pool && this.releaseNext(pool, this.nowMs())) return;
+    }
   }
 
   /** Lets the request go on whose turn it is; false if none waits. */
@@ -157,9 +171,16 @@
 
   private *lengths(): Iterable<waitMeters.WaitingLength> {
     const nowMs = this.nowMs();
-    for (const {name, list} of this.pools.values()) {
-      yield {pool: name, count: list.size, ageMs: list.ageMs(nowMs)};
+    const byPool = new Map<string, waitMeters.WaitingLength>();
+    for (const {name: pool, list} of this.pools.values()) {
+      const {count = 0, ageMs = 0} = byPool.get(pool) ?? {};
+      byPool.set(pool, {
+        pool,
+        count: count + list.size,
+        ageMs: Math.max(ageMs, list.ageMs(nowMs)),
+      });
     }
+    yield* byPool.values();
   }
 
   private async enter(
@@ -205,7 +226,11 @@
       aheadCount: pool.list.countAhead(waiter, nowMs),
       roomsPerSecond:
         pool.list.size > 0 ? pool.rate.perSecond(nowMs) : undefined,
-      notBeforeMs: endpointNotices.holdOffMs(this.kernel, pool.name),
+      notBeforeMs: endpointNotices.holdOffMs(
+        this.kernel,
+        pool.name,
+        pool.version,
+      ),
     });
   }
 
@@ -262,7 +287,11 @@
 
   /** Lets one request go on for each endpoint that may have room. */
   private release(pool: WaitingPool, nowMs: number): void {
-    const free = endpointNotices.willingEndpoints(this.kernel, pool.name);
+    const free = endpointNotices.willingEndpoints(
+      this.kernel,
+      pool.name,
+      pool.version,
+    );
     for (let count = 0; count < free.length; count++) {
       if (!this.releaseNext(pool, nowMs)) return;
     }
@@ -271,12 +300,13 @@
   /** Time until the next request ends or an endpoint may be asked, in ms. */
   private pauseMs(pool: WaitingPool): number {
     const nowMs = this.nowMs();
-    const {name, list} = pool;
-    const free = endpointNotices.willingEndpoints(this.kernel, name);
+    const {name, version, list} = pool;
+    const free = endpointNotices.willingEndpoints(this.kernel, name, version);
     const roomInMs =
       free.length > 0
         ? MIN_PAUSE_MS
-        : (endpointNotices.holdOffMs(this.kernel, name) ?? MAX_PAUSE_MS);
+        : (endpointNotices.holdOffMs(this.kernel, name, version) ??
+          MAX_PAUSE_MS);
     const endsInMs = (list.earliestUntilMs() ?? nowMs) - nowMs;
     const pauseMs = Math.min(MAX_PAUSE_MS, roomInMs, endsInMs);
     return Math.max(MIN_PAUSE_MS, pauseMs);
@@ -288,17 +318,19 @@
     }
   }
 
-  private poolOf(name: string): WaitingPool {
-    let pool = this.pools.get(name);
+  private poolOf(name: string, version: string | undefined): WaitingPool {
+    const key = keyOf(name, version);
+    let pool = this.pools.get(key);
     if (pool) return pool;
     pool = {
       name,
+      version,
       list: this.options.createList<Waiter>(),
       rate: this.options.createRate(),
       pause: new wakeablePause.WakeablePause(this.kernel.find(core.CLOCK)),
       wakesAtMs: undefined,
     };
-    this.pools.set(name, pool);
+    this.pools.set(key, pool);
     return pool;
   }
 
@@ -307,6 +339,10 @@
   }
 }
 
+function keyOf(pool: string, version?: string): string {
+  return JSON.stringify([pool, version]);
+}
+
 function draftOf(
   {request, span}: WaitRequest,
   nowMs: number,
