Let the soak play two versions of endpoints, and callers that take streams up

Each other endpoint of the soak has another version, which the events of its streams name. Callers take a stream that broke off up again, at any router, up to three times. A stream of two versions, in one answer or over a caller's calls, is a breach.

--- a/packages/soak/src/environment.ts
+++ b/packages/soak/src/environment.ts
@@ -150,7 +150,9 @@
   async addEndpoint(): Promise<EndpointSlot> {
     const id = `e${this.endpoints.length + 1}`;
     const endpoint = new standins.HostedEndpoint(id, tables.POOL, LOOPBACK);
-    endpoint.chooseBehaviour = run => tables.answerNormally(run);
+    endpoint.version = tables.versionOf(this.endpoints.length);
+    endpoint.chooseBehaviour = run =>
+      tables.answerNormally(run, endpoint.version);
     await endpoint.start();
     const proxy = new proxies.FaultProxy(() => endpoint.port);
     await proxy.start();
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -135,12 +135,13 @@
     {how, share, forMs}: Extract<plan.Fault, {type: 'spoil' | 'overload'}>,
   ): Promise<void> {
     const {endpoint} = this.environment.listedEndpoints[index]!;
+    const {version} = endpoint;
     endpoint.chooseBehaviour = run =>
       this.random.nextFloat() < share
-        ? tables.spoilAnswer(run, how, this.random.nextFloat())
-        : tables.answerNormally(run);
+        ? tables.spoilAnswer(run, version, how, this.random.nextFloat())
+        : tables.answerNormally(run, version);
     await environments.sleep(forMs);
-    endpoint.chooseBehaviour = run => tables.answerNormally(run);
+    endpoint.chooseBehaviour = run => tables.answerNormally(run, version);
   }
 
   private async overloadEndpoints(
--- a/packages/soak/src/guarantees.ts
+++ b/packages/soak/src/guarantees.ts
@@ -65,16 +65,24 @@
   ];
 }
 
-/** Answers belong to their requests; truncated ones are not marked complete. */
+/**
+ * Answers belong to their requests, and are of one version, that of the stream
+ * which they continue; truncated ones are not marked complete.
+ */
 function checkAnswerOrigin(calls: readonly traffic.Call[]): string[] {
   const breaches: string[] = [];
-  for (const {id, path, answer} of calls) {
+  for (const {id, path, answer, resumed} of calls) {
     if (!answer || answer.status >= 300) continue;
     const {headers, body, isComplete} = answer;
-    const expectedBody = tables.expectedBody(path);
-    const isValid =
-      standins.isAnswerTo(id, headers) &&
-      (isComplete ? body === expectedBody : expectedBody.startsWith(body));
+    const version = resumed?.version ?? tables.streamIn(id, body)?.version;
+    // Without a whole event, it may be of any version.
+    const isOfOneVersion = (version ? [version] : tables.VERSIONS).some(
+      each => {
+        const expected = tables.expectedBody(path, each, resumed?.eventCount);
+        return isComplete ? body === expected : expected.startsWith(body);
+      },
+    );
+    const isValid = standins.isAnswerTo(id, headers) && isOfOneVersion;
     if (!isValid) {
       const extent = isComplete ? 'complete' : 'truncated';
       breaches.push(`${id} ${path}: wrong answer, ${extent}: ${body}`);
--- a/packages/soak/src/tables.ts
+++ b/packages/soak/src/tables.ts
@@ -69,28 +69,69 @@
   return path.startsWith('/chat/') || path.startsWith('/once/');
 }
 
+/** Whether a stream on the path may be taken up. */
+export function isResumable(path: string): boolean {
+  return path.startsWith('/chat/');
+}
+
 /** Whether requests on the path may run at most once. */
 export function isAtMostOnce(path: string): boolean {
   return path.startsWith('/book/') || path.startsWith('/once/');
 }
 
-/** The complete body that endpoints answer on a path. */
-export function expectedBody(path: string): string {
+/** Versions of the endpoints' software. */
+export const VERSIONS = ['v1', 'v2'];
+
+/** The version of an endpoint, by its number. */
+export function versionOf(endpoint: number): string {
+  return VERSIONS[endpoint % VERSIONS.length]!;
+}
+
+/** A stream that a caller takes up. */
+export interface ResumedStream {
+  /** Id of the call that brought its first event, and the endpoint's version. */
+  readonly id: string;
+  readonly version: string;
+  /** Number of events that the caller has. */
+  readonly eventCount: number;
+}
+
+/** The complete body that endpoints of a version answer on a path. */
+export function expectedBody(
+  path: string,
+  version: string,
+  eventCount = 0,
+): string {
   if (!isStreamPath(path)) return `answer to ${path}`;
-  const numbers = [...Array(EVENTS_PER_STREAM).keys()];
-  return numbers.map(index => standins.eventText(index + 1, path)).join('');
+  const numbers = [...Array(EVENTS_PER_STREAM).keys()].slice(eventCount);
+  const label = labelOf(path, version);
+  return numbers.map(index => standins.eventText(index + 1, label)).join('');
+}
+
+/** What the body of a stream's answer begins with; undefined without an event. */
+export function streamIn(id: string, body: string): ResumedStream | undefined {
+  const events = [...body.matchAll(/^id: (\d+)\ndata: \S+@(\w+) \d+\n\n/gm)];
+  const [, , version] = events[0] ?? [];
+  if (version === undefined) return undefined;
+  return {id, version, eventCount: Number(events.at(-1)![1])};
+}
+
+/** Names the version, so that a body tells which endpoints wrote it. */
+function labelOf(path: string, version: string): string {
+  return `${path}@${version}`;
 }
 
 /** Behaviour of an endpoint that answers correctly. */
-export function answerNormally({
-  path,
-}: standins.RecordedRun): standins.Behaviour {
+export function answerNormally(
+  {path}: standins.RecordedRun,
+  version: string,
+): standins.Behaviour {
   if (!isStreamPath(path)) return {type: 'answer', body: `answer to ${path}`};
   return {
     type: 'stream',
     events: EVENTS_PER_STREAM,
     intervalMs: EVENT_INTERVAL_MS,
-    label: path,
+    label: labelOf(path, version),
   };
 }
 
@@ -100,6 +141,7 @@
  */
 export function spoilAnswer(
   run: standins.RecordedRun,
+  version: string,
   how: plan.SpoilMode,
   cutAt: number,
 ): standins.Behaviour {
@@ -109,7 +151,7 @@
     return {type: 'shed', late: copy.slice(0, length)};
   }
   if (how !== 'break') return {type: how};
-  const normalBehaviour = answerNormally(run);
+  const normalBehaviour = answerNormally(run, version);
   return normalBehaviour.type === 'stream'
     ? {...normalBehaviour, cutInEvent: 5}
     : {type: 'reset'};
--- a/packages/soak/src/tests/guarantees.test.ts
+++ b/packages/soak/src/tests/guarantees.test.ts
@@ -28,7 +28,7 @@
   return {
     status: 200,
     headers: {'attempt-id': 'c1', 'response-seal': 'e1.c1'},
-    body: tables.expectedBody(PATH),
+    body: tables.expectedBody(PATH, 'v1'),
     isComplete: true,
     ...overrides,
   };
@@ -73,6 +73,27 @@
     expect(findBreaches()).to.deep.equal([]);
   });
 
+  it('report a stream of two versions, in one answer or over two calls', () => {
+    const path = '/chat/1';
+    const [whole, other] = ['v1', 'v2'].map(version =>
+      tables.expectedBody(path, version),
+    );
+    const rest = tables.expectedBody(path, 'v2', 4);
+    const stream = (body: string, resumed?: tables.ResumedStream) => {
+      const answer = createAnswer({body});
+      return findBreaches({
+        calls: [createCall({path, answer, resumed})],
+        runs: [createRun({path})],
+      });
+    };
+    const resumed = {id: 'c0', version: 'v2', eventCount: 4};
+    expect(stream(whole!)).to.deep.equal([]);
+    expect(stream(rest, resumed)).to.deep.equal([]);
+    const joined = whole!.slice(0, other!.length - rest.length) + rest;
+    expect(stream(joined)).to.have.length(1);
+    expect(stream(rest, {...resumed, version: 'v1'})).to.have.length(1);
+  });
+
   it('report a foreign answer and a truncated answer marked complete', () => {
     const foreignAnswer = createAnswer({headers: {'attempt-id': 'c2'}});
     const truncatedAnswer = createAnswer({body: 'answer'});
--- a/packages/soak/src/traffic.ts
+++ b/packages/soak/src/traffic.ts
@@ -22,6 +22,9 @@
 const CANCEL_SHARE = 0.03;
 const CANCEL_AFTER_MS = 60;
 
+/** How often a caller takes up a stream that breaks off. */
+const MAX_TAKE_UPS = 3;
+
 const REQUEST_MIX: readonly tables.RequestKind[] = [
   'read',
   'read',
@@ -42,6 +45,8 @@
   readonly router: string;
   readonly sentMs: number;
   endedMs: number;
+  /** The stream that the call takes up; absent if it begins anew. */
+  readonly resumed?: tables.ResumedStream;
   /** Absent if no response headers arrived. */
   answer?: Answer;
   /** Whether the connection to the router was established. */
@@ -84,12 +89,14 @@
     router: string,
     path: string,
     agent: http.Agent | false = false,
+    resumed?: tables.ResumedStream,
   ): Promise<Call> {
     this.callCount += 1;
     const call: Call = {
       id: `call-${this.callCount}`,
       path,
       router,
+      resumed,
       sentMs: performance.now(),
       endedMs: 0,
       isConnected: false,
@@ -113,8 +120,12 @@
           performance.now() + (resolution?.keepMs ?? NO_ADDRESS_PAUSE_MS);
       }
       const router = this.pick(addresses);
-      if (router === undefined) await environments.sleep(NO_ADDRESS_PAUSE_MS);
-      else await this.sendRandomCall(router, agent);
+      if (router === undefined) {
+        await environments.sleep(NO_ADDRESS_PAUSE_MS);
+        continue;
+      }
+      const call = await this.sendRandomCall(router, agent);
+      await this.takeUp(call, addresses, agent);
     }
     agent.destroy();
   }
@@ -122,11 +133,32 @@
   private async sendRandomCall(
     router: string,
     agent: http.Agent,
-  ): Promise<void> {
+  ): Promise<Call> {
     const kind = this.pick(REQUEST_MIX)!;
     const path = `/${kind}/${this.random.nextInt(1_000_000)}`;
-    await this.sendCall(router, path, agent);
+    const call = await this.sendCall(router, path, agent);
     await environments.sleep(PAUSE_MS * this.random.nextFloat() * 2);
+    return call;
+  }
+
+  /** Takes a stream up that broke off, at any router, a few times. */
+  private async takeUp(
+    first: Call,
+    addresses: readonly string[],
+    agent: http.Agent,
+  ): Promise<void> {
+    const {id, path} = first;
+    if (!tables.isResumable(path) || first.isCancelled) return;
+    let body = '';
+    let last = first;
+    for (let taken = 0; taken < MAX_TAKE_UPS; taken++) {
+      if (!last.answer || last.answer.isComplete || last.isCancelled) return;
+      body += last.answer.body;
+      const resumed = tables.streamIn(id, body);
+      const router = this.pick(addresses);
+      if (!resumed || router === undefined) return;
+      last = await this.sendCall(router, path, agent, resumed);
+    }
   }
 
   private pick<T>(items: readonly T[]): T | undefined {
@@ -166,12 +198,15 @@
         port: this.environment.ports.entry,
         method: call.path.startsWith('/read/') ? 'GET' : 'POST',
         path: call.path,
-        headers: standins.callerHeaders({
-          host: tables.HOST,
-          attemptId: call.id,
-          apiKey: tables.API_KEY,
-          deadlineMs: DEADLINE_MS,
-        }),
+        headers: {
+          ...standins.callerHeaders({
+            host: tables.HOST,
+            attemptId: call.id,
+            apiKey: tables.API_KEY,
+            deadlineMs: DEADLINE_MS,
+          }),
+          ...resumptionHeaders(call),
+        },
         agent,
       });
       const cancelTimer = setTimeout(() => {
@@ -199,6 +234,12 @@
   }
 }
 
+function resumptionHeaders({resumed}: Call): Record<string, string> {
+  if (!resumed) return {};
+  const {id, eventCount} = resumed;
+  return {'last-event-id': String(eventCount), resumes: id};
+}
+
 function collectAnswer(
   call: Call,
   response: http.IncomingMessage,
