Keep a silent stream open if no endpoint of its version is left

Callers saw a stream break off that had been silent for 1.5 s, while its endpoint was alive and went on: the watch gave it up as one that could be sent elsewhere, and then no endpoint of its version was left.

The version of a dispatch was set only once the answer had ended, so the check of whether an open answer may be given up counted the endpoints of all versions. The delivery now knows the version from the first event on, and the check asks it.

The new test of directversions.test.ts fails without the change and passes with it.

--- a/packages/direct/src/dispatcher.ts
+++ b/packages/direct/src/dispatcher.ts
@@ -233,11 +233,11 @@
             progress.sendCount >= sendAllowance.MAX_SENDS,
           )
         : result;
-    const version = model.versionOf(endpoint);
     if (result.type === 'response') {
+      const version = model.versionOf(endpoint);
       this.waitingRoom.recordEnd(request.pool, version);
     }
-    if (delivery.hasPassedEvents) progress.version ??= version;
+    progress.version ??= delivery.begunVersion;
     progress.runs.end(dispatchProgress.runOf(deliveryResult));
     this.recorder.record(request, endpoint, deliveryResult);
     return this.applyResult(endpoint, deliveryResult, progress);
--- a/packages/direct/src/responsedelivery.ts
+++ b/packages/direct/src/responsedelivery.ts
@@ -14,7 +14,7 @@
 import * as wireProtocol from './wireprotocol.js';
 import * as eventSplitter from './eventsplitter.js';
 import * as liveness from './liveness.js';
-import type * as model from './model.js';
+import * as model from './model.js';
 import * as streamVersions from './streamversions.js';
 
 /** The result of an attempt whose response was handled. */
@@ -46,6 +46,7 @@
   /** What is held for the event that is not yet complete, in bytes. */
   private heldEventBytes = 0;
   private lastFailure: BufferedResponse | undefined;
+  private firstVersion: string | undefined;
 
   constructor(
     private readonly kernel: core.Kernel,
@@ -66,9 +67,12 @@
     return this.splitter.lastEventId;
   }
 
-  /** Whether the caller was sent an event by this router. */
-  get hasPassedEvents(): boolean {
-    return this.splitter.hasPassedEvents;
+  /**
+   * Version of the endpoint that sent the first event; undefined if there was
+   * none yet.
+   */
+  get begunVersion(): string | undefined {
+    return this.firstVersion;
   }
 
   /** Whether another endpoint's response can continue what the caller has. */
@@ -244,6 +248,9 @@
       const chunk = await bodies.nextChunk(incoming, reader);
       if (!chunk) return false;
       const events = splitter.push(chunk);
+      if (splitter.hasPassedEvents) {
+        this.firstVersion ??= model.versionOf(endpoint);
+      }
       if (!this.holdEvent()) throw NO_EVENT_MEMORY;
       if (events.length === 0) {
         // The chunk was copied.
--- a/packages/direct/src/sendallowance.ts
+++ b/packages/direct/src/sendallowance.ts
@@ -39,14 +39,16 @@
   /** Whether the request could be sent elsewhere if its send were given up. */
   mayRetry(dispatch: dispatchProgress.Dispatch): boolean {
     if (!this.hasSendLeft(dispatch)) return false;
-    const {request, progress} = dispatch;
+    const {request, delivery, progress} = dispatch;
     if (!progress.runs.maySendAfterOpen()) return false;
     const {pool} = request;
     if (!this.retryBudget.canSpend(pool, this.routerCount(), this.nowMs())) {
       return false;
     }
+    // The answer that is under way may have begun a stream.
+    const version = progress.version ?? delivery.begunVersion;
     return endpointNotices
-      .willingEndpoints(this.kernel, pool, progress.version)
+      .willingEndpoints(this.kernel, pool, version)
       .some(({id}) => !progress.triedIds.has(id));
   }
 
--- a/packages/router/src/tests/directversions.test.ts
+++ b/packages/router/src/tests/directversions.test.ts
@@ -57,6 +57,14 @@
     await polling.until('it is gone', () => knows(id, false));
   };
 
+  const configure = async (overrides: standins.HostedConfigFields) => {
+    const version = fleet.version(0) + 1;
+    fleet.store.put('keyed.op', 'config', support.config(version, overrides));
+    await polling.until('the configuration is in force', () =>
+      [0, 1].every(router => fleet.version(router) === version),
+    );
+  };
+
   /** Streams that all routers began, by attempt id, with their versions. */
   const beginStreams = async (count = STREAMS) => {
     const begun = new Map<string, string>();
@@ -190,6 +198,26 @@
     }
   });
 
+  it('is not given up as silent if no other endpoint may continue it', async () => {
+    const routes = [support.route('/chat/', 'streaming', {timeoutMs: 10_000})];
+    await configure({routes});
+    const pausingMs = 2_200;
+    for (const version of ['v1', 'v2']) {
+      const endpoint = await add(version);
+      endpoint.defaultBehaviour = {
+        type: 'stream',
+        events: 2,
+        intervalMs: pausingMs,
+        label: version,
+      };
+    }
+    const {body, isComplete} = await fleet.call('/chat/a', {
+      headers: {'deadline-ms': '10000'},
+    });
+    expect(versionsIn(body)).to.have.length(1);
+    expect(isComplete).to.equal(true);
+  });
+
   it('is not begun on a context that another version wrote', async () => {
     const engine = {kvTokenBytes: 327_680, linkMbps: 1_500_000};
     const services = [{name: 'pool', healthPath: '/health', engine}];
