Let a stream that is taken up stay in its pool

On a route that is split over pools, callers that took up a stream were refused with version_gone although its version served, or got another pool's events: the pool was chosen by the id of the attempt, which is a new one for each try.

The pool is now chosen by the id of the attempt that began the stream, so it stays the same while the shares of the route do.

--- a/packages/direct/src/callerlistener.ts
+++ b/packages/direct/src/callerlistener.ts
@@ -9,6 +9,7 @@
 import * as callerBounds from './callerbounds.js';
 import * as callerResponses from './callerresponse.js';
 import * as decisions from './decisions.js';
+import * as streamVersions from './streamversions.js';
 import * as wireProtocol from './wireprotocol.js';
 import * as dispatcher from './dispatcher.js';
 import * as runState from './runstate.js';
@@ -208,7 +209,7 @@
       headers: request.headers,
       body: body.value,
       route,
-      pool: choosePool(route, head.requestId),
+      pool: choosePool(route, streamVersions.streamIdOf(head)),
       customer: keyHolder?.name,
       priority: keyHolder?.priority ?? route.priority,
       arrivedMs,
@@ -313,14 +314,14 @@
 }
 
 /**
- * Chooses one of the route's pools by weight; the same request id always yields
- * the same pool.
+ * Chooses one of the route's pools by weight; the same id always yields the same
+ * pool, so that a stream that is taken up stays in its own.
  */
-function choosePool({pools}: model.Route, requestId: string): string {
+function choosePool({pools}: model.Route, id: string): string {
   const [first] = pools;
   if (pools.length <= 1) return first?.name ?? '';
   const total = pools.reduce((sum, {weight}) => sum + weight, 0);
-  let remainingWeight = (core.hash32(requestId) / 2 ** 32) * total;
+  let remainingWeight = (core.hash32(id) / 2 ** 32) * total;
   for (const {name, weight} of pools) {
     remainingWeight -= weight;
     if (remainingWeight < 0) return name;
--- a/packages/direct/src/streamversions.ts
+++ b/packages/direct/src/streamversions.ts
@@ -19,6 +19,7 @@
 import * as rendezvousHomes from './rendezvoushomes.js';
 import type * as routedRequest from './routedrequest.js';
 import * as streamMessage from './streammessage.js';
+import type * as wireProtocol from './wireprotocol.js';
 import * as wakeablePause from './wakeablepause.js';
 
 /** At which version a request may run. */
@@ -104,6 +105,16 @@
   );
 }
 
+/** Id of the caller's attempt that brought, or is to bring, the first event. */
+export function streamIdOf({
+  requestId,
+  lastEventId,
+  resumedRequestId,
+}: wireProtocol.CallerRequestHead): string {
+  if (lastEventId === undefined) return requestId;
+  return resumedRequestId ?? requestId;
+}
+
 /** Answers of homes, and how many of them are still awaited. */
 interface Question {
   awaitedCount: number;
@@ -146,12 +157,10 @@
   }
 
   recordBegun(
-    request: routedRequest.RoutedRequest,
+    {head, pool}: routedRequest.RoutedRequest,
     endpoint: model.Endpoint,
   ): void {
-    const {head, pool} = request;
-    const begunBy = isTakeUp(request) ? head.resumedRequestId : head.requestId;
-    const id = core.hash64(begunBy ?? head.requestId);
+    const id = core.hash64(streamIdOf(head));
     const version = model.versionOf(endpoint);
     const nowMs = this.nowMs();
     this.origins.record({id, pool, version}, this.untilMs(nowMs), nowMs);
--- a/packages/router/src/tests/directversions.test.ts
+++ b/packages/router/src/tests/directversions.test.ts
@@ -198,6 +198,36 @@
     }
   });
 
+  it('goes on in its pool if its route has several', async () => {
+    const split = [
+      {service: 'pool', weight: 1},
+      {service: 'canary', weight: 1},
+    ];
+    for (const [pool, version] of [
+      ['pool', 'v1'],
+      ['canary', 'v2'],
+    ] as const) {
+      const endpoint = await fleet.addEndpoint(pool, version);
+      endpoint.defaultBehaviour = {
+        type: 'stream',
+        events: EVENTS,
+        label: version,
+      };
+      await polling.until('it is known', () => knows(endpoint.id, true));
+    }
+    const routes = [support.route('/chat/', 'streaming', {split})];
+    await configure({routes});
+    const begun = await beginStreams();
+    expect(new Set(begun.values()).size).to.equal(2);
+    for (const [id, version] of begun) {
+      for (const router of [0, 1]) {
+        const {status, body} = await takeUp(id, router);
+        expect(status).to.equal(200);
+        expect(versionsIn(body)).to.deep.equal([version]);
+      }
+    }
+  });
+
   it('is not given up as silent if no other endpoint may continue it', async () => {
     const routes = [support.route('/chat/', 'streaming', {timeoutMs: 10_000})];
     await configure({routes});
