Take empty ids in callers' headers for none

Streams of callers that sent an empty Resumes, or no attempt id, were all recorded under the empty id, so a take-up without Resumes went on at the version of any of them: answered 200, and joined from two versions.

The protocol reads an empty value as none, and a stream without an id is not recorded.

--- a/packages/direct/src/streamversions.ts
+++ b/packages/direct/src/streamversions.ts
@@ -160,7 +160,10 @@
     {head, pool}: routedRequest.RoutedRequest,
     endpoint: model.Endpoint,
   ): void {
-    const id = core.hash64(streamIdOf(head));
+    const name = streamIdOf(head);
+    // Streams without a name would be taken for one.
+    if (name === '') return;
+    const id = core.hash64(name);
     const version = model.versionOf(endpoint);
     const nowMs = this.nowMs();
     this.origins.record({id, pool, version}, this.untilMs(nowMs), nowMs);
--- a/packages/router/src/tests/directversions.test.ts
+++ b/packages/router/src/tests/directversions.test.ts
@@ -228,6 +228,28 @@
     }
   });
 
+  it('is not confused with others if callers send empty ids', async () => {
+    for (const version of ['v1', 'v2']) await add(version);
+    for (let index = 0; index < 2; index++) {
+      await fleet.call('/chat/a', {headers: {resumes: ''}}, index);
+    }
+    const unnamed = {'last-event-id': String(LAST_EVENT)};
+    for (const router of [0, 1]) {
+      for (const headers of [unnamed, {...unnamed, resumes: ''}]) {
+        const {status} = await fleet.call('/chat/a', {headers}, router);
+        expect(status).to.equal(503);
+      }
+    }
+  });
+
+  it('begins if its caller sends an empty id of the last event', async () => {
+    for (const version of ['v1', 'v2']) await add(version);
+    const {status} = await fleet.call('/chat/a', {
+      headers: {'last-event-id': ''},
+    });
+    expect(status).to.equal(200);
+  });
+
   it('is not given up as silent if no other endpoint may continue it', async () => {
     const routes = [support.route('/chat/', 'streaming', {timeoutMs: 10_000})];
     await configure({routes});
