--- a/packages/direct/src/tests/feedfollowers.test.ts
+++ b/packages/direct/src/tests/feedfollowers.test.ts
@@ -57,6 +57,8 @@
       operator: tables,
       endpoints: feed,
       routers: feed,
+      versions: feed,
+      recordVersions: () => Promise.resolve(true),
       announce: () => Promise.resolve(true),
       withdraw: () => Promise.resolve(true),
     }),
