Keep what homes told before they were asked again

A router whose own list lacked a version could take the other for the only one, and go on there with a stream: if one home told of the second version and another did not answer, all were asked again, and what the first had told was dropped. If its second answer was lost, nobody told of it.

The answers to both questions now count. The new test loses datagrams in this order; it found the wrong version before the change.

--- a/packages/direct/src/streamversions.ts
+++ b/packages/direct/src/streamversions.ts
@@ -250,12 +250,16 @@
 
   private async askHomes(pool: string, stream: string): Promise<StreamStart> {
     const addresses = this.homeAddresses(stream);
-    let replies: readonly streamMessage.StreamReply[] = [];
+    const replies: streamMessage.StreamReply[] = [];
+    let repliedCount = 0;
     // A home that has not replied may be the one that knows the stream.
     for (let asked = 0; asked < QUESTIONS; asked++) {
-      if (replies.length === addresses.length) break;
+      if (repliedCount === addresses.length) break;
       if (replies.some(({tells}) => tells === 'stream')) break;
-      replies = await this.askOnce({pool, stream}, addresses);
+      // What only the first answers told holds as well.
+      const added = await this.askOnce({pool, stream}, addresses);
+      replies.push(...added);
+      repliedCount = added.length;
     }
     const known = replies.find(({tells}) => tells === 'stream');
     const version = known?.versions[0];
--- a/packages/direct/src/tests/streamversions.test.ts
+++ b/packages/direct/src/tests/streamversions.test.ts
@@ -29,6 +29,8 @@
   readonly routers = new Map<string, Router>();
   /** Datagrams that are lost before one arrives. */
   lossCount = 0;
+  /** Whether the datagram is lost, by its sender and receiver. */
+  isLost = (from: string, to: string) => from === to;
 
   /** Starts the routers; `known` says which have run for a lifetime. */
   async start(isKnown: (name: string) => boolean): Promise<void> {
@@ -131,6 +133,7 @@
       this.lossCount -= 1;
       return;
     }
+    if (this.isLost(from, address)) return;
     const receiver = this.routers.get(address)!;
     if (this.routers.get(from)!.isCut || receiver.isCut) return;
     this.clock.schedule(1, () => receiver.deliver.get(topic)?.(bytes, from));
@@ -244,6 +247,26 @@
     }
   });
 
+  it('are not known if a reply that told of a second one came once', async () => {
+    for (const knowing of ['r2', 'r3', 'r4']) {
+      await start();
+      current.listAtAll('e1', 'v1');
+      current.list(knowing, 'e2', 'v2');
+      const askedCounts = new Map<string, number>();
+      // The first question reaches this home alone, and the second the others.
+      current.isLost = (from, to) => {
+        if (from !== 'r1') return false;
+        const count = (askedCounts.get(to) ?? 0) + 1;
+        askedCounts.set(to, count);
+        return (to === knowing) !== (count === 1);
+      };
+      const found = await current.takeUp('r1', 'a');
+      const isHome = askedCounts.has(knowing);
+      expect(found).to.deep.equal(isHome ? UNKNOWN : only('v1'));
+      if (knowing !== 'r4') await current.stop();
+    }
+  });
+
   it('are dropped with datagrams that are malformed', async () => {
     await start();
     current.listAtAll('e1', 'v1');
