Keep the end of versions for streams that come to last longer

A router that starts counts a stream's lifetime as 60 s until it has the tables. If their longest time-out is above 18 s, a version that had left longer ago was dropped then, although the record of the store named it, and its streams were taken for those of the other version once the tables had come. The same if new tables raise the time-out.

The end of a version is kept for an hour, and the lifetime in force decides whether it counts. The new test finds the wrong version before the change.

--- a/packages/decide/src/tests/versionhistory.test.ts
+++ b/packages/decide/src/tests/versionhistory.test.ts
@@ -11,11 +11,11 @@
 const LIFETIME_MS = 30_000;
 const POOL = 'pool';
 
-function createHistory(startedMs = 0) {
+function createHistory(startedMs = 0, lifetimeMs = () => LIFETIME_MS) {
   let changes = 0;
   const history = new decide.CountedVersionHistory({
     startedMs,
-    streamLifetimeMs: () => LIFETIME_MS,
+    streamLifetimeMs: lifetimeMs,
     onChange: () => (changes += 1),
   });
   const list = (id: string, version: string | undefined, nowMs: number) =>
@@ -85,6 +85,19 @@
     expect(history.onlyVersion(POOL, 34_000)).to.equal('v1');
   });
 
+  it('keeps a version that counts again once streams may last longer', () => {
+    let lifetimeMs = LIFETIME_MS;
+    const {history, list} = createHistory(0, () => lifetimeMs);
+    history.recordFirstStart();
+    list('e1', 'v1', 0);
+    list('e2', 'v2', 1_000);
+    list('e1', undefined, 2_000);
+    const nowMs = 3_000 + LIFETIME_MS;
+    expect(history.onlyVersion(POOL, nowMs)).to.equal('v2');
+    lifetimeMs *= 2;
+    expect(history.onlyVersion(POOL, nowMs)).to.equal(undefined);
+  });
+
   it('reports the first and the last endpoint of a version only', () => {
     const {list, changes} = createHistory();
     list('e1', 'v1', 0);
--- a/packages/decide/src/versionhistory.ts
+++ b/packages/decide/src/versionhistory.ts
@@ -70,6 +70,12 @@
   readonly onChange: () => void;
 }
 
+/**
+ * How long a version is kept that is no longer listed, in ms. Streams may come to
+ * last longer, as when a router that starts has read the tables.
+ */
+const KEPT_MS = 3_600_000;
+
 /** Counts the endpoints of each version. */
 export class CountedVersionHistory implements VersionHistory {
   private readonly endpoints = new Map<string, VersionedEndpoint>();
@@ -130,7 +136,7 @@
     for (const [version, {listedCount, endedMs}] of byVersion) {
       if (listedCount > 0) spans.push({version});
       else if (endedMs >= sinceMs) spans.push({version, endedMs});
-      else byVersion.delete(version);
+      else if (endedMs < nowMs - KEPT_MS) byVersion.delete(version);
     }
     return {spans, knownSinceMs};
   }
