Count a router as reading the endpoints once it has read them

A router that is cut off from all others reads the store itself, and takes the version that its pool has alone for that of a stream that nobody knows. From its first read until the second one failed, 0.3 to about 1 s, it counted as reading although it may have known only old entries.

It now counts once a read has succeeded. The new test sees whether a follower has read before its first read and after a rest.

--- a/packages/direct/src/feedfollowers.ts
+++ b/packages/direct/src/feedfollowers.ts
@@ -82,7 +82,7 @@
   isReader(): boolean;
   /** Whether this router reads the tables' feed successfully. */
   isReadingTables(): boolean;
-  /** The same for the endpoints' feed. */
+  /** Whether this router has read the endpoints' feed, and still does. */
   isReadingEndpoints(): boolean;
   /** Whether this router's recent reads of the store failed. */
   isStoreLost(): boolean;
@@ -213,7 +213,9 @@
   }
 
   isReadingEndpoints(): boolean {
-    return this.endpointsFollower.isCurrent;
+    // One that begins to read is not lost yet, but may know only old entries.
+    const {isCurrent, hasRead} = this.endpointsFollower;
+    return isCurrent && hasRead;
   }
 
   isStoreLost(): boolean {
--- a/packages/direct/src/follower.ts
+++ b/packages/direct/src/follower.ts
@@ -104,6 +104,7 @@
   /** Monotonic time of the last failed read, in ms. */
   private lastFailureMs = Number.NEGATIVE_INFINITY;
   private isReading = false;
+  private hasReadSinceRest = false;
   /** Offset after the last record read. */
   private nextOffset = -1;
 
@@ -117,6 +118,11 @@
     return this.isReading && !this.isLost;
   }
 
+  /** Whether a read has succeeded since this router has to read the feed. */
+  get hasRead(): boolean {
+    return this.hasReadSinceRest;
+  }
+
   /** Whether the last reads failed, also if this router reads no more. */
   get wasLostRecently(): boolean {
     return this.isLost && this.nowMs() - this.lastFailureMs < LOST_MEMORY_MS;
@@ -150,6 +156,7 @@
     const wasReading = this.isReading;
     let wasOutage = this.isLost;
     this.isReading = false;
+    this.hasReadSinceRest = false;
     this.failures = 0;
     while (!signal.aborted && !isNeeded()) {
       await this.sleep(idleCheckMs(), signal);
@@ -239,6 +246,7 @@
 
   private handleSuccess(): void {
     this.failures = 0;
+    this.hasReadSinceRest = true;
     if (!this.isLost) return;
     this.isLost = false;
     this.log.info('dependency_regained', {feed: this.options.name});
--- a/packages/direct/src/tests/follower.test.ts
+++ b/packages/direct/src/tests/follower.test.ts
@@ -219,6 +219,46 @@
     ]);
   });
 
+  it('has read nothing until a read has succeeded', async () => {
+    const kernel = new core.Kernel();
+    const clock = new SteppedClock();
+    kernel.register(core.LOGGER, new core.SilentLogger());
+    kernel.register(core.CLOCK, clock);
+    kernel.register(core.RANDOM, new core.SeededRandom(1));
+    const stopController = new AbortController();
+    const seen: boolean[] = [];
+    const see = () => seen.push(follower.hasRead);
+    const page = {records: [], nextOffset: 3};
+    const isNeeded = () => clock.timeMs < 1_000 || clock.timeMs >= 5_000;
+    const follower: direct.Follower<string> = new direct.Follower(kernel, {
+      name: 'endpoints',
+      feed: {
+        readLatest: () => {
+          see();
+          return Promise.resolve({ok: true, page});
+        },
+        readFrom: () => {
+          see();
+          if (clock.timeMs > 5_000) stopController.abort();
+          return Promise.resolve({ok: true, page});
+        },
+      },
+      handler: {
+        onRecord: () => undefined,
+        onLatest: () => undefined,
+        onOffset: () => undefined,
+        onLost: () => undefined,
+        onRecovered: () => undefined,
+      },
+      waitMs: 0,
+      pauseMs: () => 600,
+      isNeeded,
+      idleCheckMs: () => 500,
+    });
+    await follower.run(stopController.signal);
+    expect(seen).to.deep.equal([false, true, true, false, true]);
+  });
+
   /** Events of a follower that is not needed for some seconds. */
   async function rest(isLostElsewhere: () => boolean): Promise<string[]> {
     const kernel = new core.Kernel();
