Show two more ways in which streams are joined, as known faults

A route that moves to another pool between the tries, and routers that are cut off together with their homes.

--- a/packages/direct/src/tests/streamversions.test.ts
+++ b/packages/direct/src/tests/streamversions.test.ts
@@ -58,8 +58,13 @@
     for (const name of ROUTERS) this.list(name, id, version);
   }
 
-  async begin(name: string, stream: string, version: string): Promise<void> {
-    const request = requestOf(stream);
+  async begin(
+    name: string,
+    stream: string,
+    version: string,
+    pool = POOL,
+  ): Promise<void> {
+    const request = {...requestOf(stream), pool};
     const endpoint = {softwareVersion: version} as direct.Endpoint;
     this.routers.get(name)!.versions.recordBegun(request, endpoint);
     await this.clock.advance(50);
@@ -267,6 +272,33 @@
     }
   });
 
+  it('are not confused between the pools that a route had', async () => {
+    await start();
+    for (const name of ROUTERS) {
+      const history = current.routers
+        .get(name)!
+        .kernel.find(direct.VERSION_HISTORY);
+      history.recordEntry('e1', {pool: 'old', version: 'v1'}, 0);
+      history.recordEntry('e2', {pool: POOL, version: 'v2'}, 0);
+    }
+    for (let index = 0; index < 20; index++) {
+      const id = `s${index}`;
+      await current.begin('r1', id, 'v1', 'old');
+      const found = await current.takeUp('r3', id);
+      expect(found).not.to.include({version: 'v2'});
+    }
+  });
+
+  it('are not known to routers that are cut off together', async () => {
+    await start();
+    current.listAtAll('e1', 'v1');
+    const isInside = (name: string) => name === 'r1' || name === 'r2';
+    current.isLost = (from, to) => isInside(from) !== isInside(to);
+    for (const name of ['r3', 'r4']) current.list(name, 'e2', 'v2');
+    await current.begin('r3', 'a', 'v2');
+    expect(await current.takeUp('r1', 'a')).not.to.include({version: 'v1'});
+  });
+
   it('are dropped with datagrams that are malformed', async () => {
     await start();
     current.listAtAll('e1', 'v1');
