--- a/packages/direct/src/endpointsends.ts
+++ b/packages/direct/src/endpointsends.ts
@@ -83,7 +83,7 @@
     if (!this.mayOpenSecond(dispatch)) return undefined;
     const selection = await this.kernel
       .find(endpointSelector.ENDPOINT_SELECTOR)
-      .select(request, progress.triedIds);
+      .select(request, progress);
     // The selection may have taken time, in which the first may have ended.
     if (await this.settlesWithin(first.result, 0)) return undefined;
     if (selection.type !== 'selected' || !this.mayOpenSecond(dispatch)) {
@@ -146,7 +146,9 @@
     const room = this.kernel.find(decisions.ENDPOINT_ROOM);
     if (result.type === 'response') {
       room.recordAccepted(id);
-      if (progress.waitSpan) this.waitingRoom.recordAccepted(request.pool);
+      if (progress.waitSpan) {
+        this.waitingRoom.recordAccepted(request.pool, progress.version);
+      }
       return;
     }
     if (!isWithoutRoom(result)) return;
@@ -253,7 +255,12 @@
   progress: dispatchProgress.DispatchProgress,
   {endpoint, placement, contextSource}: endpointSelector.EndpointChoice,
 ): void {
-  progress.placement = {...placement, contextSource: contextSource?.id};
+  const {softwareVersion} = endpoint;
+  progress.placement = {
+    ...placement,
+    contextSource: contextSource?.id,
+    softwareVersion,
+  };
   progress.sendCount += 1;
   progress.triedIds.add(endpoint.id);
 }
--- a/packages/direct/src/responsedelivery.ts
+++ b/packages/direct/src/responsedelivery.ts
@@ -14,8 +14,9 @@
 import * as wireProtocol from './wireprotocol.js';
 import * as eventSplitter from './eventsplitter.js';
 import * as liveness from './liveness.js';
-import type * as model from './model.js';
+import * as model from './model.js';
 import * as streamRecorder from './streamrecorder.js';
+import * as streamVersions from './streamversions.js';
 
 /** The result of an attempt whose response was handled. */
 export type DeliveryResult =
@@ -53,6 +54,7 @@
   /** How the end of an event stream is marked for the caller. */
   private callerFraming: routedRequest.Framing | undefined;
   private lastFailure: BufferedResponse | undefined;
+  private firstVersion: string | undefined;
 
   constructor(
     private readonly kernel: core.Kernel,
@@ -79,6 +81,14 @@
     return this.splitter.lastEventId;
   }
 
+  /**
+   * Version of the endpoint that sent the first event; undefined if there was
+   * none yet.
+   */
+  get begunVersion(): string | undefined {
+    return this.firstVersion;
+  }
+
   /** Whether another endpoint's response can continue what the caller has. */
   get canResume(): boolean {
     return (
@@ -273,6 +283,7 @@
         outgoing.memory.connection.recordPassed(chunk.length);
       } else {
         incoming.recordBegun();
+        this.recordVersion(endpoint);
         const drained = outgoing.write(events);
         if (drained) await drained;
       }
@@ -283,6 +294,16 @@
     }
   }
 
+  /** Records where the stream began, which its caller may take up elsewhere. */
+  private recordVersion(endpoint: model.Endpoint): void {
+    if (this.firstVersion !== undefined) return;
+    this.firstVersion = model.versionOf(endpoint);
+    if (!this.request.route.isResumable) return;
+    this.kernel
+      .find(streamVersions.STREAM_VERSIONS)
+      .recordBegun(this.request, endpoint);
+  }
+
   /** Holds what the unfinished event takes; false if there is no memory. */
   private holdEvent(): boolean {
     const {memory} = this.outgoing;
