Fetch the versions of endpoints that a router heard of without them

What callers could see, after an update from a build before: a router took the endpoints over from an older one, which passes their entries on without versions, and kept the empty version for all, so that two versions looked like one and streams were joined. Found in the review.

Cause: the fingerprint by which routers notice that they know different things left the version out, so nothing started a catch-up.

Change: the version is part of it. While routers of both builds run, they differ, and fetch each other's state every 2 s; that ends with the update.

--- a/packages/direct/src/endpointregistry.ts
+++ b/packages/direct/src/endpointregistry.ts
@@ -5,7 +5,7 @@
  */
 import * as core from '@oleanderrock/core';
 import type * as feeds from './feeds.js';
-import type * as model from './model.js';
+import * as model from './model.js';
 
 /** A record of the endpoints' feed. */
 export type EndpointRecord = feeds.FeedRecord<model.Endpoint>;
@@ -243,7 +243,7 @@
 function fingerprintOf(value: model.Endpoint | undefined): number {
   if (!value || value.isDraining) return 0;
   const {id, bornMs = 0} = value;
-  return core.hash32(`${id} ${bornMs}`);
+  return core.hash32(`${id} ${bornMs} ${model.versionOf(value)}`);
 }
 
 function availabilityOf(value: model.Endpoint | undefined): string {
