Bind streams on routes that routers may not resume as well

Callers that took up a stream on a route with resumable: false got the rest from any version, with 200. Such a route keeps the router from sending a request on, not its caller from coming back, but neither the beginning of its streams nor the take-up was looked at.

Streams of all streaming routes are now recorded and found.

--- a/packages/direct/src/responsedelivery.ts
+++ b/packages/direct/src/responsedelivery.ts
@@ -298,7 +298,6 @@
   private recordVersion(endpoint: model.Endpoint): void {
     if (this.firstVersion !== undefined) return;
     this.firstVersion = model.versionOf(endpoint);
-    if (!this.request.route.isResumable) return;
     this.kernel
       .find(streamVersions.STREAM_VERSIONS)
       .recordBegun(this.request, endpoint);
--- a/packages/direct/src/streamversions.ts
+++ b/packages/direct/src/streamversions.ts
@@ -98,11 +98,8 @@
 
 /** Whether the request continues a stream that its caller has the beginning of. */
 export function isTakeUp({route, head}: routedRequest.RoutedRequest): boolean {
-  return (
-    route.repeat === 'stream' &&
-    route.isResumable &&
-    head.lastEventId !== undefined
-  );
+  // Callers may take up streams of routes on which routers may not.
+  return route.repeat === 'stream' && head.lastEventId !== undefined;
 }
 
 /** Id of the caller's attempt that brought, or is to bring, the first event. */
--- a/packages/router/src/tests/directversions.test.ts
+++ b/packages/router/src/tests/directversions.test.ts
@@ -66,21 +66,21 @@
   };
 
   /** Streams that all routers began, by attempt id, with their versions. */
-  const beginStreams = async (count = STREAMS) => {
+  const beginStreams = async (count = STREAMS, path = '/chat/a') => {
     const begun = new Map<string, string>();
     for (let index = 0; index < count; index++) {
       streamCount += 1;
       const id = `stream-${streamCount}`;
       const headers = {'attempt-id': id};
-      const {body} = await fleet.call('/chat/a', {headers}, index % 2);
+      const {body} = await fleet.call(path, {headers}, index % 2);
       begun.set(id, versionsIn(body).join());
     }
     return begun;
   };
 
-  const takeUp = (id: string, router: number) =>
+  const takeUp = (id: string, router: number, path = '/chat/a') =>
     fleet.call(
-      '/chat/a',
+      path,
       {headers: {'last-event-id': String(LAST_EVENT), resumes: id}},
       router,
     );
@@ -142,6 +142,18 @@
     }
   });
 
+  it('goes on at its version if only its caller may take it up', async () => {
+    for (const version of ['v1', 'v2']) await add(version);
+    const begun = await beginStreams(STREAMS, '/once/a');
+    for (const [id, version] of begun) {
+      for (const router of [0, 1]) {
+        const {status, body} = await takeUp(id, router, '/once/a');
+        expect(status).to.equal(200);
+        expect(versionsIn(body)).to.deep.equal([version]);
+      }
+    }
+  });
+
   it('goes on at its version if that came second', async () => {
     await add('v1');
     const begun = await beginStreams();
