Write the events that came with one for which there is no memory

What callers could see: a stream with a gap.

Cause: the ids were read before it was known whether the bytes can be written. Change: the complete events are written first, then the answer is broken.

--- a/packages/direct/src/responsedelivery.ts
+++ b/packages/direct/src/responsedelivery.ts
@@ -277,7 +277,7 @@
       if (oddEvent) {
         this.recorder.recordOddEvent(this.request, endpoint, oddEvent);
       }
-      if (!this.holdEvent()) throw NO_EVENT_MEMORY;
+      const hasMemory = this.holdEvent();
       if (events.length === 0) {
         // The chunk was copied.
         outgoing.memory.connection.recordPassed(chunk.length);
@@ -288,6 +288,7 @@
         if (drained) await drained;
       }
       if (outgoing.callerGone.aborted) return true;
+      if (!hasMemory) throw NO_EVENT_MEMORY;
       if (oddEvent?.fault === 'back') {
         throw new eventSplitter.OutOfOrderError(oddEvent);
       }
