Split the homes of streams from what decides by them

streamhomes.ts tells and asks by datagrams, streamversions.ts decides where a stream goes on, decide/versionviews.ts what several views of a pool agree on, and streamlifetime.ts how long a stream can be taken up.

--- a/packages/decide/src/index.ts
+++ b/packages/decide/src/index.ts
@@ -51,6 +51,7 @@
 export * from './trackedrequests.js';
 export * from './usage.js';
 export * from './versionhistory.js';
+export * from './versionviews.js';
 export * from './waitinglist.js';
 export * from './waitingtime.js';
 export * from './workleft.js';
--- a/packages/direct/src/dispatcher.ts
+++ b/packages/direct/src/dispatcher.ts
@@ -107,7 +107,6 @@
       const detail = `it is not known at which version of ${pool} it began`;
       return {kind: 'stream_unknown', detail};
     }
-    if (start.type === 'new') return undefined;
     const {version} = start;
     progress.version = version;
     const isListed = this.kernel
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -45,6 +45,8 @@
 export * from './startrecorder.js';
 export * from './streamrecorder.js';
 export * from './statesource.js';
+export * from './streamhomes.js';
+export * from './streamlifetime.js';
 export * as streamMessage from './streammessage.js';
 export * from './streamversions.js';
 export * from './versionrecords.js';
--- a/packages/direct/src/tests/streamversions.test.ts
+++ b/packages/direct/src/tests/streamversions.test.ts
@@ -17,7 +17,8 @@
 
 interface Router {
   readonly kernel: core.Kernel;
-  readonly versions: direct.HomedStreamVersions;
+  readonly homes: direct.DatagramStreamHomes;
+  readonly versions: direct.SharedStreamVersions;
   readonly deliver: Map<string, direct.DatagramListener>;
   isCut: boolean;
   isReadingEndpoints: boolean;
@@ -35,12 +36,12 @@
   /** Starts the routers; `known` says which have run for a lifetime. */
   async start(isKnown: (name: string) => boolean): Promise<void> {
     for (const name of ROUTERS) this.add(name, isKnown(name));
-    for (const {versions} of this.routers.values()) await versions.start();
+    for (const {homes} of this.routers.values()) await homes.start();
   }
 
   async stop(): Promise<void> {
-    for (const {versions} of this.routers.values()) {
-      const stopped = versions.stop();
+    for (const {homes} of this.routers.values()) {
+      const stopped = homes.stop();
       await this.clock.advance(1_000);
       await stopped;
     }
@@ -123,9 +124,11 @@
       isStoreLost: () => false,
       withdraw: () => Promise.resolve(),
     });
-    const versions = new direct.HomedStreamVersions(kernel);
+    const homes = new direct.DatagramStreamHomes(kernel);
+    kernel.register(direct.STREAM_HOMES, homes);
+    const versions = new direct.SharedStreamVersions(kernel);
     const state = {isCut: false, isReadingEndpoints: false};
-    this.routers.set(name, {kernel, versions, deliver, ...state});
+    this.routers.set(name, {kernel, homes, versions, deliver, ...state});
   }
 
   private send(
--- a/packages/router/src/wiredirect.ts
+++ b/packages/router/src/wiredirect.ts
@@ -167,8 +167,7 @@
     direct.VERSION_HISTORY,
     new decide.CountedVersionHistory({
       startedMs: kernel.find(core.CLOCK).nowMs(),
-      streamLifetimeMs: () =>
-        direct.streamLifetimeMs(kernel.find(direct.ACTIVE_TABLES).current()),
+      streamLifetimeMs: () => direct.currentStreamLifetimeMs(kernel),
       onChange: () => kernel.find(direct.VERSION_RECORDS).updateSoon(),
     }),
   );
@@ -249,9 +248,10 @@
     direct.GOSSIP,
     new direct.DigestGossip(kernel, routerSettings),
   );
+  kernel.register(direct.STREAM_HOMES, new direct.DatagramStreamHomes(kernel));
   kernel.register(
     direct.STREAM_VERSIONS,
-    new direct.HomedStreamVersions(kernel),
+    new direct.SharedStreamVersions(kernel),
   );
   kernel.register(
     direct.VERSION_RECORDS,
