--- a/packages/router/src/tests/eventorder.test.ts
+++ b/packages/router/src/tests/eventorder.test.ts
@@ -210,6 +210,20 @@
     expect(gaps).to.equal(2);
   });
 
+  it('go on after the last one that was passed on, not the one that the caller names', async () => {
+    const half = (lastId: number) =>
+      `${support.events(8, lastId + 1)}id: 9\nda`;
+    setFirst(write(half));
+    const headers = {'last-event-id': '6'};
+    const response = await fleet.call('/chat/a', {headers});
+    expect(response).to.include({
+      body: support.events(EVENTS, 7),
+      isComplete: true,
+    });
+    const asked = fleet.runs().map(run => run.headers['last-event-id']);
+    expect(asked.sort()).to.deep.equal(['6', '8']);
+  });
+
   it('are not compared with the last id of a caller whose stream may not be resumed', async () => {
     setFirst(write(() => support.events(EVENTS)));
     const headers = {'last-event-id': '6'};
