--- a/packages/direct/src/dispatcher.ts
+++ b/packages/direct/src/dispatcher.ts
@@ -11,13 +11,18 @@
 import * as dispatchFailure from './dispatchfailure.js';
 import * as dispatchProgress from './dispatchprogress.js';
 import * as endpointNotices from './endpointnotices.js';
+import * as endpointRegistry from './endpointregistry.js';
 import * as endpointSelector from './endpointselector.js';
 import * as endpointSends from './endpointsends.js';
 import * as decisions from './decisions.js';
 import * as responseDelivery from './responsedelivery.js';
 import * as sendAllowance from './sendallowance.js';
+import * as streamVersions from './streamversions.js';
 import * as waitingRoom from './waitingroom.js';
-import type * as model from './model.js';
+import * as model from './model.js';
+
+/** Maximum number of continued streams that are logged in a second. */
+const MAX_CONTINUATION_LINES_PER_SECOND = 20;
 
 /** Dispatches requests to endpoints. */
 export interface Dispatcher {
@@ -35,6 +40,7 @@
   private readonly recorder: attemptRecorder.AttemptRecorder;
   private readonly allowance: sendAllowance.SendAllowance;
   private readonly sends: endpointSends.EndpointSends;
+  private readonly continuationQuota: core.LogQuota;
 
   constructor(private readonly kernel: core.Kernel) {
     this.recorder = new attemptRecorder.AttemptRecorder(kernel);
@@ -44,6 +50,11 @@
       this.allowance,
       this.recorder,
     );
+    this.continuationQuota = new core.LogQuota(
+      'stream_continued',
+      MAX_CONTINUATION_LINES_PER_SECOND,
+      kernel.find(core.LOGGER),
+    );
   }
 
   async serve(
@@ -60,6 +71,13 @@
     );
     const progress = dispatchProgress.newProgress(request);
     const dispatch = {request, delivery, progress};
+    const failure = streamVersions.isTakeUp(request)
+      ? await this.findVersion(dispatch)
+      : undefined;
+    if (failure) {
+      const {kind, detail} = failure;
+      return dispatchProgress.failedOutcome(kind, detail, progress);
+    }
     while (this.allowance.maySend(dispatch)) {
       const choice = await this.selectEndpoint(dispatch);
       if (delivery.callerGone.aborted) {
@@ -73,6 +91,34 @@
     return dispatchFailure.conclude(this.kernel, dispatch);
   }
 
+  /**
+   * Finds the version at which a stream that is taken up goes on; returns why it
+   * cannot, which no wait would change.
+   */
+  private async findVersion({
+    request,
+    progress,
+  }: dispatchProgress.Dispatch): Promise<core.Failure | undefined> {
+    const start = await this.kernel
+      .find(streamVersions.STREAM_VERSIONS)
+      .findStart(request);
+    const {pool} = request;
+    if (start.type === 'unknown') {
+      const detail = `it is not known at which version of ${pool} it began`;
+      return {kind: 'stream_unknown', detail};
+    }
+    if (start.type === 'new') return undefined;
+    const {version} = start;
+    progress.version = version;
+    const isListed = this.kernel
+      .find(endpointRegistry.ENDPOINT_REGISTRY)
+      .readyEndpoints(pool)
+      .some(endpoint => model.versionOf(endpoint) === version);
+    if (isListed) return undefined;
+    const detail = `${pool} has no endpoint of version ${version} left`;
+    return {kind: 'version_gone', detail};
+  }
+
   /** Selects an endpoint, once one has room; undefined if none will in time. */
   private async selectEndpoint(
     dispatch: dispatchProgress.Dispatch,
@@ -80,12 +126,13 @@
     const {request, delivery, progress} = dispatch;
     // A new request goes behind those that wait already.
     const mustWait =
-      progress.sendCount === 0 && this.waitingRoom.hasWaiting(request.pool);
+      progress.sendCount === 0 &&
+      this.waitingRoom.hasWaiting(request.pool, progress.version);
     if (mustWait && !(await this.waitForRoom(dispatch))) return undefined;
     for (;;) {
       const selection = await this.kernel
         .find(endpointSelector.ENDPOINT_SELECTOR)
-        .select(request, progress.triedIds);
+        .select(request, progress);
       if (selection.type === 'selected') return selection.choice;
       if (selection.type === 'limited') {
         this.recordLimited(dispatch, selection.retryInMs);
@@ -106,7 +153,7 @@
     const notices = this.kernel.find(decisions.ENDPOINT_NOTICES);
     const nowMs = this.nowMs();
     return endpointNotices
-      .openEndpoints(this.kernel, request.pool)
+      .openEndpoints(this.kernel, request.pool, progress.version)
       .some(
         each =>
           this.mayTake(progress, each) &&
@@ -133,6 +180,7 @@
       request,
       callerGone: delivery.callerGone,
       span: progress.waitSpan,
+      version: progress.version,
     });
     progress.waitedMs += this.nowMs() - startedMs;
     if (end.type === 'room') {
@@ -175,6 +223,7 @@
     choice: endpointSelector.EndpointChoice,
   ): Promise<routedRequest.RequestOutcome | undefined> {
     const {request, delivery, progress} = dispatch;
+    this.recordContinuation(dispatch, choice.endpoint);
     const {endpoint, result} = await this.sends.send(dispatch, choice);
     const deliveryResult =
       result.type === 'response'
@@ -184,12 +233,34 @@
             progress.sendCount >= sendAllowance.MAX_SENDS,
           )
         : result;
-    if (result.type === 'response') this.waitingRoom.recordEnd(request.pool);
+    if (result.type === 'response') {
+      const version = model.versionOf(endpoint);
+      this.waitingRoom.recordEnd(request.pool, version);
+    }
+    progress.version ??= delivery.begunVersion;
     progress.runs.end(dispatchProgress.runOf(deliveryResult));
     this.recorder.record(request, endpoint, deliveryResult);
     return this.applyResult(endpoint, deliveryResult, progress);
   }
 
+  /** Logs which endpoint is to continue a stream after which event. */
+  private recordContinuation(
+    {request: {head}, delivery}: dispatchProgress.Dispatch,
+    {id, softwareVersion}: model.Endpoint,
+  ): void {
+    const lastEventId = delivery.lastEventId ?? head.lastEventId;
+    if (lastEventId === undefined) return;
+    if (!this.continuationQuota.consume(this.nowMs())) return;
+    this.kernel.find(core.LOGGER).info('stream_continued', {
+      request: head.requestId,
+      resumes: head.resumedRequestId,
+      after_event: lastEventId,
+      within_answer: delivery.lastEventId !== undefined,
+      endpoint: id,
+      version: softwareVersion,
+    });
+  }
+
   private applyResult(
     endpoint: model.Endpoint,
     result: responseDelivery.DeliveryResult,
--- a/packages/direct/src/endpointregistry.ts
+++ b/packages/direct/src/endpointregistry.ts
@@ -5,7 +5,7 @@
  */
 import * as core from '@oleanderrock/core';
 import type * as feeds from './feeds.js';
-import type * as model from './model.js';
+import * as model from './model.js';
 
 /** A record of the endpoints' feed. */
 export type EndpointRecord = feeds.FeedRecord<model.Endpoint>;
@@ -21,7 +21,7 @@
  * others know already, and of one that has come.
  */
 const LEAVING_BYTES = 20;
-const COMING_BYTES = 60;
+const COMING_BYTES = 70;
 
 /** Maximum bytes of the changes in one digest, so that it fits a datagram. */
 const MAX_CHANGE_BYTES_PER_DIGEST = 720;
@@ -218,6 +218,7 @@
       pool: value?.pool ?? previous?.value?.pool,
       was,
       is,
+      version: value?.softwareVersion ?? previous?.value?.softwareVersion,
       offset,
     });
     return isAvailabilityChange;
@@ -242,7 +243,7 @@
 function fingerprintOf(value: model.Endpoint | undefined): number {
   if (!value || value.isDraining) return 0;
   const {id, bornMs = 0} = value;
-  return core.hash32(`${id} ${bornMs}`);
+  return core.hash32(`${id} ${bornMs} ${model.versionOf(value)}`);
 }
 
 function availabilityOf(value: model.Endpoint | undefined): string {
--- a/packages/direct/src/model.ts
+++ b/packages/direct/src/model.ts
@@ -139,6 +139,8 @@
   port: portSchema,
   zone: nameSchema,
   isDraining: v.boolean(),
+  /** Version of its software, not of the model's weights. */
+  softwareVersion: v.optional(nameSchema),
   /** Wall-clock time of the endpoint's start, in ms. */
   bornMs: v.optional(v.number()),
   /**
@@ -151,6 +153,11 @@
 /** An endpoint. */
 export type Endpoint = v.InferOutput<typeof endpointSchema>;
 
+/** The version of an endpoint's software; empty if its entry has none. */
+export function versionOf({softwareVersion = ''}: Endpoint): string {
+  return softwareVersion;
+}
+
 /** Schema of the record that a router publishes. */
 export const routerSchema = v.object({
   name: nameSchema,
@@ -161,3 +168,20 @@
 
 /** A router of the fleet. */
 export type Router = v.InferOutput<typeof routerSchema>;
+
+/** Schema of the record of the versions that a pool's endpoints have had. */
+export const poolVersionsSchema = v.object({
+  pool: nameSchema,
+  /** Wall-clock time from which no version is missing, in ms. */
+  knownSinceMs: v.number(),
+  versions: v.array(
+    v.object({
+      version: nameSchema,
+      /** Wall-clock time at which it was last listed; absent if it still was. */
+      endedAtMs: v.optional(v.number()),
+    }),
+  ),
+});
+
+/** The versions that a pool's endpoints have had. */
+export type PoolVersions = v.InferOutput<typeof poolVersionsSchema>;
