--- a/packages/decide/src/streamorigins.ts
+++ b/packages/decide/src/streamorigins.ts
@@ -8,6 +8,7 @@
 export interface StreamOrigin {
   /** Id of the caller's attempt that brought the first event. */
   readonly id: string;
+  readonly pool: string;
   readonly version: string;
 }
 
@@ -18,8 +19,11 @@
   /** Records an origin of which another router told. */
   recordTold(origin: StreamOrigin, untilMs: number, nowMs: number): void;
   versionOf(id: string, nowMs: number): string | undefined;
-  /** The origins here that were not taken yet, which count as taken from now on. */
-  takeUntold(): readonly StreamOrigin[];
+  /**
+   * The origins here in these pools that were not taken yet, which count as taken
+   * from now on.
+   */
+  takeUntold(isWanted: (pool: string) => boolean): readonly StreamOrigin[];
 }
 
 interface KnownOrigin extends StreamOrigin {
@@ -50,9 +54,9 @@
     return known && known.untilMs > nowMs ? known.version : undefined;
   }
 
-  takeUntold(): readonly StreamOrigin[] {
-    const taken = [...this.untold.values()];
-    this.untold.clear();
+  takeUntold(isWanted: (pool: string) => boolean): readonly StreamOrigin[] {
+    const taken = [...this.untold.values()].filter(({pool}) => isWanted(pool));
+    for (const {id} of taken) this.untold.delete(id);
     return taken;
   }
 
--- a/packages/direct/src/streamhomes.ts
+++ b/packages/direct/src/streamhomes.ts
@@ -15,7 +15,10 @@
 
 /** Tells and asks the homes of streams. */
 export interface StreamHomes {
-  /** Tells the homes soon of the streams that began here. */
+  /**
+   * Tells the homes soon of the streams that began here in pools that may have
+   * had several versions; that of others, the pool tells.
+   */
   tellSoon(): void;
   /**
    * Asks the homes of a stream of the pool, this router left out; never rejects.
@@ -114,8 +117,13 @@
     }
   }
 
+  /** Whether streams of the pool may be of several versions. */
+  private mayVary(pool: string): boolean {
+    return this.history.onlyVersion(pool, this.nowMs()) === undefined;
+  }
+
   private tell(): void {
-    const streams = this.origins.takeUntold();
+    const streams = this.origins.takeUntold(pool => this.mayVary(pool));
     const idsByVersionByAddress = new Map<string, Map<string, string[]>>();
     for (const {id, version} of streams) {
       for (const address of this.homeAddresses(id)) {
@@ -195,7 +203,7 @@
     const nowMs = this.nowMs();
     const untilMs = nowMs + streamLifetime.currentStreamLifetimeMs(this.kernel);
     for (const id of streams) {
-      this.origins.recordTold({id, version}, untilMs, nowMs);
+      this.origins.recordTold({id, pool: '', version}, untilMs, nowMs);
     }
   }
 
--- a/packages/direct/src/streamversions.ts
+++ b/packages/direct/src/streamversions.ts
@@ -2,11 +2,11 @@
  * At which version of their software streams began. What two versions write does
  * not fit together, so a stream that breaks off goes on at its own version only.
  *
- * A router remembers the streams that began here, and tells the homes of each, so
- * that callers can take it up at any router after this one has ended. If nobody
- * knows the stream, the versions of the pool tell its version if there was one
- * alone; a router that may have missed a version asks the homes, which confirm
- * that.
+ * A router remembers the streams that began here. While a pool has or had several
+ * versions, it also tells the homes of each stream, so that callers can take it
+ * up at any router after this one has ended. If nobody knows the stream, the
+ * versions of the pool tell its version if there was one alone; a router that
+ * may have missed a version asks the homes, which confirm that.
  */
 import * as core from '@oleanderrock/core';
 import * as decide from '@oleanderrock/decide';
@@ -83,7 +83,7 @@
   }
 
   recordBegun(
-    {head}: routedRequest.RoutedRequest,
+    {head, pool}: routedRequest.RoutedRequest,
     endpoint: model.Endpoint,
   ): void {
     const name = streamIdOf(head);
@@ -93,7 +93,8 @@
     const version = model.versionOf(endpoint);
     const nowMs = this.nowMs();
     const untilMs = nowMs + streamLifetime.currentStreamLifetimeMs(this.kernel);
-    this.origins.record({id, version}, untilMs, nowMs);
+    this.origins.record({id, pool, version}, untilMs, nowMs);
+    if (this.history.onlyVersion(pool, nowMs) !== undefined) return;
     this.kernel.find(streamHomes.STREAM_HOMES).tellSoon();
   }
 
@@ -138,13 +139,13 @@
    */
   private ownView(pool: string, hearsOfHomes: boolean): decide.VersionView {
     const nowMs = this.nowMs();
-    const history = this.kernel.find(decisions.VERSION_HISTORY);
     const followers = this.kernel.find(feedFollowers.FEED_FOLLOWERS);
     const isCurrent = hearsOfHomes || followers.isReadingEndpoints();
-    const {spans} = history.poolHistory(pool, nowMs);
+    const {spans} = this.history.poolHistory(pool, nowMs);
     return {
       versions: spans.map(({version}) => version),
-      isComplete: isCurrent && history.onlyVersion(pool, nowMs) !== undefined,
+      isComplete:
+        isCurrent && this.history.onlyVersion(pool, nowMs) !== undefined,
     };
   }
 
@@ -152,6 +153,10 @@
     return this.kernel.find(decisions.STREAM_ORIGINS);
   }
 
+  private get history(): decide.VersionHistory {
+    return this.kernel.find(decisions.VERSION_HISTORY);
+  }
+
   private nowMs(): number {
     return this.kernel.find(core.CLOCK).nowMs();
   }
--- a/packages/direct/src/tests/streamversions.test.ts
+++ b/packages/direct/src/tests/streamversions.test.ts
@@ -204,6 +204,8 @@
     current.listAtAll('e1', 'v1');
     await current.begin('r1', 'a', 'v1');
     current.listAtAll('e2', 'v2');
+    current.routers.get('r1')!.homes.tellSoon();
+    await current.clock.advance(50);
     current.routers.get('r1')!.isCut = true;
     expect(await current.takeUp('r2', 'a')).to.include({version: 'v1'});
   });
--- a/packages/router/src/wiredirect.ts
+++ b/packages/router/src/wiredirect.ts
@@ -168,7 +168,10 @@
     new decide.CountedVersionHistory({
       startedMs: kernel.find(core.CLOCK).nowMs(),
       streamLifetimeMs: () => direct.currentStreamLifetimeMs(kernel),
-      onChange: () => kernel.find(direct.VERSION_RECORDS).updateSoon(),
+      onChange: () => {
+        kernel.find(direct.VERSION_RECORDS).updateSoon();
+        kernel.find(direct.STREAM_HOMES).tellSoon();
+      },
     }),
   );
   kernel.register(direct.STREAM_ORIGINS, new decide.RecentStreamOrigins());
