--- a/packages/router/src/tests/notrun.test.ts
+++ b/packages/router/src/tests/notrun.test.ts
@@ -152,6 +152,8 @@
   poison: 'poison.test.ts',
   request_timeout: 'badinput.test.ts',
   quarantined: 'direct.test.ts',
+  stream_unknown: 'directversions.test.ts',
+  version_gone: 'directversions.test.ts',
 };
 
 /** Kinds that only the administration interface and the peer port return. */
